Lay out the workspace, the typed keys and the events of the core

Cause: parallel work needs one set of types before it starts. Ruled out: a crate per duty, which would make every shared type a public interface. Conclusion: the duties can be written side by side.

--- /dev/null
+++ b/crates/bulrushctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/address/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: address.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/catalogue/mod.rs
@@ -0,0 +1,4 @@
+//! Duty: catalogue.
+
+pub mod entry;
+pub mod message;
--- /dev/null
+++ b/crates/core/src/counter.rs
@@ -0,0 +1,71 @@
+//! Everything that is counted. The set is closed, so that no counter can be forgotten in the metrics.
+
+use crate::verdict::Reason;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident = $text:literal;)*) => {
+        /// An event that is counted and not logged.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Counter {
+            /// A request was refused.
+            Refused(Reason),
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Counter {
+            /// Every counter but the refusals, in the order of declaration.
+            pub const EVENTS: &[Self] = &[$(Self::$name,)*];
+
+            /// Returns the stable name of the counter; for refusals, that of the reason.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    Self::Refused(reason) => reason.as_str(),
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+counters! {
+    /// A request was taken in.
+    Accepted = "accepted";
+    /// An attempt was handed to a target.
+    Dispatched = "dispatched";
+    /// A whole answer was delivered.
+    Completed = "completed";
+    /// A request was sent again because the target said that it did not start it.
+    RetryRefusedByTarget = "retry_refused_by_target";
+    /// A request was sent again because the connection failed before the first byte.
+    RetryNotSent = "retry_not_sent";
+    /// A repeatable request was sent again after its target failed.
+    RetryTargetFailed = "retry_target_failed";
+    /// A stream was resumed from its offset.
+    RetryResumed = "retry_resumed";
+    /// An event for an attempt that is no longer current was dropped.
+    StaleAttempt = "stale_attempt";
+    /// A peer's message could not be decoded and was dropped.
+    PeerMessageInvalid = "peer_message_invalid";
+    /// A peer's message of an earlier incarnation or sequence was dropped.
+    PeerMessageStale = "peer_message_stale";
+    /// A record of the log could not be decoded and was skipped.
+    RecordInvalid = "record_invalid";
+    /// An edit lost against another edit of the same entry.
+    EditConflict = "edit_conflict";
+    /// A record that was applied already was met again.
+    RecordRepeated = "record_repeated";
+    /// An append failed or its outcome is unknown.
+    AppendUnanswered = "append_unanswered";
+    /// A grant of slots was received.
+    GrantReceived = "grant_received";
+    /// A grant lapsed before it was used up.
+    GrantLapsed = "grant_lapsed";
+    /// A lease was lost or lapsed while held.
+    LeaseLost = "lease_lost";
+    /// An order to a target was dropped because the lease behind it had lapsed.
+    OrderFenced = "order_fenced";
+    /// A target was taken for cold.
+    TargetCold = "target_cold";
+    /// A request was held as a suspect after a crash.
+    Suspected = "suspected";
+}
--- /dev/null
+++ b/crates/core/src/input.rs
@@ -0,0 +1,183 @@
+//! What can happen to a node.
+
+use core::time::Duration;
+
+use crate::key::{AppendId, AttemptId, Fingerprint, Offset, RequestId, RouterId, TargetId};
+use crate::request::Request;
+use crate::time::Time;
+
+/// An event that the embedding hands to [`Node::handle`](crate::Node::handle).
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A caller's request is complete and waits for a decision.
+    Request(Request),
+    /// The caller of a request has left.
+    Cancelled(RequestId),
+    /// Something was learnt about an attempt.
+    Attempt(AttemptId, AttemptEvent),
+    /// A message arrived from a peer that has proved who it is.
+    Peer {
+        /// The peer.
+        from: RouterId,
+        /// The encoded [`Frame`](crate::message::Frame).
+        bytes: Vec<u8>,
+    },
+    /// Something was learnt from the platform's log.
+    Log(LogEvent),
+    /// The VM list was read.
+    Vms(Vec<Vm>),
+    /// A target reported its load; the report may lag.
+    Report(TargetId, Report),
+    /// A target published changes of its prefix cache, late and with gaps.
+    Cache(TargetId, Vec<CacheEvent>),
+    /// The answer to an order.
+    Ordered(TargetId, OrderEvent),
+    /// The time that an earlier `Wake` asked for has come.
+    Timer,
+    /// The process was asked to stop; everything must be finished by the given time.
+    Stop {
+        /// The latest time at which requests are still served.
+        deadline: Time,
+    },
+}
+
+/// What happened to one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEvent {
+    /// The target admitted the request; the first byte of the answer is here.
+    Started,
+    /// Further tokens arrived; the number is the total so far of this attempt.
+    Progress {
+        /// Tokens received so far by this attempt.
+        tokens: u64,
+    },
+    /// The answer arrived whole, end mark or length included.
+    Finished {
+        /// Tokens received by this attempt in all.
+        tokens: u64,
+    },
+    /// The target said that it did not start the request.
+    Declined,
+    /// The attempt failed.
+    Failed(Failure),
+}
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failure {
+    /// What was seen.
+    pub kind: FailureKind,
+    /// Whether a byte of the request may have reached the target.
+    pub sent: bool,
+    /// Tokens that reached the caller before the failure.
+    pub tokens: u64,
+}
+
+/// What was seen when an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum FailureKind {
+    /// No connection could be made.
+    Connect,
+    /// The connection broke.
+    Broken,
+    /// The answer ended without its end mark or length.
+    Truncated,
+    /// Nothing arrived for longer than the allowed gap.
+    Silent,
+    /// The target answered with an error of its own.
+    Error,
+    /// The answer belonged to another request.
+    Crossed,
+}
+
+/// What was learnt from the log.
+#[derive(Debug, Clone)]
+pub enum LogEvent {
+    /// Records were read, beginning at the offset that was asked for.
+    Read {
+        /// The records, in order.
+        records: Vec<LogRecord>,
+        /// The offset that the next append will get.
+        tail: Offset,
+        /// The oldest offset that is still kept.
+        first: Offset,
+    },
+    /// A read failed or timed out.
+    ReadFailed,
+    /// An append took effect.
+    Appended(AppendId, Offset),
+    /// An append certainly had no effect.
+    AppendFailed(AppendId),
+    /// It is not known whether an append took effect.
+    AppendUnknown(AppendId),
+}
+
+/// A record as read from the log.
+#[derive(Debug, Clone)]
+pub struct LogRecord {
+    /// Where it stands.
+    pub offset: Offset,
+    /// When the log took it in, by the log's clock.
+    pub at: Time,
+    /// The encoded [`Record`](crate::record::Record).
+    pub bytes: Vec<u8>,
+}
+
+/// A machine of the platform's VM list.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Vm {
+    /// The VM's number. A router's [`RouterId`] is the number of its VM.
+    pub id: u32,
+    /// What runs on it.
+    pub role: VmRole,
+    /// Where peers (for routers) or routers (for targets) connect to.
+    pub address: String,
+    /// The name of its data centre.
+    pub data_centre: String,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+}
+
+/// What runs on a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmRole {
+    /// A router of the fleet.
+    Router,
+    /// A model engine or plain service.
+    Target,
+}
+
+/// A target's own view of its load, which may lag.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// Requests being run.
+    pub running: u32,
+    /// Requests admitted and waiting.
+    pub waiting: u32,
+    /// For how long the target has been up; a shorter time than before shows a restart.
+    pub uptime: Duration,
+}
+
+/// A change of a target's prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CacheEvent {
+    /// The prefix is held now.
+    Stored(Fingerprint),
+    /// The prefix is held no longer.
+    Evicted(Fingerprint),
+    /// Events were lost; nothing is known about the cache.
+    Gap,
+}
+
+/// The answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderEvent {
+    /// The order was carried out.
+    Done,
+    /// The target has seen a higher fencing number.
+    Fenced,
+    /// It is not known whether the order was carried out.
+    Unknown,
+}
--- /dev/null
+++ b/crates/core/src/lease/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: lease.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,29 @@
+//! Every decision of a bulrushtrestle router, as one deterministic state machine.
+
+pub mod address;
+pub mod attempt;
+pub mod catalogue;
+pub mod context;
+pub mod cost;
+pub mod counter;
+pub mod input;
+pub mod key;
+pub mod lease;
+pub mod membership;
+pub mod message;
+pub mod node;
+pub mod once;
+pub mod output;
+pub mod placement;
+pub mod prelude;
+pub mod quarantine;
+pub mod queue;
+pub mod record;
+pub mod request;
+pub mod route;
+pub mod share;
+pub mod slots;
+pub mod target;
+pub mod time;
+pub mod verdict;
+pub mod version;
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: membership.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! The node.
--- /dev/null
+++ b/crates/core/src/once/message.rs
@@ -0,0 +1,7 @@
+//! Records and peer messages of this duty.
+
+use serde::{Deserialize, Serialize};
+
+/// A record of this duty.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ClaimBatch {}
--- /dev/null
+++ b/crates/core/src/once/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: once.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,16 @@
+//! The types that nearly every duty needs.
+
+pub use core::time::Duration;
+
+pub use crate::context::{Context, Urgency};
+pub use crate::cost::Cost;
+pub use crate::counter::Counter;
+pub use crate::key::{
+    AppendId, AttemptId, DataCentreId, Fence, Fingerprint, Incarnation, Offset, OrganisationId,
+    PoolId, RequestId, RouterId, TargetId,
+};
+pub use crate::message::Part;
+pub use crate::output::NoticeKind;
+pub use crate::request::{Class, Repeat, Request};
+pub use crate::time::Time;
+pub use crate::verdict::{Reason, Refusal, Verdict};
--- /dev/null
+++ b/crates/core/src/quarantine/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: quarantine.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/queue/mod.rs
@@ -0,0 +1,1 @@
+//! Duty: queue.
--- /dev/null
+++ b/crates/core/src/share/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: share.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/slots/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: slots.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/target/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: target.
+
+pub mod message;
--- /dev/null
+++ b/crates/core/src/version/mod.rs
@@ -0,0 +1,3 @@
+//! Duty: version.
+
+pub mod message;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
