Add the calls between routers with a mutual handshake

Routers had no way to reach one another. Structs for every message in the schema were ruled out, since each duty's messages would then stand twice; frames travel as bytes.

--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,81 @@
+//! What can go wrong between two routers.
+
+use core::{fmt, time::Duration};
+
+/// Why a connection to a peer cannot be used.
+#[derive(Debug, thiserror::Error)]
+#[error(transparent)]
+pub struct Error(#[from] ErrorKind);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ErrorKind {
+    #[error("the fleet key has {len} bytes; it needs {min} or more", min = crate::FLEET_KEY_BYTES_MIN)]
+    ShortKey { len: usize },
+    #[error("the peer did not prove that it holds the fleet's key")]
+    Unproved,
+    #[error("router {found} answered in place of router {expected}")]
+    WrongRouter { expected: u32, found: u32 },
+    #[error("refused: {0}")]
+    Refused(Refused),
+    #[error("nothing arrived for {0:?}")]
+    Idle(Duration),
+    #[error("call failed: {0}")]
+    Call(#[from] capnp::Error),
+}
+
+/// Why a greeting was turned down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Refused {
+    /// The greeting is not well formed, or its steps came out of turn.
+    Malformed,
+    /// The caller named the router that it called.
+    OwnName,
+    /// The proof does not fit the fleet's key, the names and the nonces of this connection.
+    WrongProof,
+    /// The caller did not prove itself in time.
+    TooSlow,
+}
+
+impl Error {
+    /// Returns whether the other side lacks the fleet's key or is another router than expected.
+    pub fn is_credentials(&self) -> bool {
+        match &self.0 {
+            ErrorKind::Unproved | ErrorKind::WrongRouter { .. } | ErrorKind::Refused(_) => true,
+            ErrorKind::ShortKey { .. } | ErrorKind::Idle(_) | ErrorKind::Call(_) => false,
+        }
+    }
+
+    /// Returns why this side turned down the other's greeting, if it did.
+    pub fn refused(&self) -> Option<Refused> {
+        match self.0 {
+            ErrorKind::Refused(refused) => Some(refused),
+            _ => None,
+        }
+    }
+}
+
+impl Refused {
+    /// Every member, in the order of declaration.
+    pub const ALL: [Self; 4] = [
+        Self::Malformed,
+        Self::OwnName,
+        Self::WrongProof,
+        Self::TooSlow,
+    ];
+
+    /// Returns the stable name that metrics use.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::OwnName => "own_name",
+            Self::WrongProof => "wrong_proof",
+            Self::TooSlow => "too_slow",
+        }
+    }
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
