Give operators a command that edits the catalogue through the log

Operators steer the fleet by edits on the platform's log alone, so the command needs no router. The answer to an append proves little: it can be lost after the append took effect, and an edit on the log may have lost a race. So each append is followed by a read up to the tail, whose order decides, and a failed append is sent again under the same id. Deciding by the answer was ruled out.

An edit keeps what was not given, a no-op appends nothing, a reference to an entry that does not exist is refused. Exit codes: 0 done, 1 failed, 2 invalid, 3 another edit won, 4 unreachable or unknown. status, watch and check are there; load and the tests follow. Tried by hand against the log stand-in.

--- /dev/null
+++ b/crates/bulrushctl/src/args/mod.rs
@@ -0,0 +1,149 @@
+//! The command line.
+
+mod entry;
+mod value;
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+pub(crate) use self::entry::{
+    DataCentre, DataCentreAction, Organisation, OrganisationAction, OrganisationPut, Pool,
+    PoolAction, Target, TargetAction, TargetPut, Version, VersionAction, VersionMove,
+};
+pub(crate) use self::value::{KindName, Span, kind_name};
+use crate::http::Base;
+
+/// The environment variable that stands in for `--log`.
+const LOG_VARIABLE: &str = "BULRUSHCTL_LOG";
+/// The environment variable that stands in for `--router`.
+const ROUTER_VARIABLE: &str = "BULRUSHCTL_ROUTER";
+
+/// Steers a bulrushtrestle fleet: edits its catalogue, shows its status, checks files, runs load.
+#[derive(Debug, FromArgs)]
+#[argh(
+    note = "Exit codes: 0 done, 1 failed, 2 wrong usage or invalid input, 3 another edit won, \
+            4 unreachable or outcome unknown."
+)]
+pub(crate) struct Args {
+    /// the log service, such as http://127.0.0.1:7000 (from BULRUSHCTL_LOG)
+    #[argh(option)]
+    pub(crate) log: Option<Base>,
+    /// a file with the log service's bearer token
+    #[argh(option)]
+    pub(crate) log_token_file: Option<PathBuf>,
+    /// a router's operators' listener, such as http://127.0.0.1:9000 (from BULRUSHCTL_ROUTER)
+    #[argh(option)]
+    pub(crate) router: Option<Base>,
+    /// a file with the operators' bearer token
+    #[argh(option)]
+    pub(crate) router_token_file: Option<PathBuf>,
+    /// who makes the edit, for other operators (from USER)
+    #[argh(option)]
+    pub(crate) author: Option<String>,
+    /// how long to try before giving up (10s)
+    #[argh(option, default = "Span::from_secs(10)")]
+    pub(crate) timeout: Span,
+    /// print JSON for scripts
+    #[argh(switch)]
+    pub(crate) json: bool,
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Organisation(Organisation),
+    Pool(Pool),
+    Target(Target),
+    DataCentre(DataCentre),
+    Version(Version),
+    Get(Get),
+    Status(Status),
+    Watch(Watch),
+    Check(Check),
+}
+
+/// Shows entries of the catalogue as the log holds them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+pub(crate) struct Get {
+    /// organisation, pool, target, data-centre or version; all if left out
+    #[argh(positional)]
+    pub(crate) kind: Option<KindName>,
+    /// the name of one entry
+    #[argh(option)]
+    pub(crate) name: Option<String>,
+}
+
+/// Shows the status of a router.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {}
+
+/// Follows a version move until it has finished or was taken back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "watch")]
+pub(crate) struct Watch {
+    /// the pool whose version moves
+    #[argh(positional)]
+    pub(crate) pool: String,
+    /// how long to follow it before giving up (until it ends)
+    #[argh(option)]
+    pub(crate) within: Option<Span>,
+}
+
+/// Checks a file without changing anything.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct Check {
+    /// the JSON file: an entry, a list of entries, or a load experiment
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+}
+
+/// What a command line asks for.
+pub(crate) enum Parsed {
+    /// Run a command.
+    Run(Box<Args>),
+    /// Print this text.
+    Help(String),
+    /// Complain with this text.
+    Wrong(String),
+}
+
+/// Reads a command line, the name of the program first.
+pub(crate) fn parse(args: impl Iterator<Item = String>) -> Parsed {
+    let args: Vec<String> = args.skip(1).collect();
+    let borrowed: Vec<&str> = args.iter().map(String::as_str).collect();
+    match Args::from_args(&["bulrushctl"], &borrowed) {
+        Ok(args) => match args.with_variables(|name| std::env::var(name).ok()) {
+            Ok(args) => Parsed::Run(Box::new(args)),
+            Err(text) => Parsed::Wrong(text),
+        },
+        Err(exit) if exit.status.is_ok() => Parsed::Help(exit.output + "\n"),
+        Err(exit) => Parsed::Wrong(exit.output + "\n"),
+    }
+}
+
+impl Args {
+    /// Fills in what the environment gives.
+    fn with_variables(mut self, get: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let base = |name: &str| {
+            let text = get(name).filter(|text| !text.is_empty());
+            text.map(|text| text.parse().map_err(|err| format!("{name}: {err}\n")))
+                .transpose()
+        };
+        if self.log.is_none() {
+            self.log = base(LOG_VARIABLE)?;
+        }
+        if self.router.is_none() {
+            self.router = base(ROUTER_VARIABLE)?;
+        }
+        if self.author.is_none() {
+            self.author = get("USER");
+        }
+        Ok(self)
+    }
+}
--- /dev/null
+++ b/crates/bulrushctl/src/catalogue/fold.rs
@@ -0,0 +1,108 @@
+//! Folding the records of the log into the catalogue, as every router does.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bulrushtrestle_core::catalogue::message::{Edit, Stored};
+use bulrushtrestle_core::catalogue::{Applied, Catalogue};
+use bulrushtrestle_core::key::Offset;
+use bulrushtrestle_core::record::Record;
+use uuid::Uuid;
+
+use super::log::{Kept, Log};
+use crate::http::Error;
+
+/// The catalogue up to an offset of the log.
+#[derive(Debug, Default)]
+pub(crate) struct Fold {
+    catalogue: Catalogue,
+    next: Offset,
+    followed: Option<Followed>,
+    /// Who made the edits that were read.
+    authors: HashMap<Uuid, String>,
+}
+
+/// An edit whose outcome is of interest.
+#[derive(Debug)]
+struct Followed {
+    id: Uuid,
+    outcome: Option<(Offset, Applied)>,
+}
+
+impl Fold {
+    /// Reads the log up to its tail.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the log does not answer.
+    pub(crate) async fn read(log: &Log) -> Result<Self, Error> {
+        let mut fold = Self::default();
+        fold.catch_up(log).await?;
+        Ok(fold)
+    }
+
+    /// Reads on up to the tail of the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the log does not answer.
+    pub(crate) async fn catch_up(&mut self, log: &Log) -> Result<(), Error> {
+        loop {
+            let page = log.read(self.next, Duration::ZERO).await?;
+            for record in &page.records {
+                self.take(record);
+            }
+            if self.next >= page.tail || page.records.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Remembers the outcome of the edit with this id.
+    pub(crate) fn follow(&mut self, id: Uuid) {
+        self.followed = Some(Followed { id, outcome: None });
+    }
+
+    /// Takes the outcome of the edit that is followed, once it was read.
+    pub(crate) fn outcome(&mut self) -> Option<(Offset, Applied)> {
+        self.followed.as_mut()?.outcome.take()
+    }
+
+    pub(crate) const fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// Returns who made the edit that gave an entry its content.
+    pub(crate) fn author(&self, stored: &Stored) -> Option<&str> {
+        self.authors.get(&stored.edit).map(String::as_str)
+    }
+
+    fn take(&mut self, kept: &Kept) {
+        if kept.offset < self.next {
+            return;
+        }
+        self.next = Offset(kept.offset.0 + 1);
+        match Record::decode(kept.body.as_bytes()) {
+            Ok(Record::Edit(edit)) => self.edit(kept.offset, edit),
+            Ok(Record::Refresh(refresh)) => {
+                for copy in &refresh.entries {
+                    self.catalogue.merge(copy);
+                }
+            }
+            // Other records do not concern the catalogue, and what is no record is skipped by all.
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    fn edit(&mut self, offset: Offset, edit: Edit) {
+        let applied = self.catalogue.apply(offset, &edit);
+        // An edit that was appended twice is decided by its first record.
+        if let Some(followed) = &mut self.followed
+            && followed.id == edit.id
+            && followed.outcome.is_none()
+        {
+            followed.outcome = Some((offset, applied));
+        }
+        self.authors.insert(edit.id, edit.author);
+    }
+}
--- /dev/null
+++ b/crates/bulrushctl/src/catalogue/mod.rs
@@ -0,0 +1,12 @@
+//! The catalogue as the log holds it: reading it, building edits, and publishing them.
+
+mod build;
+mod fold;
+mod log;
+mod publish;
+
+pub(crate) use self::build::Changed;
+pub(crate) use self::build::{data_centre, organisation, pool, removal, target, version_move};
+pub(crate) use self::fold::Fold;
+pub(crate) use self::log::Log;
+pub(crate) use self::publish::publish;
--- a/crates/bulrushctl/src/main.rs
+++ b/crates/bulrushctl/src/main.rs
@@ -1,2 +1,56 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command of bulrushtrestle.
+//!
+//! Operators steer the fleet by editing the catalogue only. An edit is one record on the platform's
+//! log; this command appends it and reads the log back, so that it can say whether the edit applies
+//! or lost against another. It needs no router for that. `status` and `watch` ask the operators'
+//! listener of a router, and `load` runs a load experiment against routers on the same machine.
+//!
+//! See `docs/OPERATIONS.md` for examples.
+//!
+//! # Exit codes
+//!
+//! | code | meaning |
+//! | --- | --- |
+//! | 0 | done, or nothing to do |
+//! | 1 | failed, or the version move was taken back |
+//! | 2 | wrong usage or invalid input; nothing was changed |
+//! | 3 | another edit of the same entry won; nothing was changed |
+//! | 4 | the log or the router cannot be reached, or it is not known whether the edit applies |
+
+mod args;
+mod catalogue;
+mod check;
+mod command;
+mod error;
+mod http;
+mod output;
+mod status;
+mod watch;
+
+use std::process::ExitCode;
+
+use crate::args::Parsed;
+use crate::output::Output;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args = match args::parse(std::env::args()) {
+        Parsed::Run(args) => args,
+        Parsed::Help(text) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Parsed::Wrong(text) => {
+            eprint!("{text}");
+            return ExitCode::from(error::INVALID);
+        }
+    };
+    let out = Output::new(args.json);
+    match command::run(*args, &out).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            out.error(&err);
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
