--- /dev/null
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -0,0 +1,108 @@
+//! The traffic threads' end of the channels to the control thread.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bulrushtrestle_core::input::AttemptEvent;
+use bulrushtrestle_core::key::{AttemptId, OrganisationId, RequestId};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::control::message::{Arrival, Ask, Decision, Identity, Note};
+
+/// The control thread does not take more now, or has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the control thread takes no more now")]
+pub(crate) struct Busy;
+
+/// The traffic threads' end of the channels to the control thread.
+#[derive(Debug, Clone)]
+pub(crate) struct Handle {
+    asks: mpsc::Sender<Ask>,
+    notes: mpsc::UnboundedSender<Note>,
+    next_request: Arc<AtomicU64>,
+}
+
+impl Handle {
+    pub(super) fn new(asks: mpsc::Sender<Ask>, notes: mpsc::UnboundedSender<Note>) -> Self {
+        Self {
+            asks,
+            notes,
+            next_request: Arc::default(),
+        }
+    }
+
+    /// Draws the identity of a request.
+    pub(crate) fn next_request(&self) -> RequestId {
+        RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Asks whose token it is.
+    pub(crate) async fn identity(&self, sum: [u8; 32]) -> Result<Option<Identity>, Busy> {
+        self.ask(|reply| Ask::Identity { sum, reply }).await
+    }
+
+    /// Asks which addresses a caller should use.
+    pub(crate) async fn addresses(
+        &self,
+        organisation: Option<OrganisationId>,
+    ) -> Result<Vec<String>, Busy> {
+        self.ask(|reply| Ask::Addresses {
+            organisation,
+            reply,
+        })
+        .await
+    }
+
+    /// Asks for what operators see.
+    pub(crate) async fn status(&self) -> Result<String, Busy> {
+        self.ask(|reply| Ask::Status { reply }).await
+    }
+
+    /// Asks whether the router takes requests.
+    pub(crate) async fn is_ready(&self) -> Result<bool, Busy> {
+        self.ask(|reply| Ask::Ready { reply }).await
+    }
+
+    /// Hands over a request. The decisions about it end with its final answer.
+    pub(crate) fn request(
+        &self,
+        arrival: Arrival,
+    ) -> Result<mpsc::UnboundedReceiver<Decision>, Busy> {
+        let (decisions, receiver) = mpsc::unbounded_channel();
+        self.asks
+            .try_send(Ask::Request { arrival, decisions })
+            .map_err(|_| Busy)?;
+        Ok(receiver)
+    }
+
+    /// Tells that a caller has left.
+    pub(crate) fn cancelled(&self, request: RequestId) {
+        self.note(Note::Cancelled(request));
+    }
+
+    /// Tells what was learnt about an attempt.
+    pub(crate) fn attempt(&self, attempt: AttemptId, event: AttemptEvent) {
+        self.note(Note::Attempt(attempt, event));
+    }
+
+    /// Tells how many tokens attempts have received.
+    pub(crate) fn progress(&self, tokens: Vec<(AttemptId, u64)>) {
+        self.note(Note::Progress(tokens));
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn stop(&self) {
+        self.note(Note::Stop);
+    }
+
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Result<T, Busy> {
+        let (reply, answer) = oneshot::channel();
+        self.asks.try_send(ask(reply)).map_err(|_| Busy)?;
+        answer.await.map_err(|_| Busy)
+    }
+
+    fn note(&self, note: Note) {
+        // The control thread ends last; when it has ended there is nobody to tell.
+        drop(self.notes.send(note));
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/control/log.rs
@@ -0,0 +1,144 @@
+//! Reading from and appending to the log, one request each at a time.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bulrushtrestle_core::input::{Input, LogEvent};
+use bulrushtrestle_core::key::{AppendId, Offset};
+use tokio::sync::mpsc;
+
+use crate::metrics::{Edge, Metrics};
+use crate::platform::{AppendError, Log};
+
+/// Records in one append.
+const BATCH_RECORDS: usize = 64;
+
+/// Bytes of records in one append, unless a single record is larger.
+const BATCH_BYTES: usize = 512 * 1024;
+
+/// The shortest time that a failed read takes, so that a refused connection is not tried in a loop.
+const READ_FAILED_AFTER: Duration = Duration::from_millis(50);
+
+/// A record that waits to be appended.
+type Pending = (AppendId, Vec<u8>);
+
+/// The control thread's way to the log.
+#[derive(Debug)]
+pub(super) struct LogPump<L> {
+    log: Rc<L>,
+    appends: mpsc::UnboundedSender<Pending>,
+    inputs: mpsc::UnboundedSender<Input>,
+    metrics: Arc<Metrics>,
+}
+
+impl<L: Log + 'static> LogPump<L> {
+    /// Starts the task that appends.
+    pub(super) fn start(
+        log: L,
+        inputs: mpsc::UnboundedSender<Input>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let log = Rc::new(log);
+        let (appends, pending) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(append_all(
+            Rc::clone(&log),
+            pending,
+            inputs.clone(),
+            Arc::clone(&metrics),
+        ));
+        Self {
+            log,
+            appends,
+            inputs,
+            metrics,
+        }
+    }
+
+    /// Appends a record after those that wait already.
+    pub(super) fn append(&self, id: AppendId, bytes: Vec<u8>) {
+        // The task lives as long as the thread.
+        drop(self.appends.send((id, bytes)));
+    }
+
+    /// Starts a read; the node has at most one under way.
+    pub(super) fn read(&self, from: Offset) {
+        let log = Rc::clone(&self.log);
+        let inputs = self.inputs.clone();
+        let metrics = Arc::clone(&self.metrics);
+        tokio::task::spawn_local(async move {
+            let event = match log.read(from).await {
+                Ok(batch) => LogEvent::Read {
+                    records: batch.records,
+                    tail: batch.tail,
+                    first: batch.first,
+                },
+                Err(_) => {
+                    metrics.edge(Edge::ReadFailed);
+                    tokio::time::sleep(READ_FAILED_AFTER).await;
+                    LogEvent::ReadFailed
+                }
+            };
+            drop(inputs.send(Input::Log(event)));
+        });
+    }
+}
+
+/// Appends what waits, in order and in batches.
+async fn append_all(
+    log: Rc<impl Log>,
+    mut pending: mpsc::UnboundedReceiver<Pending>,
+    inputs: mpsc::UnboundedSender<Input>,
+    metrics: Arc<Metrics>,
+) {
+    let mut held = None;
+    loop {
+        let first = match held.take() {
+            Some(first) => first,
+            None => match pending.recv().await {
+                Some(first) => first,
+                None => return,
+            },
+        };
+        let (ids, records) = batch(first, &mut pending, &mut held);
+        let outcome = log.append(&records).await;
+        for (at, id) in ids.into_iter().enumerate() {
+            let event = match &outcome {
+                Ok(offsets) => LogEvent::Appended(id, offsets[at]),
+                Err(AppendError::Failed) => {
+                    metrics.edge(Edge::AppendFailed);
+                    LogEvent::AppendFailed(id)
+                }
+                Err(AppendError::Unknown) => {
+                    metrics.edge(Edge::AppendUnknown);
+                    LogEvent::AppendUnknown(id)
+                }
+            };
+            drop(inputs.send(Input::Log(event)));
+        }
+    }
+}
+
+/// Gathers records up to the limits of a batch; the first that does not fit is put into `held`.
+fn batch(
+    first: Pending,
+    pending: &mut mpsc::UnboundedReceiver<Pending>,
+    held: &mut Option<Pending>,
+) -> (Vec<AppendId>, Vec<Vec<u8>>) {
+    let mut bytes = first.1.len();
+    let mut ids = vec![first.0];
+    let mut records = vec![first.1];
+    while records.len() < BATCH_RECORDS {
+        let Ok(next) = pending.try_recv() else {
+            break;
+        };
+        bytes += next.1.len();
+        if bytes > BATCH_BYTES {
+            *held = Some(next);
+            break;
+        }
+        ids.push(next.0);
+        records.push(next.1);
+    }
+    (ids, records)
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -0,0 +1,112 @@
+//! What the traffic threads and the control thread tell each other.
+
+use std::net::SocketAddr;
+
+use bulrushtrestle_core::catalogue::entry::{Limits, Service};
+use bulrushtrestle_core::input::AttemptEvent;
+use bulrushtrestle_core::key::{AttemptId, Fingerprint, OrganisationId, RequestId};
+use bulrushtrestle_core::request::{Class, Repeat};
+use bulrushtrestle_core::time::Time;
+use bulrushtrestle_core::verdict::Refusal;
+use tokio::sync::{mpsc, oneshot};
+
+/// Something that waits for an answer of the control thread.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    /// Whose token is it?
+    Identity {
+        /// The SHA-256 sum of the token.
+        sum: [u8; 32],
+        /// Takes the answer.
+        reply: oneshot::Sender<Option<Identity>>,
+    },
+    /// Which addresses should a caller use?
+    Addresses {
+        /// The caller's organisation, if it showed a token.
+        organisation: Option<OrganisationId>,
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<String>>,
+    },
+    /// A request wants to be run.
+    Request {
+        /// The request.
+        arrival: Arrival,
+        /// Takes what is decided about it, until the final answer.
+        decisions: mpsc::UnboundedSender<Decision>,
+    },
+    /// What do operators see?
+    Status {
+        /// Takes the answer, as JSON.
+        reply: oneshot::Sender<String>,
+    },
+    /// Does the router take requests?
+    Ready {
+        /// Takes the answer.
+        reply: oneshot::Sender<bool>,
+    },
+}
+
+/// Who a caller is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Identity {
+    /// The organisation.
+    pub(crate) organisation: OrganisationId,
+    /// Its limits.
+    pub(crate) limits: Limits,
+}
+
+/// A request before its pool is looked up.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    /// The identity that events about this request carry.
+    pub(crate) id: RequestId,
+    /// Who asks.
+    pub(crate) organisation: OrganisationId,
+    /// The name of the pool.
+    pub(crate) pool: String,
+    /// What the pool has to be.
+    pub(crate) kind: Service,
+    /// How urgent it is.
+    pub(crate) class: Option<Class>,
+    /// Whether it may be repeated.
+    pub(crate) repeat: Repeat,
+    /// When the caller gives up.
+    pub(crate) deadline: Option<Time>,
+    /// Tokens of the prompt, estimated.
+    pub(crate) prompt_tokens: u32,
+    /// Tokens to be generated, as the caller guesses.
+    pub(crate) hint_tokens: Option<u32>,
+    /// The hash of pool and content.
+    pub(crate) fingerprint: Fingerprint,
+    /// The hash of the leading part of the prompt.
+    pub(crate) prefix: Option<Fingerprint>,
+}
+
+/// What is decided about a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Decision {
+    /// Send it to a target.
+    Dispatch {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where the target is.
+        address: SocketAddr,
+    },
+    /// Stop an attempt.
+    Abort(AttemptId),
+    /// Give the caller its final answer.
+    Refuse(Refusal),
+}
+
+/// Something that happened to a request that was taken in.
+#[derive(Debug)]
+pub(crate) enum Note {
+    /// The caller has left.
+    Cancelled(RequestId),
+    /// Something was learnt about an attempt.
+    Attempt(AttemptId, AttemptEvent),
+    /// Tokens received by attempts so far.
+    Progress(Vec<(AttemptId, u64)>),
+    /// The process was asked to stop.
+    Stop,
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -0,0 +1,319 @@
+//! The loop of the control thread.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bulrushtrestle_core::catalogue::entry::Service;
+use bulrushtrestle_core::counter::Counter;
+use bulrushtrestle_core::input::{AttemptEvent, Input};
+use bulrushtrestle_core::key::{AttemptId, PoolId, RequestId};
+use bulrushtrestle_core::node::Node;
+use bulrushtrestle_core::output::Output;
+use bulrushtrestle_core::request::Request;
+use bulrushtrestle_core::time::Time;
+use bulrushtrestle_core::verdict::{Reason, Refusal};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+use crate::clock::Clock;
+use crate::control::handle::Handle;
+use crate::control::log::LogPump;
+use crate::control::message::{Arrival, Ask, Decision, Identity, Note};
+use crate::control::orders::Orders;
+use crate::control::peers::{self, Peers};
+use crate::control::watch::{Reports, Watched, watch_vms};
+use crate::logging::Journal;
+use crate::metrics::Metrics;
+use crate::platform::{Http, HttpLog, HttpVmList, HttpWeights};
+use crate::settings::Settings;
+
+/// The time between two measurements of how late the thread is.
+const LAG_TICK: Duration = Duration::from_millis(20);
+
+/// The control thread's ends of the channels.
+#[derive(Debug)]
+pub(crate) struct Receivers {
+    asks: mpsc::Receiver<Ask>,
+    notes: mpsc::UnboundedReceiver<Note>,
+}
+
+/// Returns both ends of the channels between the traffic threads and the control thread.
+pub(crate) fn channels(handover_max: usize) -> (Handle, Receivers) {
+    let (asks, asks_receiver) = mpsc::channel(handover_max);
+    let (notes, notes_receiver) = mpsc::unbounded_channel();
+    let receivers = Receivers {
+        asks: asks_receiver,
+        notes: notes_receiver,
+    };
+    (Handle::new(asks, notes), receivers)
+}
+
+/// Everything that the control thread holds.
+#[derive(Debug)]
+pub(crate) struct Control {
+    pub(super) node: Node,
+    pub(super) clock: Clock,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) journal: Journal,
+    /// Where decisions about a request go, from its arrival to its final answer.
+    pub(super) decisions: HashMap<RequestId, mpsc::UnboundedSender<Decision>>,
+    /// The request of each attempt under way.
+    pub(super) attempts: HashMap<AttemptId, RequestId>,
+    pub(super) wakes: BTreeSet<Time>,
+    /// Inputs that follow from carrying out outputs.
+    pub(super) follow_ups: VecDeque<Input>,
+    pub(super) log: LogPump<HttpLog>,
+    pub(super) peers: Peers,
+    pub(super) orders: Orders,
+    pub(super) http: Http,
+    pub(super) stopped: watch::Sender<bool>,
+    reports: Reports,
+    next_lag_tick: Instant,
+    next_report: Instant,
+    report_every: Duration,
+    stop_timeout: Duration,
+    inputs: mpsc::UnboundedReceiver<Input>,
+    out: Vec<Output>,
+}
+
+impl Control {
+    /// Starts the tasks of the control thread; runs inside its `LocalSet`.
+    pub(crate) fn start(
+        node: Node,
+        settings: &Settings,
+        clock: Clock,
+        metrics: &Arc<Metrics>,
+        listener: TcpListener,
+        stopped: watch::Sender<bool>,
+    ) -> Self {
+        let (sender, inputs) = mpsc::unbounded_channel();
+        let platform = &settings.platform;
+        let http = Http::new(platform.token.as_deref());
+        let log = HttpLog {
+            http: http.clone(),
+            address: platform.log,
+            append_timeout: platform.append_timeout,
+            read_wait: platform.read_wait,
+        };
+        let vms = HttpVmList {
+            http: http.clone(),
+            address: platform.vms,
+        };
+        let weights = HttpWeights {
+            http,
+            address: platform.weights,
+        };
+        // The platform's token is not for targets.
+        let http = Http::new(None);
+        spawn_local(watch_vms(
+            vms,
+            platform.vms_every,
+            sender.clone(),
+            Arc::clone(metrics),
+        ));
+        spawn_local(peers::accept(
+            listener,
+            settings.router,
+            settings.peers.clone(),
+            sender.clone(),
+            Arc::clone(metrics),
+        ));
+        let now = Instant::now();
+        Self {
+            node,
+            clock,
+            metrics: Arc::clone(metrics),
+            journal: Journal::new(),
+            decisions: HashMap::new(),
+            attempts: HashMap::new(),
+            wakes: BTreeSet::new(),
+            follow_ups: VecDeque::new(),
+            log: LogPump::start(log, sender.clone(), Arc::clone(metrics)),
+            peers: Peers::new(settings.router, settings.peers.clone(), Arc::clone(metrics)),
+            orders: Orders::new(weights, sender.clone(), Arc::clone(metrics)),
+            reports: Reports::new(http.clone(), sender, Arc::clone(metrics)),
+            http,
+            stopped,
+            next_lag_tick: now + LAG_TICK,
+            next_report: now,
+            report_every: settings.targets.report_every,
+            stop_timeout: settings.stop_timeout,
+            inputs,
+            out: Vec::new(),
+        }
+    }
+
+    /// Carries until the traffic threads are gone.
+    pub(crate) async fn run(mut self, mut from: Receivers) {
+        self.handle(Input::Timer);
+        loop {
+            let due = self.next_due();
+            if due <= Instant::now() {
+                self.on_due();
+            }
+            tokio::select! {
+                () = sleep_until(self.next_due().into()) => {}
+                Some(input) = self.inputs.recv() => self.on_input(input),
+                Some(note) = from.notes.recv() => self.on_note(note),
+                ask = from.asks.recv() => match ask {
+                    Some(ask) => self.on_ask(ask),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    /// Hands an event to the node and carries out what it asks for.
+    fn handle(&mut self, input: Input) {
+        self.handle_one(input);
+        while let Some(next) = self.follow_ups.pop_front() {
+            self.handle_one(next);
+        }
+    }
+
+    fn handle_one(&mut self, input: Input) {
+        let mut out = std::mem::take(&mut self.out);
+        self.node.handle(self.clock.now(), input, &mut out);
+        for output in out.drain(..) {
+            self.carry_out(output);
+        }
+        self.out = out;
+    }
+
+    fn next_due(&self) -> Instant {
+        let next = self.next_lag_tick.min(self.next_report);
+        match self.wakes.first() {
+            Some(&wake) => next.min(self.clock.instant(wake)),
+            None => next,
+        }
+    }
+
+    fn on_due(&mut self) {
+        let now = Instant::now();
+        if now >= self.next_lag_tick {
+            self.metrics.lag(now - self.next_lag_tick);
+            self.next_lag_tick = now + LAG_TICK;
+        }
+        if now >= self.next_report {
+            self.next_report = now + self.report_every;
+            self.reports.read(&self.watched());
+        }
+        let time = self.clock.now();
+        if self.wakes.first().is_some_and(|&wake| wake <= time) {
+            self.wakes = self.wakes.split_off(&(time + Duration::from_micros(1)));
+            self.handle(Input::Timer);
+        }
+    }
+
+    fn on_input(&mut self, input: Input) {
+        let has_vms = matches!(input, Input::Vms(_));
+        self.handle(input);
+        if has_vms {
+            self.peers.set_addresses(self.node.peer_addresses());
+        }
+    }
+
+    fn on_note(&mut self, note: Note) {
+        match note {
+            Note::Cancelled(request) => {
+                self.decisions.remove(&request);
+                self.handle(Input::Cancelled(request));
+            }
+            Note::Attempt(attempt, event) => self.on_attempt(attempt, event),
+            Note::Progress(all) => {
+                for (attempt, tokens) in all {
+                    self.on_attempt(attempt, AttemptEvent::Progress { tokens });
+                }
+            }
+            Note::Stop => {
+                let deadline = self.clock.now() + self.stop_timeout;
+                self.handle(Input::Stop { deadline });
+            }
+        }
+    }
+
+    fn on_attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        match event {
+            AttemptEvent::Started | AttemptEvent::Progress { .. } => {}
+            AttemptEvent::Finished { .. } => {
+                if let Some(request) = self.attempts.remove(&attempt) {
+                    self.decisions.remove(&request);
+                }
+            }
+            AttemptEvent::Declined | AttemptEvent::Failed(_) => {
+                self.attempts.remove(&attempt);
+            }
+        }
+        self.handle(Input::Attempt(attempt, event));
+    }
+
+    /// Answers a traffic thread. Who asked may have left meanwhile; then nobody takes the answer.
+    fn on_ask(&mut self, ask: Ask) {
+        match ask {
+            Ask::Identity { sum, reply } => drop(reply.send(self.identity(&sum))),
+            Ask::Addresses {
+                organisation,
+                reply,
+            } => drop(reply.send(self.node.addresses(organisation))),
+            Ask::Request { arrival, decisions } => self.on_request(arrival, decisions),
+            Ask::Status { reply } => {
+                let status = serde_json::to_string(&self.node.status(self.clock.now()));
+                drop(reply.send(status.unwrap_or_default()));
+            }
+            Ask::Ready { reply } => drop(reply.send(self.node.is_ready())),
+        }
+    }
+
+    fn identity(&self, sum: &[u8; 32]) -> Option<Identity> {
+        let organisation = self.node.catalogue().organisation_by_token(sum)?;
+        let entry = self.node.catalogue().organisation(organisation)?;
+        Some(Identity {
+            organisation,
+            limits: entry.limits,
+        })
+    }
+
+    fn on_request(&mut self, arrival: Arrival, decisions: mpsc::UnboundedSender<Decision>) {
+        let Some(pool) = self.pool(&arrival.pool, arrival.kind) else {
+            let refusal = Refusal::not_run(Reason::UnknownPool, None);
+            self.metrics.count(Counter::Refused(refusal.reason));
+            let _ = decisions.send(Decision::Refuse(refusal));
+            return;
+        };
+        self.decisions.insert(arrival.id, decisions);
+        self.handle(Input::Request(Request {
+            id: arrival.id,
+            organisation: arrival.organisation,
+            pool,
+            class: arrival.class,
+            repeat: arrival.repeat,
+            deadline: arrival.deadline,
+            prompt_tokens: arrival.prompt_tokens,
+            hint_tokens: arrival.hint_tokens,
+            fingerprint: arrival.fingerprint,
+            prefix: arrival.prefix,
+        }));
+    }
+
+    fn pool(&self, name: &str, kind: Service) -> Option<PoolId> {
+        let (id, entry) = self.node.catalogue().pool_by_name(name)?;
+        (entry.service == kind).then_some(id)
+    }
+
+    /// Returns the targets whose reports are read.
+    fn watched(&self) -> Vec<Watched> {
+        let catalogue = self.node.catalogue();
+        let targets = catalogue.targets().filter_map(|target| {
+            let (_, pool) = catalogue.pool_by_name(&target.entry.pool)?;
+            Some(Watched {
+                id: target.id,
+                address: target.entry.address.parse().ok()?,
+                has_cache: pool.service == Service::Model,
+            })
+        });
+        targets.collect()
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/control/watch.rs
@@ -0,0 +1,110 @@
+//! Reading what changes outside: the VM list, the targets' reports and cache events.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bulrushtrestle_core::input::Input;
+use bulrushtrestle_core::key::TargetId;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::metrics::{Edge, Metrics};
+use crate::platform::{Http, HttpTarget, Target, VmList};
+
+/// A target whose report is wanted.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Watched {
+    pub(super) id: TargetId,
+    pub(super) address: SocketAddr,
+    /// Whether it publishes cache events.
+    pub(super) has_cache: bool,
+}
+
+/// Reads the VM list again and again.
+pub(super) async fn watch_vms(
+    list: impl VmList,
+    every: Duration,
+    inputs: mpsc::UnboundedSender<Input>,
+    metrics: Arc<Metrics>,
+) {
+    let mut ticks = interval(every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match list.list().await {
+            Ok(vms) => drop(inputs.send(Input::Vms(vms))),
+            Err(_) => metrics.edge(Edge::VmsFailed),
+        }
+    }
+}
+
+/// Reads reports of targets, at most one at a time from each.
+#[derive(Debug)]
+pub(super) struct Reports {
+    http: Http,
+    state: Rc<RefCell<State>>,
+    inputs: mpsc::UnboundedSender<Input>,
+    metrics: Arc<Metrics>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    under_way: HashSet<TargetId>,
+    /// The number from which each target's cache events go on.
+    next: HashMap<TargetId, u64>,
+}
+
+impl Reports {
+    /// Returns a reader that has read nothing.
+    pub(super) fn new(
+        http: Http,
+        inputs: mpsc::UnboundedSender<Input>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            http,
+            state: Rc::default(),
+            inputs,
+            metrics,
+        }
+    }
+
+    /// Starts to read from every target from which nothing is under way.
+    pub(super) fn read(&self, targets: &[Watched]) {
+        for target in targets {
+            if self.state.borrow_mut().under_way.insert(target.id) {
+                self.read_one(*target);
+            }
+        }
+    }
+
+    fn read_one(&self, watched: Watched) {
+        let target = HttpTarget {
+            http: self.http.clone(),
+            address: watched.address,
+        };
+        let state = Rc::clone(&self.state);
+        let inputs = self.inputs.clone();
+        let metrics = Arc::clone(&self.metrics);
+        tokio::task::spawn_local(async move {
+            match target.report().await {
+                Ok(report) => drop(inputs.send(Input::Report(watched.id, report))),
+                Err(_) => metrics.edge(Edge::ReportFailed),
+            }
+            if watched.has_cache {
+                let from = state.borrow().next.get(&watched.id).copied().unwrap_or(0);
+                if let Ok((events, next)) = target.cache_events(from).await {
+                    state.borrow_mut().next.insert(watched.id, next);
+                    if !events.is_empty() {
+                        drop(inputs.send(Input::Cache(watched.id, events)));
+                    }
+                }
+            }
+            state.borrow_mut().under_way.remove(&watched.id);
+        });
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -0,0 +1,78 @@
+//! Events at the edges of the process that no decision sees.
+
+macro_rules! edges {
+    ($($(#[$doc:meta])* $name:ident = $text:literal;)*) => {
+        /// An event at an edge of the process.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub(crate) enum Edge {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Edge {
+            /// Every event, in the order of declaration.
+            pub(crate) const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// Returns the stable name of the event.
+            pub(crate) const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+edges! {
+    /// A caller's connection was turned away because too many are open.
+    CallerConnectionRefused = "caller_connection_refused";
+    /// A caller's connection was closed because no whole request head arrived in time.
+    CallerHeadTimeout = "caller_head_timeout";
+    /// A caller's connection was closed because its request head was too large.
+    CallerHeadTooLarge = "caller_head_too_large";
+    /// A caller's connection was closed because its request head was not HTTP.
+    CallerHeadMalformed = "caller_head_malformed";
+    /// A caller left its answer unread for too long and was let go.
+    CallerUnread = "caller_unread";
+    /// An operator's token was wrong or missing.
+    OperatorRefused = "operator_refused";
+    /// A connection to a target could not be made.
+    TargetConnectFailed = "target_connect_failed";
+    /// A connection to a target broke.
+    TargetBroken = "target_broken";
+    /// A target's answer ended without its end mark or length.
+    TargetTruncated = "target_truncated";
+    /// A target fell silent; its kept connections were dropped.
+    TargetSilent = "target_silent";
+    /// A target answered with an error.
+    TargetError = "target_error";
+    /// An answer belonged to another attempt and was dropped.
+    TargetCrossed = "target_crossed";
+    /// A token that the caller has already was dropped.
+    TokenRepeated = "token_repeated";
+    /// A target's report could not be read.
+    ReportFailed = "report_failed";
+    /// A connection to a peer was made and both sides proved themselves.
+    PeerConnected = "peer_connected";
+    /// A connection to a peer could not be made.
+    PeerConnectFailed = "peer_connect_failed";
+    /// A peer did not prove itself, or another router answered in its place.
+    PeerUnproved = "peer_unproved";
+    /// A call to a peer failed or took too long; the connection was dropped.
+    PeerCallFailed = "peer_call_failed";
+    /// A frame to a peer gave way to newer ones.
+    PeerFrameDropped = "peer_frame_dropped";
+    /// A peer's connection was turned away because too many are unproved.
+    PeerConnectionRefused = "peer_connection_refused";
+    /// A connection from a peer ended.
+    PeerConnectionEnded = "peer_connection_ended";
+    /// An append failed with certainty.
+    AppendFailed = "append_failed";
+    /// It is not known whether an append took effect.
+    AppendUnknown = "append_unknown";
+    /// A read of the log failed.
+    ReadFailed = "read_failed";
+    /// A read of the VM list failed.
+    VmsFailed = "vms_failed";
+    /// An order to a target failed or was not answered.
+    OrderFailed = "order_failed";
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/metrics/mod.rs
@@ -0,0 +1,190 @@
+//! What the daemon counts, in the text format of Prometheus.
+//!
+//! Every member of the closed sets has its counter from the start, so that a reason that never
+//! occurred reads zero instead of being absent.
+
+mod edge;
+mod memory;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bulrushtrestle_core::counter::Counter;
+use bulrushtrestle_core::verdict::Reason;
+use bulrushtrestle_wire::Refused;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+pub(crate) use self::edge::Edge;
+
+/// The bounds of the histogram of timer lag, in seconds.
+const LAG_BOUNDS: [f64; 12] = [
+    0.000_1, 0.000_25, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0,
+];
+
+/// All counters, gauges and histograms of the process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    core: BTreeMap<Counter, IntCounter>,
+    edge: BTreeMap<Edge, IntCounter>,
+    peers_refused: IntCounterVec,
+    timer_lag: Histogram,
+    memory: IntGauge,
+    /// Connections of callers.
+    pub(crate) connections: IntGauge,
+    /// Requests of callers that are not answered as a whole.
+    pub(crate) requests: IntGauge,
+    /// Bytes of request bodies that are held.
+    pub(crate) body_bytes: IntGauge,
+    /// Peers over whose connection frames are sent.
+    pub(crate) peers: IntGauge,
+}
+
+impl Metrics {
+    /// Registers everything.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let refused = counter_vec(
+            &registry,
+            "bulrushtrestle_refused_total",
+            "Requests refused, by reason.",
+            "reason",
+        );
+        let events = counter_vec(
+            &registry,
+            "bulrushtrestle_events_total",
+            "Events of the decisions, by kind.",
+            "event",
+        );
+        let refusals = Reason::ALL.iter().map(|&reason| Counter::Refused(reason));
+        let core = refusals
+            .chain(Counter::EVENTS.iter().copied())
+            .map(|counter| {
+                let vec = match counter {
+                    Counter::Refused(_) => &refused,
+                    _ => &events,
+                };
+                (counter, vec.with_label_values(&[counter.as_str()]))
+            })
+            .collect();
+        let edges = counter_vec(
+            &registry,
+            "bulrushtrestle_edge_events_total",
+            "Events at the edges of the process, by kind.",
+            "event",
+        );
+        let edge = Edge::ALL
+            .iter()
+            .map(|&event| (event, edges.with_label_values(&[event.as_str()])))
+            .collect();
+        let peers_refused = counter_vec(
+            &registry,
+            "bulrushtrestle_peers_refused_total",
+            "Greetings of peers turned down, by reason.",
+            "reason",
+        );
+        for refused in Refused::ALL {
+            peers_refused.with_label_values(&[refused.as_str()]);
+        }
+        Self {
+            core,
+            edge,
+            peers_refused,
+            timer_lag: lag_histogram(&registry),
+            memory: gauge(
+                &registry,
+                "bulrushtrestle_resident_bytes",
+                "Resident memory.",
+            ),
+            connections: gauge(
+                &registry,
+                "bulrushtrestle_caller_connections",
+                "Open connections of callers.",
+            ),
+            requests: gauge(
+                &registry,
+                "bulrushtrestle_open_requests",
+                "Requests that are not answered as a whole.",
+            ),
+            body_bytes: gauge(
+                &registry,
+                "bulrushtrestle_body_bytes",
+                "Bytes of request bodies that are held.",
+            ),
+            peers: gauge(
+                &registry,
+                "bulrushtrestle_connected_peers",
+                "Peers that frames are sent to.",
+            ),
+            registry,
+        }
+    }
+
+    /// Counts what the node asked to be counted.
+    pub(crate) fn count(&self, counter: Counter) {
+        if let Some(counter) = self.core.get(&counter) {
+            counter.inc();
+        }
+    }
+
+    /// Counts an event at an edge of the process.
+    pub(crate) fn edge(&self, event: Edge) {
+        if let Some(counter) = self.edge.get(&event) {
+            counter.inc();
+        }
+    }
+
+    /// Counts a greeting that was turned down.
+    pub(crate) fn peer_refused(&self, refused: Refused) {
+        self.peers_refused
+            .with_label_values(&[refused.as_str()])
+            .inc();
+    }
+
+    /// Notes by how much the control thread was late.
+    pub(crate) fn lag(&self, lag: Duration) {
+        self.timer_lag.observe(lag.as_secs_f64());
+    }
+
+    /// Returns everything in the text format.
+    pub(crate) fn render(&self) -> String {
+        self.memory.set(memory::resident_bytes());
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("metrics are written into memory");
+        String::from_utf8(text).expect("the text format is text")
+    }
+}
+
+fn counter_vec(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let vec = IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
+    registry
+        .register(Box::new(vec.clone()))
+        .expect("names are registered once");
+    vec
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("the name is valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("names are registered once");
+    gauge
+}
+
+fn lag_histogram(registry: &Registry) -> Histogram {
+    let opts = HistogramOpts::new(
+        "bulrushtrestle_control_timer_lag_seconds",
+        "By how much timers of the control thread were late.",
+    );
+    let histogram =
+        Histogram::with_opts(opts.buckets(LAG_BOUNDS.to_vec())).expect("the name is valid");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("names are registered once");
+    histogram
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -0,0 +1,125 @@
+//! The operators' listener: metrics, health, readiness and status.
+//!
+//! Every path needs one of the operators' tokens.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::error_handling::HandleErrorLayer;
+use axum::extract::{Request, State};
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{BoxError, Router};
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderMap, StatusCode};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use tower::ServiceBuilder;
+
+use crate::control::Handle;
+use crate::metrics::{Edge, Metrics};
+use crate::settings;
+
+/// Requests of operators at a time.
+const REQUESTS_MAX: usize = 16;
+
+/// The time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the operators' paths need.
+#[derive(Debug)]
+pub(crate) struct App {
+    tokens: Vec<[u8; 32]>,
+    control: Handle,
+    metrics: Arc<Metrics>,
+}
+
+impl App {
+    /// Returns what the operators' paths need.
+    pub(crate) fn new(cfg: &settings::Operators, control: Handle, metrics: Arc<Metrics>) -> Self {
+        Self {
+            tokens: cfg.tokens.clone(),
+            control,
+            metrics,
+        }
+    }
+}
+
+/// Serves operators for as long as the process lives.
+pub(crate) async fn serve(listener: TcpListener, app: App) {
+    let app = Arc::new(app);
+    let limits = ServiceBuilder::new()
+        .layer(HandleErrorLayer::new(|_: BoxError| async {
+            StatusCode::SERVICE_UNAVAILABLE
+        }))
+        .load_shed()
+        .layer(tower::limit::GlobalConcurrencyLimitLayer::new(REQUESTS_MAX))
+        .timeout(ANSWER_TIMEOUT);
+    let router = Router::new()
+        .route("/metrics", get(metrics))
+        .route("/healthz", get(health))
+        .route("/readyz", get(ready))
+        .route("/status", get(status))
+        .layer(limits)
+        .layer(middleware::from_fn_with_state(Arc::clone(&app), authorise))
+        .with_state(app);
+    // `axum::serve` never returns an error.
+    drop(axum::serve(listener, router).await);
+}
+
+async fn authorise(State(app): State<Arc<App>>, req: Request, next: Next) -> Response {
+    if is_allowed(req.headers(), &app.tokens) {
+        return next.run(req).await;
+    }
+    app.metrics.edge(Edge::OperatorRefused);
+    StatusCode::UNAUTHORIZED.into_response()
+}
+
+/// Compares with every token, in a time that tells nothing about how much of one fits.
+fn is_allowed(headers: &HeaderMap, tokens: &[[u8; 32]]) -> bool {
+    let token = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let Some(token) = token else {
+        return false;
+    };
+    let sum: [u8; 32] = Sha256::digest(token).into();
+    tokens
+        .iter()
+        .fold(subtle::Choice::from(0), |found, token| {
+            found | token.ct_eq(&sum)
+        })
+        .into()
+}
+
+async fn metrics(State(app): State<Arc<App>>) -> impl IntoResponse {
+    (
+        [(CONTENT_TYPE, "text/plain; version=0.0.4")],
+        app.metrics.render(),
+    )
+}
+
+/// The process is healthy if its control thread answers.
+async fn health(State(app): State<Arc<App>>) -> StatusCode {
+    match timeout(ANSWER_TIMEOUT / 2, app.control.is_ready()).await {
+        Ok(Ok(_)) => StatusCode::OK,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn ready(State(app): State<Arc<App>>) -> StatusCode {
+    match timeout(ANSWER_TIMEOUT / 2, app.control.is_ready()).await {
+        Ok(Ok(true)) => StatusCode::OK,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn status(State(app): State<Arc<App>>) -> Response {
+    match app.control.status().await {
+        Ok(json) => ([(CONTENT_TYPE, "application/json")], json).into_response(),
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/platform/vms.rs
@@ -0,0 +1,38 @@
+//! The VM list over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bulrushtrestle_core::input::Vm;
+use serde::Deserialize;
+
+use crate::platform::http::Http;
+use crate::platform::{Unanswered, VmList};
+
+/// The time for an answer.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The VM list.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpVmList {
+    /// How requests are sent.
+    pub(crate) http: Http,
+    /// Where the service is.
+    pub(crate) address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct ListAnswer {
+    vms: Vec<Vm>,
+}
+
+impl VmList for HttpVmList {
+    async fn list(&self) -> Result<Vec<Vm>, Unanswered> {
+        let answer: ListAnswer = self
+            .http
+            .get(self.address, "/v1/vms", LIST_TIMEOUT)
+            .await
+            .map_err(|_| Unanswered)?;
+        Ok(answer.vms)
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/process.rs
@@ -0,0 +1,238 @@
+//! The threads of the process, its listeners and its planned stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use bulrushtrestle_core::key::{Incarnation, RouterId};
+use bulrushtrestle_core::node::{Config, Node};
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{oneshot, watch};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::clock::Clock;
+use crate::control::{self, Control};
+use crate::logging::Journal;
+use crate::metrics::Metrics;
+use crate::operators;
+use crate::settings::Settings;
+use crate::traffic::{self, Traffic};
+
+/// By how much a planned stop may exceed its deadline before the process ends anyway.
+const STOP_MARGIN: Duration = Duration::from_secs(2);
+
+/// The time between two looks at whether all answers have left.
+const DRAIN_TICK: Duration = Duration::from_millis(20);
+
+/// Why the process cannot start or has to end.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// A listener cannot be opened.
+    #[error("cannot listen for {who} at {address}: {source}")]
+    Listen {
+        /// Whom it is for.
+        who: &'static str,
+        /// Where it should listen.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// A thread or a signal handler cannot be set up.
+    #[error("cannot start: {0}")]
+    Start(#[from] io::Error),
+    /// The control thread has ended.
+    #[error("the control thread has ended unexpectedly")]
+    ControlEnded,
+}
+
+/// The open listeners.
+#[derive(Debug)]
+struct Listeners {
+    callers: TcpListener,
+    peers: std::net::TcpListener,
+    operators: TcpListener,
+}
+
+/// Runs a router until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if a listener or thread cannot be started, or if the control thread ends.
+pub(crate) fn run(settings: Settings) -> Result<(), Error> {
+    let traffic = runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    let outcome = traffic.block_on(run_traffic(settings));
+    traffic.shutdown_background();
+    outcome
+}
+
+async fn run_traffic(settings: Settings) -> Result<(), Error> {
+    let listeners = Listeners::open(&settings).await?;
+    let callers_address = listeners.callers.local_addr()?;
+    let settings = Arc::new(settings);
+    let metrics = Arc::new(Metrics::new());
+    let clock = Clock::start();
+    let incarnation = Incarnation(rand::rng().next_u64());
+    Journal::new().line("listening", &listeners.describe()?);
+
+    let (handle, receivers) = control::channels(settings.callers.handover_max);
+    let (stopped, mut has_stopped) = watch::channel(false);
+    let (ended, has_ended) = oneshot::channel::<()>();
+    let control = ControlThread {
+        settings: Arc::clone(&settings),
+        metrics: Arc::clone(&metrics),
+        clock,
+        config: node_config(&settings, incarnation, callers_address),
+        listener: listeners.peers,
+        stopped,
+        receivers,
+    };
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let _ended = ended;
+            control.run()
+        })?;
+
+    let (drain, draining) = watch::channel(false);
+    let traffic = Arc::new(Traffic::new(
+        Arc::clone(&settings),
+        handle.clone(),
+        Arc::clone(&metrics),
+        clock,
+        incarnation,
+    ));
+    tokio::spawn(traffic::serve(
+        listeners.callers,
+        Arc::clone(&traffic),
+        draining,
+    ));
+    tokio::spawn(operators::serve(
+        listeners.operators,
+        operators::App::new(&settings.operators, handle.clone(), Arc::clone(&metrics)),
+    ));
+    tokio::select! {
+        _ = has_ended => Err(Error::ControlEnded),
+        asked = wait_for_signal() => {
+            asked?;
+            handle.stop();
+            stop(&settings, &metrics, &mut has_stopped, &drain).await;
+            Ok(())
+        }
+    }
+}
+
+/// Serves on until the node has finished, then until the last answer has left.
+async fn stop(
+    settings: &Settings,
+    metrics: &Metrics,
+    has_stopped: &mut watch::Receiver<bool>,
+    drain: &watch::Sender<bool>,
+) {
+    let end = Instant::now() + settings.stop_timeout + STOP_MARGIN;
+    let finished = async {
+        // The sender lives on the control thread, whose end is watched elsewhere.
+        drop(has_stopped.wait_for(|stopped| *stopped).await);
+        drain.send_replace(true);
+        while metrics.requests.get() > 0 || metrics.connections.get() > 0 {
+            sleep(DRAIN_TICK).await;
+        }
+    };
+    tokio::select! {
+        () = finished => {}
+        () = sleep_until(end) => {}
+    }
+}
+
+async fn wait_for_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+fn node_config(settings: &Settings, incarnation: Incarnation, callers: SocketAddr) -> Config {
+    let mut config = Config::new(RouterId(settings.router), incarnation);
+    config.data_centre.clone_from(&settings.data_centre);
+    config.caller_address = settings.callers.advertise.unwrap_or(callers).to_string();
+    config.requests_max = settings.callers.requests_max;
+    config
+}
+
+impl Listeners {
+    async fn open(settings: &Settings) -> Result<Self, Error> {
+        let peers = listen("peers", settings.peers.listen).await?;
+        Ok(Self {
+            callers: listen("callers", settings.callers.listen).await?,
+            // The control thread registers it with its own runtime.
+            peers: peers.into_std()?,
+            operators: listen("operators", settings.operators.listen).await?,
+        })
+    }
+
+    fn describe(&self) -> io::Result<String> {
+        Ok(format!(
+            "callers={} peers={} operators={}",
+            self.callers.local_addr()?,
+            self.peers.local_addr()?,
+            self.operators.local_addr()?,
+        ))
+    }
+}
+
+async fn listen(who: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen {
+            who,
+            address,
+            source,
+        })
+}
+
+/// What the control thread is started with.
+struct ControlThread {
+    settings: Arc<Settings>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    config: Config,
+    listener: std::net::TcpListener,
+    stopped: watch::Sender<bool>,
+    receivers: control::Receivers,
+}
+
+impl ControlThread {
+    /// Runs until the traffic threads are gone. What keeps it from starting shows as its end.
+    fn run(self) -> io::Result<()> {
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let seed = rand::rng().next_u64();
+        LocalSet::new().block_on(&runtime, async move {
+            let listener = TcpListener::from_std(self.listener)?;
+            let node = Node::new(self.config, self.clock.now(), seed);
+            let control = Control::start(
+                node,
+                &self.settings,
+                self.clock,
+                &self.metrics,
+                listener,
+                self.stopped,
+            );
+            control.run(self.receivers).await;
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -0,0 +1,238 @@
+//! The settings of a router: one JSON file, checked as a whole before anything starts.
+//!
+//! A key that is not known, a value of the wrong type or out of its range, and a file that cannot be
+//! read are refused. The error names the file, the key and what is allowed. Every default is stated
+//! here; `docs/OPERATIONS.md` lists them for operators.
+
+mod error;
+mod section;
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use bulrushtrestle_wire::FleetKey;
+
+pub(crate) use self::error::Error;
+use self::section::Section;
+
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * KIB;
+
+/// All settings of a router.
+#[derive(Debug, Clone)]
+pub(crate) struct Settings {
+    /// The number of this router's VM.
+    pub(crate) router: u32,
+    /// The name of this router's data centre.
+    pub(crate) data_centre: String,
+    /// Threads that carry requests and answers. Default: 2.
+    pub(crate) traffic_threads: usize,
+    /// For how long a planned stop serves what is under way. Default: 60 s.
+    pub(crate) stop_timeout: Duration,
+    /// The callers' listener.
+    pub(crate) callers: Callers,
+    /// The peers' listener.
+    pub(crate) peers: Peers,
+    /// The operators' listener.
+    pub(crate) operators: Operators,
+    /// Where the platform is.
+    pub(crate) platform: Platform,
+    /// How targets are spoken to.
+    pub(crate) targets: Targets,
+}
+
+/// The callers' listener and its limits.
+#[derive(Debug, Clone)]
+pub(crate) struct Callers {
+    /// Where to listen.
+    pub(crate) listen: SocketAddr,
+    /// Where callers reach this router. Default: the address of the listener.
+    pub(crate) advertise: Option<SocketAddr>,
+    /// Connections at a time. Default: 4096.
+    pub(crate) connections_max: usize,
+    /// Requests at a time, waiting and running. Default: 10000.
+    pub(crate) requests_max: usize,
+    /// Requests that may wait for the control thread. Default: 1024.
+    pub(crate) handover_max: usize,
+    /// The size of a request's head. Default: 16384.
+    pub(crate) header_bytes_max: usize,
+    /// The size of a request's body. Default: 1 MiB.
+    pub(crate) body_bytes_max: usize,
+    /// Memory for the bodies of all requests. Default: 64 MiB.
+    pub(crate) body_memory_max: usize,
+    /// The time for a request's head to arrive, and for an idle connection. Default: 10 s.
+    pub(crate) header_timeout: Duration,
+    /// The time for a request's body to arrive. Default: 10 s.
+    pub(crate) body_timeout: Duration,
+    /// For how long a caller may leave an answer unread. Default: 30 s.
+    pub(crate) unread_timeout: Duration,
+}
+
+/// The peers' listener and its limits.
+#[derive(Debug, Clone)]
+pub(crate) struct Peers {
+    /// Where to listen.
+    pub(crate) listen: SocketAddr,
+    /// The key that every router of the fleet holds.
+    pub(crate) key: FleetKey,
+    /// The time for connecting and proving. Default: 2 s.
+    pub(crate) connect_timeout: Duration,
+    /// The time for one call. Default: 2 s.
+    pub(crate) call_timeout: Duration,
+    /// The time between two signs of life on a connection. Default: 1 s.
+    pub(crate) heartbeat: Duration,
+    /// Connections that have not proved themselves yet. Default: 64.
+    pub(crate) strangers_max: usize,
+}
+
+/// The operators' listener.
+#[derive(Debug, Clone)]
+pub(crate) struct Operators {
+    /// Where to listen.
+    pub(crate) listen: SocketAddr,
+    /// The SHA-256 sums of the tokens that are let in.
+    pub(crate) tokens: Vec<[u8; 32]>,
+}
+
+/// Where the platform is.
+#[derive(Debug, Clone)]
+pub(crate) struct Platform {
+    /// The log service.
+    pub(crate) log: SocketAddr,
+    /// The VM list.
+    pub(crate) vms: SocketAddr,
+    /// The weight store.
+    pub(crate) weights: Option<SocketAddr>,
+    /// The token for all three.
+    pub(crate) token: Option<String>,
+    /// The time for an append. Default: 2 s.
+    pub(crate) append_timeout: Duration,
+    /// For how long the log may hold back a read. Default: 500 ms.
+    pub(crate) read_wait: Duration,
+    /// The time between two reads of the VM list. Default: 1 s.
+    pub(crate) vms_every: Duration,
+}
+
+/// How targets are spoken to.
+#[derive(Debug, Clone)]
+pub(crate) struct Targets {
+    /// The time for a connection. Default: 1 s.
+    pub(crate) connect_timeout: Duration,
+    /// The time from a request to the first token or the head of the answer. Default: 60 s.
+    pub(crate) first_timeout: Duration,
+    /// The time between two tokens of a stream or two pieces of a plain answer. Default: 5 s.
+    pub(crate) gap_timeout: Duration,
+    /// Connections kept idle per target. Default: 8.
+    pub(crate) idle_max: usize,
+    /// For how long a connection is kept idle. Default: 20 s.
+    pub(crate) idle_timeout: Duration,
+    /// The time between two reads of a target's report. Default: 1 s.
+    pub(crate) report_every: Duration,
+    /// The largest part of a plain answer that is held back to be whole. Default: 256 KiB.
+    pub(crate) hold_bytes_max: usize,
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or a setting cannot be used.
+    pub(crate) fn load(path: &Path) -> Result<Self, Error> {
+        let mut root = Section::load(path)?;
+        let settings = Self {
+            router: root.required_int("router", 1..=u64::from(u32::MAX))?,
+            data_centre: root.required_text("data_centre", 1..=64)?,
+            traffic_threads: root.int("traffic_threads", 1..=256, 2)?,
+            stop_timeout: root.millis("stop_timeout_ms", 1_000..=3_600_000, 60_000)?,
+            callers: Callers::read(&mut root.section("callers")?)?,
+            peers: Peers::read(&mut root.section("peers")?)?,
+            operators: Operators::read(&mut root.section("operators")?)?,
+            platform: Platform::read(&mut root.section("platform")?)?,
+            targets: Targets::read(&mut root.optional_section("targets")?)?,
+        };
+        root.finish()?;
+        Ok(settings)
+    }
+}
+
+impl Callers {
+    fn read(s: &mut Section) -> Result<Self, Error> {
+        let callers = Self {
+            listen: s.required_address("listen")?,
+            advertise: s.address("advertise")?,
+            connections_max: s.int("connections_max", 1..=1_000_000, 4_096)?,
+            requests_max: s.int("requests_max", 1..=1_000_000, 10_000)?,
+            handover_max: s.int("handover_max", 1..=65_536, 1_024)?,
+            header_bytes_max: s.int("header_bytes_max", 8 * KIB..=MIB, 16 * KIB)?,
+            body_bytes_max: s.int("body_bytes_max", KIB..=64 * MIB, MIB)?,
+            body_memory_max: s.int("body_memory_bytes_max", MIB..=65_536 * MIB, 64 * MIB)?,
+            header_timeout: s.millis("header_timeout_ms", 100..=600_000, 10_000)?,
+            body_timeout: s.millis("body_timeout_ms", 100..=600_000, 10_000)?,
+            unread_timeout: s.millis("unread_timeout_ms", 100..=3_600_000, 30_000)?,
+        };
+        s.finish()?;
+        Ok(callers)
+    }
+}
+
+impl Peers {
+    fn read(s: &mut Section) -> Result<Self, Error> {
+        let peers = Self {
+            listen: s.required_address("listen")?,
+            key: s.fleet_key("fleet_key", "fleet_key_file")?,
+            connect_timeout: s.millis("connect_timeout_ms", 100..=60_000, 2_000)?,
+            call_timeout: s.millis("call_timeout_ms", 100..=60_000, 2_000)?,
+            heartbeat: s.millis("heartbeat_ms", 100..=60_000, 1_000)?,
+            strangers_max: s.int("strangers_max", 1..=4_096, 64)?,
+        };
+        s.finish()?;
+        Ok(peers)
+    }
+}
+
+impl Operators {
+    fn read(s: &mut Section) -> Result<Self, Error> {
+        let operators = Self {
+            listen: s.required_address("listen")?,
+            tokens: s.sha256_list("tokens_sha256", 1..=64)?,
+        };
+        s.finish()?;
+        Ok(operators)
+    }
+}
+
+impl Platform {
+    fn read(s: &mut Section) -> Result<Self, Error> {
+        let platform = Self {
+            log: s.required_address("log")?,
+            vms: s.required_address("vms")?,
+            weights: s.address("weights")?,
+            token: s.secret("token", "token_file", 1..=4_096)?,
+            append_timeout: s.millis("append_timeout_ms", 100..=60_000, 2_000)?,
+            read_wait: s.millis("read_wait_ms", 10..=10_000, 500)?,
+            vms_every: s.millis("vms_every_ms", 100..=60_000, 1_000)?,
+        };
+        s.finish()?;
+        Ok(platform)
+    }
+}
+
+impl Targets {
+    fn read(s: &mut Section) -> Result<Self, Error> {
+        let targets = Self {
+            connect_timeout: s.millis("connect_timeout_ms", 50..=60_000, 1_000)?,
+            first_timeout: s.millis("first_timeout_ms", 100..=3_600_000, 60_000)?,
+            gap_timeout: s.millis("gap_timeout_ms", 100..=600_000, 5_000)?,
+            idle_max: s.int("idle_connections_max", 0..=1_024, 8)?,
+            idle_timeout: s.millis("idle_timeout_ms", 100..=3_600_000, 20_000)?,
+            report_every: s.millis("report_every_ms", 100..=60_000, 1_000)?,
+            hold_bytes_max: s.int("hold_bytes_max", 0..=16 * MIB, 256 * KIB)?,
+        };
+        s.finish()?;
+        Ok(targets)
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/settings/section.rs
@@ -0,0 +1,324 @@
+//! Reading one JSON object key by key.
+//!
+//! Each key is taken out when it is read, so that whatever is left at the end is unknown.
+
+use std::fs::{self, File};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bulrushtrestle_wire::{FLEET_KEY_BYTES_MIN, FleetKey};
+use serde_json::{Map, Value};
+
+use crate::settings::error::{Error, Kind};
+
+/// The largest file of settings.
+const FILE_BYTES_MAX: u64 = 1024 * 1024;
+
+/// The largest file that holds a secret.
+const SECRET_BYTES_MAX: u64 = 4096;
+
+/// The length of a text is not a secret, but a secret's text is never shown in an error.
+const HIDDEN: &str = "the value is not shown";
+
+/// One JSON object of the file.
+#[derive(Debug)]
+pub(super) struct Section {
+    file: PathBuf,
+    prefix: String,
+    left: Map<String, Value>,
+    known: Vec<&'static str>,
+}
+
+impl Section {
+    /// Reads a file.
+    pub(super) fn load(path: &Path) -> Result<Self, Error> {
+        let fail = |kind| Error::new(path, kind);
+        let text = read_bounded(path, FILE_BYTES_MAX)
+            .map_err(|error| fail(Kind::Unreadable(error)))?
+            .ok_or_else(|| {
+                fail(Kind::TooLarge {
+                    max: FILE_BYTES_MAX,
+                })
+            })?;
+        match serde_json::from_slice(&text).map_err(|error| fail(Kind::NotJson(error)))? {
+            Value::Object(left) => Ok(Self::new(path, "", left)),
+            _ => Err(fail(Kind::NotObject)),
+        }
+    }
+
+    /// Returns the object under a key that has to be there.
+    pub(super) fn section(&mut self, key: &'static str) -> Result<Self, Error> {
+        match self.take(key) {
+            Some(value) => self.object(key, value),
+            None => Err(self.missing(key, "an object")),
+        }
+    }
+
+    /// Returns the object under a key, or an empty one.
+    pub(super) fn optional_section(&mut self, key: &'static str) -> Result<Self, Error> {
+        let value = self.take(key).unwrap_or_else(|| Map::new().into());
+        self.object(key, value)
+    }
+
+    /// Refuses whatever was not read.
+    pub(super) fn finish(&self) -> Result<(), Error> {
+        match self.left.keys().next() {
+            None => Ok(()),
+            Some(key) => Err(self.fail(Kind::Unknown {
+                key: self.path(key),
+                allowed: self.known.join(", "),
+            })),
+        }
+    }
+
+    /// Returns a whole number within a range.
+    pub(super) fn int<T: TryFrom<u64>>(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<T, Error> {
+        let value = self.take(key);
+        self.to_int(key, &range, value.unwrap_or_else(|| default.into()))
+    }
+
+    /// Returns a whole number within a range under a key that has to be there.
+    pub(super) fn required_int<T: TryFrom<u64>>(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Result<T, Error> {
+        match self.take(key) {
+            Some(value) => self.to_int(key, &range, value),
+            None => Err(self.missing(key, int_range(&range))),
+        }
+    }
+
+    /// Returns a duration in milliseconds within a range.
+    pub(super) fn millis(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<Duration, Error> {
+        self.int(key, range, default).map(Duration::from_millis)
+    }
+
+    /// Returns a text whose length is within a range.
+    pub(super) fn required_text(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<usize>,
+    ) -> Result<String, Error> {
+        let allowed = text_range(&range);
+        match self.take(key) {
+            Some(Value::String(text)) if range.contains(&text.len()) => Ok(text),
+            Some(other) => Err(self.wrong(key, describe(&other), allowed)),
+            None => Err(self.missing(key, allowed)),
+        }
+    }
+
+    /// Returns an address, if there is one.
+    pub(super) fn address(&mut self, key: &'static str) -> Result<Option<SocketAddr>, Error> {
+        const ALLOWED: &str = "an IP number and a port, such as \"127.0.0.1:8001\"";
+        match self.take(key) {
+            None => Ok(None),
+            Some(Value::String(text)) => match text.parse() {
+                Ok(address) => Ok(Some(address)),
+                Err(_) => Err(self.wrong(key, format!("{text:?}"), ALLOWED)),
+            },
+            Some(other) => Err(self.wrong(key, describe(&other), ALLOWED)),
+        }
+    }
+
+    /// Returns an address under a key that has to be there.
+    pub(super) fn required_address(&mut self, key: &'static str) -> Result<SocketAddr, Error> {
+        match self.address(key)? {
+            Some(address) => Ok(address),
+            None => Err(self.missing(key, "an IP number and a port")),
+        }
+    }
+
+    /// Returns a list of SHA-256 sums.
+    pub(super) fn sha256_list(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<usize>,
+    ) -> Result<Vec<[u8; 32]>, Error> {
+        let allowed = format!(
+            "a list of {} to {} sums of 64 hexadecimal digits",
+            range.start(),
+            range.end()
+        );
+        let list = match self.take(key) {
+            Some(Value::Array(list)) if range.contains(&list.len()) => list,
+            Some(Value::Array(list)) => {
+                return Err(self.wrong(key, format!("a list of {}", list.len()), allowed));
+            }
+            Some(other) => return Err(self.wrong(key, describe(&other), allowed)),
+            None => return Err(self.missing(key, allowed)),
+        };
+        list.iter()
+            .map(|sum| sum.as_str().and_then(parse_hex))
+            .map(|sum| sum.and_then(|bytes| bytes.try_into().ok()))
+            .collect::<Option<_>>()
+            .ok_or_else(|| self.wrong(key, "another element", allowed))
+    }
+
+    /// Returns a secret that stands in the file or in a file of its own.
+    pub(super) fn secret(
+        &mut self,
+        key: &'static str,
+        file_key: &'static str,
+        range: RangeInclusive<usize>,
+    ) -> Result<Option<String>, Error> {
+        let text = match (self.take(key), self.take(file_key)) {
+            (None, None) => return Ok(None),
+            (Some(_), Some(_)) => {
+                let allowed = format!("left out beside {}", self.path(file_key));
+                return Err(self.wrong(key, "both are set", allowed));
+            }
+            (Some(Value::String(text)), None) => text,
+            (None, Some(Value::String(path))) => self.read_secret(file_key, Path::new(&path))?,
+            (Some(_), None) => return Err(self.wrong(key, HIDDEN, "a text")),
+            (None, Some(other)) => {
+                return Err(self.wrong(file_key, describe(&other), "the path of a file"));
+            }
+        };
+        if !range.contains(&text.len()) {
+            return Err(self.wrong(key, HIDDEN, text_range(&range)));
+        }
+        Ok(Some(text))
+    }
+
+    /// Returns the fleet's key, as hexadecimal digits in the file or in a file of its own.
+    pub(super) fn fleet_key(
+        &mut self,
+        key: &'static str,
+        file_key: &'static str,
+    ) -> Result<FleetKey, Error> {
+        let allowed = format!("{} or more hexadecimal digits", 2 * FLEET_KEY_BYTES_MIN);
+        let Some(text) = self.secret(key, file_key, 1..=4_096)? else {
+            return Err(self.missing(key, format!("{allowed}, or {} set", self.path(file_key))));
+        };
+        parse_hex(&text)
+            .and_then(|bytes| FleetKey::new(&bytes).ok())
+            .ok_or_else(|| self.wrong(key, HIDDEN, allowed))
+    }
+
+    fn new(file: &Path, prefix: &str, left: Map<String, Value>) -> Self {
+        Self {
+            file: file.to_owned(),
+            prefix: prefix.to_owned(),
+            left,
+            known: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, key: &'static str) -> Option<Value> {
+        self.known.push(key);
+        self.left.remove(key)
+    }
+
+    fn object(&self, key: &str, value: Value) -> Result<Self, Error> {
+        match value {
+            Value::Object(left) => Ok(Self::new(&self.file, &self.path(key), left)),
+            other => Err(self.wrong(key, describe(&other), "an object")),
+        }
+    }
+
+    fn to_int<T: TryFrom<u64>>(
+        &self,
+        key: &str,
+        range: &RangeInclusive<u64>,
+        value: Value,
+    ) -> Result<T, Error> {
+        value
+            .as_u64()
+            .filter(|n| range.contains(n))
+            .and_then(|n| T::try_from(n).ok())
+            .ok_or_else(|| self.wrong(key, describe(&value), int_range(range)))
+    }
+
+    fn read_secret(&self, key: &str, path: &Path) -> Result<String, Error> {
+        let fail = |why: String| {
+            self.fail(Kind::SecretFile {
+                key: self.path(key),
+                path: path.to_owned(),
+                why,
+            })
+        };
+        let bytes = read_bounded(path, SECRET_BYTES_MAX)
+            .map_err(|error| fail(error.to_string()))?
+            .ok_or_else(|| fail(format!("it is larger than {SECRET_BYTES_MAX} bytes")))?;
+        let text = String::from_utf8(bytes).map_err(|_| fail("it is not text".to_owned()))?;
+        Ok(text.trim().to_owned())
+    }
+
+    fn path(&self, key: &str) -> String {
+        match self.prefix.as_str() {
+            "" => key.to_owned(),
+            prefix => format!("{prefix}.{key}"),
+        }
+    }
+
+    fn missing(&self, key: &str, allowed: impl Into<String>) -> Error {
+        self.fail(Kind::Missing {
+            key: self.path(key),
+            allowed: allowed.into(),
+        })
+    }
+
+    fn wrong(&self, key: &str, found: impl Into<String>, allowed: impl Into<String>) -> Error {
+        self.fail(Kind::Wrong {
+            key: self.path(key),
+            found: found.into(),
+            allowed: allowed.into(),
+        })
+    }
+
+    fn fail(&self, kind: Kind) -> Error {
+        Error::new(&self.file, kind)
+    }
+}
+
+/// Reads a file unless it is larger than `max`.
+fn read_bounded(path: &Path, max: u64) -> std::io::Result<Option<Vec<u8>>> {
+    if fs::metadata(path)?.len() > max {
+        return Ok(None);
+    }
+    let mut bytes = Vec::new();
+    File::open(path)?.take(max + 1).read_to_end(&mut bytes)?;
+    Ok((bytes.len() as u64 <= max).then_some(bytes))
+}
+
+fn parse_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.is_ascii() || !text.len().is_multiple_of(2) {
+        return None;
+    }
+    (0..text.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok())
+        .collect()
+}
+
+fn int_range(range: &RangeInclusive<u64>) -> String {
+    format!("a whole number from {} to {}", range.start(), range.end())
+}
+
+fn text_range(range: &RangeInclusive<usize>) -> String {
+    format!("a text of {} to {} bytes", range.start(), range.end())
+}
+
+fn describe(value: &Value) -> String {
+    match value {
+        Value::Null => "null".to_owned(),
+        Value::Bool(_) | Value::Number(_) => value.to_string(),
+        Value::String(text) => format!("a text of {} bytes", text.len()),
+        Value::Array(list) => format!("a list of {}", list.len()),
+        Value::Object(_) => "an object".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/settings/tests.rs
@@ -0,0 +1,1 @@
+//! Every kind of bad input.
--- /dev/null
+++ b/crates/bulrushtrestled/src/traffic/callers.rs
@@ -0,0 +1,304 @@
+//! The callers' paths.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::error_handling::HandleErrorLayer;
+use axum::extract::{Path, Request, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, get, post};
+use axum::{BoxError, Json, Router};
+use bulrushtrestle_core::catalogue::entry::Service;
+use bulrushtrestle_core::key::Fingerprint;
+use bulrushtrestle_core::request::Repeat;
+use bulrushtrestle_core::verdict::{Reason, Refusal};
+use bytes::{Bytes, BytesMut};
+use http::header::{AUTHORIZATION, CONTENT_LENGTH};
+use http::{HeaderMap, request};
+use http_body_util::BodyExt;
+use serde::Serialize;
+use tokio::time::timeout;
+use tower::ServiceBuilder;
+use tower::limit::GlobalConcurrencyLimitLayer;
+
+use crate::control::{Arrival, Identity};
+use crate::traffic::Traffic;
+use crate::traffic::admission::{Admission, BodyMemory, Open};
+use crate::traffic::drive::{Call, drive};
+use crate::traffic::parse::{Chat, Options, fingerprint, malformed};
+use crate::traffic::refusal::{self, RETRY_SOON};
+use crate::traffic::reply::Reply;
+
+/// For how long an answer to a question for addresses holds.
+const ADDRESSES_HOLD: Duration = Duration::from_secs(5);
+
+#[derive(Serialize)]
+struct Addresses {
+    addresses: Vec<String>,
+    valid_for_ms: u64,
+}
+
+/// Returns the service behind the callers' listener.
+pub(super) fn router(traffic: Arc<Traffic>) -> Router {
+    let shed = Arc::clone(&traffic);
+    let limits = ServiceBuilder::new()
+        .layer(HandleErrorLayer::new(move |_: BoxError| {
+            let traffic = Arc::clone(&shed);
+            async move {
+                let refusal = Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON));
+                refusal::response(&traffic.refused(refusal))
+            }
+        }))
+        .load_shed()
+        .layer(GlobalConcurrencyLimitLayer::new(
+            traffic.settings.callers.requests_max,
+        ));
+    Router::new()
+        .route("/v1/chat/completions", post(chat))
+        .route("/v1/services/{name}", any(plain_root))
+        .route("/v1/services/{name}/", any(plain_root))
+        .route("/v1/services/{name}/{*rest}", any(plain))
+        .layer(limits)
+        // A router that is full still tells callers where to go.
+        .route("/v1/addresses", get(addresses))
+        .fallback(unknown_path)
+        .method_not_allowed_fallback(unknown_path)
+        .with_state(traffic)
+}
+
+async fn unknown_path(State(traffic): State<Arc<Traffic>>) -> Response {
+    refusal::response(&traffic.refused(malformed()))
+}
+
+async fn addresses(State(traffic): State<Arc<Traffic>>, headers: HeaderMap) -> Response {
+    let identity = match headers.contains_key(AUTHORIZATION) {
+        true => {
+            let found = traffic.admission.identify(&traffic.control, &headers).await;
+            match found {
+                Ok(identity) => Some(identity),
+                Err(refusal) => return refusal::response(&traffic.refused(refusal)),
+            }
+        }
+        false => None,
+    };
+    let organisation = identity.map(|identity| identity.organisation);
+    match traffic.control.addresses(organisation).await {
+        Ok(addresses) => Json(Addresses {
+            addresses,
+            valid_for_ms: ADDRESSES_HOLD.as_secs() * 1_000,
+        })
+        .into_response(),
+        Err(_) => {
+            let refusal = Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON));
+            refusal::response(&traffic.refused(refusal))
+        }
+    }
+}
+
+async fn chat(State(traffic): State<Arc<Traffic>>, req: Request) -> Response {
+    let outcome = async {
+        let taken = Taken::read(&traffic, req).await?;
+        let chat = Chat::read(&taken.body)?;
+        let call = Call {
+            id: traffic.control.next_request(),
+            service: Service::Model,
+            stream: chat.stream,
+            method: http::Method::POST,
+            path: "/v1/chat/completions".to_owned(),
+            headers: taken.head.headers,
+            body: chat.body,
+            prefix: Some(chat.prefix),
+            fresh: taken.options.key.is_some(),
+        };
+        let arrival = Arrival {
+            id: call.id,
+            organisation: taken.identity.organisation,
+            kind: Service::Model,
+            class: taken.options.class,
+            repeat: taken.options.repeat_chat(),
+            deadline: deadline(&traffic, &taken.options),
+            prompt_tokens: chat.prompt_tokens,
+            hint_tokens: taken.options.hint_tokens,
+            fingerprint: fingerprint([chat.model.as_bytes(), &taken.body]),
+            prefix: Some(chat.prefix),
+            pool: chat.model,
+        };
+        start(&traffic, arrival, call, (taken.open, taken.memory)).await
+    };
+    finish(&traffic, outcome.await)
+}
+
+async fn plain_root(
+    State(traffic): State<Arc<Traffic>>,
+    Path(name): Path<String>,
+    req: Request,
+) -> Response {
+    let outcome = call_plain(&traffic, name, req).await;
+    finish(&traffic, outcome)
+}
+
+async fn plain(
+    State(traffic): State<Arc<Traffic>>,
+    Path((name, _)): Path<(String, String)>,
+    req: Request,
+) -> Response {
+    let outcome = call_plain(&traffic, name, req).await;
+    finish(&traffic, outcome)
+}
+
+async fn call_plain(
+    traffic: &Arc<Traffic>,
+    name: String,
+    req: Request,
+) -> Result<Response, Refusal> {
+    let taken = Taken::read(traffic, req).await?;
+    let path = service_path(&taken.head);
+    let method = taken.head.method;
+    let repeat = taken.options.repeat_plain(&method);
+    let content = [
+        name.as_bytes(),
+        method.as_str().as_bytes(),
+        path.as_bytes(),
+        &taken.body,
+    ];
+    let content: Fingerprint = fingerprint(content);
+    let call = Call {
+        id: traffic.control.next_request(),
+        service: Service::Plain,
+        stream: false,
+        method,
+        path,
+        headers: taken.head.headers,
+        body: taken.body,
+        prefix: None,
+        fresh: repeat != Repeat::Allowed,
+    };
+    let arrival = Arrival {
+        id: call.id,
+        organisation: taken.identity.organisation,
+        pool: name,
+        kind: Service::Plain,
+        class: taken.options.class,
+        repeat,
+        deadline: deadline(traffic, &taken.options),
+        prompt_tokens: 0,
+        hint_tokens: taken.options.hint_tokens,
+        fingerprint: content,
+        prefix: None,
+    };
+    start(traffic, arrival, call, (taken.open, taken.memory)).await
+}
+
+/// Hands a request over and waits for the head of its answer.
+async fn start(
+    traffic: &Arc<Traffic>,
+    arrival: Arrival,
+    call: Call,
+    held: (Open, BodyMemory),
+) -> Result<Response, Refusal> {
+    let decisions = traffic
+        .control
+        .request(arrival)
+        .map_err(|_| Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)))?;
+    let (reply, answer) = Reply::new(traffic.settings.callers.unread_timeout);
+    tokio::spawn(drive(Arc::clone(traffic), call, decisions, reply, held));
+    Ok(answer.response().await)
+}
+
+fn finish(traffic: &Traffic, outcome: Result<Response, Refusal>) -> Response {
+    outcome.unwrap_or_else(|refusal| refusal::response(&traffic.refused(refusal)))
+}
+
+fn deadline(traffic: &Traffic, options: &Options) -> Option<bulrushtrestle_core::time::Time> {
+    options
+        .patience
+        .map(|patience| traffic.clock.now() + patience)
+}
+
+/// Returns the path behind the service's name, with its query, as the caller wrote it.
+fn service_path(head: &request::Parts) -> String {
+    let full = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let behind = full
+        .strip_prefix("/v1/services/")
+        .and_then(|rest| rest.find(['/', '?']).map(|at| &rest[at..]))
+        .unwrap_or("/");
+    match behind.starts_with('/') {
+        true => behind.to_owned(),
+        false => format!("/{behind}"),
+    }
+}
+
+/// A request that is let in and complete.
+struct Taken {
+    head: request::Parts,
+    body: Bytes,
+    identity: Identity,
+    options: Options,
+    open: Open,
+    memory: BodyMemory,
+}
+
+impl Taken {
+    /// Checks who calls before any of the body is read.
+    async fn read(traffic: &Arc<Traffic>, req: Request) -> Result<Self, Refusal> {
+        let (head, body) = req.into_parts();
+        let identity = traffic
+            .admission
+            .identify(&traffic.control, &head.headers)
+            .await?;
+        let options = Options::read(&head.headers)?;
+        let open = Admission::open(traffic, &identity)?;
+        let limit = traffic.settings.callers.body_bytes_max;
+        let expected = expected_bytes(&head.headers, limit)?;
+        let mut memory = Admission::body_memory(traffic, expected)?;
+        let reading = read_body(traffic, body, limit, &mut memory);
+        let body = timeout(traffic.settings.callers.body_timeout, reading)
+            .await
+            .map_err(|_| Refusal::not_run(Reason::CallerTooSlow, None))??;
+        Ok(Self {
+            head,
+            body,
+            identity,
+            options,
+            open,
+            memory,
+        })
+    }
+}
+
+/// Returns the announced length of a body, or zero if it is not announced.
+fn expected_bytes(headers: &HeaderMap, limit: usize) -> Result<usize, Refusal> {
+    let Some(length) = headers.get(CONTENT_LENGTH) else {
+        return Ok(0);
+    };
+    let length: usize = length
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or(malformed())?;
+    match length <= limit {
+        true => Ok(length),
+        false => Err(Refusal::not_run(Reason::TooLarge, None)),
+    }
+}
+
+async fn read_body(
+    traffic: &Arc<Traffic>,
+    mut body: Body,
+    limit: usize,
+    memory: &mut BodyMemory,
+) -> Result<Bytes, Refusal> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| malformed())?.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            return Err(Refusal::not_run(Reason::TooLarge, None));
+        }
+        bytes.extend_from_slice(&data);
+        memory.grow_to(traffic, bytes.len())?;
+    }
+    Ok(bytes.freeze())
+}
--- /dev/null
+++ b/crates/bulrushtrestled/src/traffic/tests.rs
@@ -0,0 +1,1 @@
+//! Parsing of requests and streams.
--- /dev/null
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -0,0 +1,334 @@
+//! A small fleet of real daemons on loopback, with stand-ins for the platform and the targets.
+
+#![expect(
+    dead_code,
+    unreachable_pub,
+    reason = "each test program takes what it needs of the fixture"
+)]
+
+pub mod client;
+pub mod daemon;
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry, Limits};
+use bulrushtrestle_core::catalogue::entry::{Organisation, Pool, Service, Target};
+use bulrushtrestle_core::catalogue::message::{Change, Edit};
+use bulrushtrestle_core::record::Record;
+use bulrushtrestle_standin::{Handle, engine, log, plain, vms};
+use http::StatusCode;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use self::client::{Answer, Client};
+use self::daemon::Daemon;
+
+/// The organisation's token.
+pub const TOKEN: &str = "token-of-the-club";
+/// The operators' token.
+pub const OPERATOR_TOKEN: &str = "token-of-the-operators";
+/// The fleet's key.
+pub const FLEET_KEY: &str = "0707070707070707070707070707070707070707070707070707070707070707";
+/// How long anything may take that a test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a fleet consists of.
+pub struct Plan {
+    pub routers: u32,
+    pub engine: engine::Config,
+    pub plain: plain::Config,
+    pub limits: Limits,
+    /// Changes the settings of a router, given its number.
+    pub tune: fn(u32, &mut Value),
+    /// Slots of each target.
+    pub slots: u32,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            routers: 1,
+            engine: engine::Config::default(),
+            plain: plain::Config::default(),
+            limits: Limits::default(),
+            tune: |_, _| {},
+            slots: 64,
+        }
+    }
+}
+
+/// A running fleet. Dropping it ends the daemons.
+pub struct Fleet {
+    pub log: Handle<log::Faults>,
+    pub vms: Handle<vms::Faults>,
+    pub engine: Handle<engine::Faults>,
+    pub plain: Handle<plain::Faults>,
+    pub routers: Vec<Daemon>,
+    pub client: Client,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every router is ready and sees all the others.
+    pub async fn start(plan: Plan) -> Self {
+        let log = log::spawn(log::Config::default())
+            .await
+            .expect("the log starts");
+        let vms = vms::spawn(vms::Config::default())
+            .await
+            .expect("the list starts");
+        let engine = engine::spawn(plan.engine).await.expect("the engine starts");
+        let plain = plain::spawn(plan.plain).await.expect("the service starts");
+        let client = Client::new();
+        publish(
+            &client,
+            log.address(),
+            entries(&engine, &plain, &plan.limits, plan.slots),
+        )
+        .await;
+        let routers = (1..=plan.routers)
+            .map(|id| {
+                let mut settings = settings(id, log.address(), vms.address());
+                (plan.tune)(id, &mut settings);
+                Daemon::start(id, &settings)
+            })
+            .collect();
+        let fleet = Self {
+            log,
+            vms,
+            engine,
+            plain,
+            routers,
+            client,
+        };
+        fleet.list_vms().await;
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Shows every router in the VM list.
+    pub async fn list_vms(&self) {
+        let vms: Vec<Value> = self
+            .routers
+            .iter()
+            .map(|router| {
+                json!({
+                    "id": router.id,
+                    "role": "router",
+                    "address": router.peers.to_string(),
+                    "data_centre": "a",
+                    "leaving": false,
+                })
+            })
+            .collect();
+        let body = json!({ "vms": vms }).to_string();
+        let put = client::request("PUT", self.vms.address(), "/v1/vms", &[], body);
+        assert!(self.client.whole(put).await.status.is_success());
+    }
+
+    /// Waits until every router is ready and sees all the others.
+    pub async fn wait_ready(&self) {
+        for router in &self.routers {
+            eventually("the router is ready and sees the others", async || {
+                let status = self.status(router).await;
+                let live = status["live"].as_array().map_or(0, Vec::len);
+                status["ready"] == json!(true) && live == self.routers.len()
+            })
+            .await;
+        }
+    }
+
+    /// Returns what operators see of a router; null if it does not answer.
+    pub async fn status(&self, router: &Daemon) -> Value {
+        let answer = self.operators(router, "/status").await;
+        serde_json::from_slice(&answer.body).unwrap_or(Value::Null)
+    }
+
+    /// Returns the value of a metric, with its labels.
+    pub async fn metric(&self, router: &Daemon, name: &str) -> f64 {
+        let answer = self.operators(router, "/metrics").await;
+        let text = answer.text();
+        text.lines()
+            .find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
+            .unwrap_or_else(|| panic!("{name} is not among the metrics: {text}"))
+    }
+
+    /// Returns how often a reason was the reason for a refusal.
+    pub async fn refused(&self, router: &Daemon, reason: &str) -> f64 {
+        let name = format!("bulrushtrestle_refused_total{{reason=\"{reason}\"}}");
+        self.metric(router, &name).await
+    }
+
+    /// Returns how often something happened at an edge.
+    pub async fn edge(&self, router: &Daemon, event: &str) -> f64 {
+        let name = format!("bulrushtrestle_edge_events_total{{event=\"{event}\"}}");
+        self.metric(router, &name).await
+    }
+
+    pub async fn operators(&self, router: &Daemon, path: &str) -> Answer {
+        let token = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        let get = client::request("GET", router.operators, path, &headers, String::new());
+        self.client.whole(get).await
+    }
+
+    /// Sends a chat request as the organisation and returns the whole answer.
+    pub async fn chat(&self, router: &Daemon, body: &Value, headers: &[(&str, &str)]) -> Answer {
+        let post = as_organisation(
+            "POST",
+            router,
+            "/v1/chat/completions",
+            headers,
+            body.to_string(),
+        );
+        self.client.whole(post).await
+    }
+
+    /// Calls the plain service as the organisation and returns the whole answer.
+    pub async fn call(
+        &self,
+        method: &str,
+        router: &Daemon,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let path = format!("/v1/services/booking{path}");
+        let call = as_organisation(method, router, &path, headers, body.to_owned());
+        self.client.whole(call).await
+    }
+
+    /// Returns how often calls took effect at the plain service.
+    pub async fn runs(&self) -> plain::Runs {
+        let get = client::request("GET", self.plain.address(), "/v1/runs", &[], String::new());
+        let answer = self.client.whole(get).await;
+        serde_json::from_slice(&answer.body).expect("the service tells its runs")
+    }
+}
+
+/// Returns a request with the organisation's token.
+pub fn as_organisation(
+    method: &str,
+    router: &Daemon,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    let token = format!("Bearer {TOKEN}");
+    let mut all = vec![("authorization", token.as_str())];
+    all.extend_from_slice(headers);
+    client::request(method, router.callers, path, &all, body)
+}
+
+/// Returns the body of a chat request for `tokens` tokens.
+pub fn chat_body(tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": "m",
+        "stream": stream,
+        "messages": [{ "role": "user", "content": format!("Draft a loan. [tokens={tokens}]") }],
+    })
+}
+
+/// Waits until something holds.
+pub async fn eventually(what: &str, holds: impl AsyncFn() -> bool) {
+    let waiting = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("in {PATIENCE:?} it did not come true that {what}"));
+}
+
+/// Returns an address of loopback on which nobody listens now.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    listener.local_addr().expect("the listener has an address")
+}
+
+/// Appends entries to the log.
+pub async fn publish(client: &Client, log: SocketAddr, entries: Vec<Entry>) {
+    let records: Vec<String> = entries.into_iter().map(record).collect();
+    let body = json!({ "records": records }).to_string();
+    let headers = [("content-type", "application/json")];
+    let post = client::request("POST", log, "/v1/append", &headers, body);
+    assert_eq!(client.whole(post).await.status, StatusCode::OK);
+}
+
+fn record(entry: Entry) -> String {
+    let edit = Edit {
+        id: uuid::Uuid::now_v7(),
+        replaces: None,
+        change: Change::Put { entry },
+        author: "test".to_owned(),
+    };
+    String::from_utf8(Record::Edit(edit).encode()).expect("records are text")
+}
+
+fn entries(
+    engine: &Handle<engine::Faults>,
+    plain: &Handle<plain::Faults>,
+    limits: &Limits,
+    slots: u32,
+) -> Vec<Entry> {
+    let target = |name: &str, pool: &str, address: SocketAddr| {
+        Entry::Target(Target {
+            name: name.to_owned(),
+            vm: 100,
+            address: address.to_string(),
+            data_centre: "a".to_owned(),
+            pool: pool.to_owned(),
+            version: "v1".to_owned(),
+            slots,
+            checks_fence: true,
+        })
+    };
+    let pool = |name: &str, service| {
+        Entry::Pool(Pool {
+            name: name.to_owned(),
+            service,
+        })
+    };
+    vec![
+        Entry::DataCentre(DataCentre {
+            name: "a".to_owned(),
+            region: "r".to_owned(),
+            state: DataCentreState::In,
+        }),
+        pool("m", Service::Model),
+        pool("booking", Service::Plain),
+        pool("empty", Service::Model),
+        target("engine", "m", engine.address()),
+        target("desk", "booking", plain.address()),
+        Entry::Organisation(Organisation {
+            name: "club".to_owned(),
+            owner: "the club's board".to_owned(),
+            class: Default::default(),
+            weight: 1,
+            limits: *limits,
+            tokens_sha256: vec![hex(&Sha256::digest(TOKEN))],
+        }),
+    ]
+}
+
+/// Returns the settings of a router.
+pub fn settings(id: u32, log: SocketAddr, vms: SocketAddr) -> Value {
+    json!({
+        "router": id,
+        "data_centre": "a",
+        "stop_timeout_ms": 20_000,
+        "callers": { "listen": free_address().to_string() },
+        "peers": { "listen": free_address().to_string(), "fleet_key": FLEET_KEY },
+        "operators": {
+            "listen": free_address().to_string(),
+            "tokens_sha256": [hex(&Sha256::digest(OPERATOR_TOKEN))],
+        },
+        "platform": { "log": log.to_string(), "vms": vms.to_string(), "vms_every_ms": 100 },
+        "targets": { "gap_timeout_ms": 1_000 },
+    })
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
