--- a/crates/bulrushtrestled/src/settings/tests.rs
+++ b/crates/bulrushtrestled/src/settings/tests.rs
@@ -1,1 +1,327 @@
-//! Every kind of bad input.
+//! Every kind of bad settings is refused, and the error names the file, the key and what is allowed.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::settings::Settings;
+
+/// A change to good settings that makes them bad.
+struct Case {
+    name: &'static str,
+    /// Where the change is, as a JSON pointer.
+    at: &'static str,
+    /// The new value; `None` removes the key.
+    value: Option<Value>,
+    /// What the error has to contain.
+    says: &'static [&'static str],
+}
+
+fn cases() -> Vec<Case> {
+    let case = |name, at, value, says| Case {
+        name,
+        at,
+        value,
+        says,
+    };
+    vec![
+        case(
+            "unknown key",
+            "/colour",
+            Some(json!(1)),
+            &["key colour", "unknown", "data_centre"],
+        ),
+        case(
+            "unknown key inside",
+            "/callers/colour",
+            Some(json!(1)),
+            &["key callers.colour", "listen"],
+        ),
+        case(
+            "missing number",
+            "/router",
+            None,
+            &["key router", "missing", "from 1 to 4294967295"],
+        ),
+        case(
+            "missing section",
+            "/peers",
+            None,
+            &["key peers", "missing", "an object"],
+        ),
+        case(
+            "missing address",
+            "/callers/listen",
+            None,
+            &["key callers.listen", "missing"],
+        ),
+        case(
+            "missing key of the fleet",
+            "/peers/fleet_key",
+            None,
+            &["key peers.fleet_key", "64"],
+        ),
+        case(
+            "missing tokens",
+            "/operators/tokens_sha256",
+            None,
+            &["key operators.tokens_sha256"],
+        ),
+        case(
+            "text for a number",
+            "/router",
+            Some(json!("1")),
+            &["key router", "from 1 to"],
+        ),
+        case(
+            "number for a text",
+            "/data_centre",
+            Some(json!(1)),
+            &["key data_centre", "1 to 64 bytes"],
+        ),
+        case(
+            "list for a section",
+            "/callers",
+            Some(json!([])),
+            &["key callers", "an object"],
+        ),
+        case(
+            "null",
+            "/router",
+            Some(Value::Null),
+            &["key router", "null"],
+        ),
+        case(
+            "fraction",
+            "/traffic_threads",
+            Some(json!(1.5)),
+            &["key traffic_threads", "1.5", "from 1 to 256"],
+        ),
+        case(
+            "negative",
+            "/traffic_threads",
+            Some(json!(-1)),
+            &["key traffic_threads", "-1"],
+        ),
+        case(
+            "too small",
+            "/stop_timeout_ms",
+            Some(json!(999)),
+            &["999", "from 1000 to 3600000"],
+        ),
+        case(
+            "too large",
+            "/stop_timeout_ms",
+            Some(json!(3_600_001)),
+            &["from 1000 to 3600000"],
+        ),
+        case(
+            "too large inside",
+            "/targets/gap_timeout_ms",
+            Some(json!(600_001)),
+            &["key targets.gap_timeout_ms", "from 100 to 600000"],
+        ),
+        case(
+            "empty text",
+            "/data_centre",
+            Some(json!("")),
+            &["key data_centre", "1 to 64 bytes"],
+        ),
+        case(
+            "name for an address",
+            "/platform/log",
+            Some(json!("localhost:1")),
+            &["key platform.log", "an IP number and a port"],
+        ),
+        case(
+            "address without port",
+            "/platform/vms",
+            Some(json!("127.0.0.1")),
+            &["key platform.vms"],
+        ),
+        case(
+            "port too large",
+            "/platform/vms",
+            Some(json!("127.0.0.1:65536")),
+            &["key platform.vms"],
+        ),
+        case(
+            "number for an address",
+            "/platform/weights",
+            Some(json!(1)),
+            &["key platform.weights"],
+        ),
+        case(
+            "short key of the fleet",
+            "/peers/fleet_key",
+            Some(json!("0707")),
+            &["key peers.fleet_key", "64 or more"],
+        ),
+        case(
+            "no hexadecimal digits",
+            "/peers/fleet_key",
+            Some(json!("x".repeat(64))),
+            &["key peers.fleet_key"],
+        ),
+        case(
+            "odd digits",
+            "/peers/fleet_key",
+            Some(json!("0".repeat(65))),
+            &["key peers.fleet_key"],
+        ),
+        case(
+            "two keys of the fleet",
+            "/peers/fleet_key_file",
+            Some(json!("/dev/null")),
+            &["key peers.fleet_key", "both are set"],
+        ),
+        case(
+            "unreadable secret",
+            "/platform/token_file",
+            Some(json!("/nonexistent/token")),
+            &["key platform.token_file", "/nonexistent/token"],
+        ),
+        case(
+            "empty secret",
+            "/platform/token_file",
+            Some(json!("/dev/null")),
+            &["key platform.token", "1 to 4096 bytes"],
+        ),
+        case(
+            "number for a secret",
+            "/platform/token",
+            Some(json!(5)),
+            &["key platform.token"],
+        ),
+        case(
+            "no tokens",
+            "/operators/tokens_sha256",
+            Some(json!([])),
+            &["a list of 0", "1 to 64 sums"],
+        ),
+        case(
+            "short sum",
+            "/operators/tokens_sha256/0",
+            Some(json!("00")),
+            &["64 hexadecimal digits"],
+        ),
+        case(
+            "number for a sum",
+            "/operators/tokens_sha256/0",
+            Some(json!(0)),
+            &["64 hexadecimal digits"],
+        ),
+    ]
+}
+
+#[test]
+fn bad_settings_are_refused_by_name_and_range() {
+    for case in cases() {
+        let file = TempFile::new(&changed(case.at, case.value).to_string());
+        let error = Settings::load(&file.0).expect_err(case.name).to_string();
+        let path = file.0.display().to_string();
+        for part in case.says.iter().copied().chain([path.as_str()]) {
+            assert!(
+                error.contains(part),
+                "{}: {error:?} lacks {part:?}",
+                case.name
+            );
+        }
+        assert!(!error.contains("secret-value"), "{}: {error}", case.name);
+    }
+}
+
+#[test]
+fn files_that_are_no_settings_are_refused_by_name() {
+    let cases = [
+        ("empty", String::new(), "not JSON"),
+        ("cut off", "{\"router\":".to_owned(), "not JSON"),
+        ("a list", "[]".to_owned(), "one JSON object"),
+        ("huge", " ".repeat(1024 * 1024 + 1), "larger than"),
+        (
+            "twice",
+            "{\"router\":1,\"router\":2}".to_owned(),
+            "data_centre",
+        ),
+    ];
+    for (name, text, says) in cases {
+        let file = TempFile::new(&text);
+        let error = Settings::load(&file.0).expect_err(name).to_string();
+        assert!(error.contains(says), "{name}: {error}");
+        assert!(
+            error.contains(&file.0.display().to_string()),
+            "{name}: {error}"
+        );
+    }
+    let error = Settings::load(Path::new("/nonexistent")).expect_err("nothing to read");
+    assert!(
+        error
+            .to_string()
+            .starts_with("/nonexistent: cannot be read")
+    );
+}
+
+#[test]
+fn good_settings_keep_what_they_say_and_default_the_rest() {
+    let file = TempFile::new(&good().to_string());
+    let settings = Settings::load(&file.0).expect("the settings are good");
+    assert_eq!(settings.router, 7);
+    assert_eq!(settings.data_centre, "a");
+    assert_eq!(settings.traffic_threads, 2);
+    assert_eq!(settings.stop_timeout, Duration::from_secs(60));
+    assert_eq!(settings.targets.gap_timeout, Duration::from_secs(5));
+    assert_eq!(settings.platform.token.as_deref(), Some("secret-value"));
+}
+
+fn good() -> Value {
+    json!({
+        "router": 7,
+        "data_centre": "a",
+        "callers": { "listen": "127.0.0.1:8001" },
+        "peers": { "listen": "127.0.0.1:8002", "fleet_key": "07".repeat(32) },
+        "operators": { "listen": "127.0.0.1:8003", "tokens_sha256": ["00".repeat(32)] },
+        "platform": { "log": "127.0.0.1:9001", "vms": "127.0.0.1:9002", "token": "secret-value" },
+    })
+}
+
+fn changed(at: &str, value: Option<Value>) -> Value {
+    let mut settings = good();
+    let (parent, key) = at.rsplit_once('/').expect("a pointer begins with a slash");
+    // Sections that are left out by default are added, and one of two secrets gives way.
+    if parent == "/targets" {
+        settings["targets"] = json!({});
+    }
+    if key == "token_file" {
+        settings["platform"]
+            .as_object_mut()
+            .expect("a section")
+            .remove("token");
+    }
+    match (settings.pointer_mut(parent), value) {
+        (Some(Value::Object(section)), Some(value)) => drop(section.insert(key.to_owned(), value)),
+        (Some(Value::Object(section)), None) => drop(section.remove(key)),
+        (Some(Value::Array(list)), Some(value)) => list[0] = value,
+        _ => panic!("{at} leads nowhere"),
+    }
+    settings
+}
+
+struct TempFile(PathBuf);
+
+impl TempFile {
+    fn new(text: &str) -> Self {
+        let name = format!("bulrushtrestled-settings-{}.json", uuid::Uuid::now_v7());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text).expect("the file is written");
+        Self(path)
+    }
+}
+
+impl Drop for TempFile {
+    fn drop(&mut self) {
+        // Leaving a file behind is no reason to fail.
+        let _ = fs::remove_file(&self.0);
+    }
+}
--- a/crates/bulrushtrestled/src/traffic/sse.rs
+++ b/crates/bulrushtrestled/src/traffic/sse.rs
@@ -29,13 +29,13 @@
 }
 
 impl Splitter {
-    /// Adds bytes that have arrived.
+    /// Adds bytes that have arrived, after all whole events were taken out.
     pub(super) fn push(&mut self, bytes: &[u8]) -> Result<(), TooLarge> {
-        self.buf.extend_from_slice(bytes);
-        match self.buf.len() <= EVENT_BYTES_MAX + bytes.len() {
-            true => Ok(()),
-            false => Err(TooLarge),
+        if self.buf.len() > EVENT_BYTES_MAX {
+            return Err(TooLarge);
         }
+        self.buf.extend_from_slice(bytes);
+        Ok(())
     }
 
     /// Takes out the next whole event.
--- a/crates/bulrushtrestled/src/traffic/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/tests.rs
@@ -1,1 +1,164 @@
 //! Parsing of requests and streams.
+
+use bulrushtrestle_core::request::{Class, Repeat};
+use bulrushtrestle_core::verdict::Reason;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use serde_json::Value;
+
+use crate::traffic::parse::{Chat, Options};
+use crate::traffic::sse::{EVENT_BYTES_MAX, Splitter};
+
+const KEY_V7: &str = "01934f3c-5b1a-7c3e-8a4d-2f6b9e0c1d2e";
+const KEY_V4: &str = "01934f3c-5b1a-4c3e-8a4d-2f6b9e0c1d2e";
+
+#[test]
+fn optional_headers_are_taken_or_refused() {
+    struct Case {
+        header: (&'static str, &'static str),
+        refused: Option<Reason>,
+    }
+    let good = |name, value| Case {
+        header: (name, value),
+        refused: None,
+    };
+    let bad = |name, value, reason| Case {
+        header: (name, value),
+        refused: Some(reason),
+    };
+    let cases = [
+        good("idempotency-key", KEY_V7),
+        bad("idempotency-key", KEY_V4, Reason::KeyInvalid),
+        bad("idempotency-key", "order-7", Reason::KeyInvalid),
+        bad("idempotency-key", "", Reason::KeyInvalid),
+        good("x-cost-hint", "0"),
+        good("x-cost-hint", "4294967295"),
+        bad("x-cost-hint", "4294967296", Reason::Malformed),
+        bad("x-cost-hint", "-1", Reason::Malformed),
+        bad("x-cost-hint", "many", Reason::Malformed),
+        good("x-deadline-ms", "1"),
+        bad("x-deadline-ms", "0", Reason::Malformed),
+        bad("x-deadline-ms", "86400001", Reason::Malformed),
+        good("x-class", "batch"),
+        bad("x-class", "Batch", Reason::Malformed),
+        bad("x-class", "urgent", Reason::Malformed),
+    ];
+    for case in cases {
+        let outcome = Options::read(&headers(&[case.header]));
+        let reason = outcome.err().map(|refusal| refusal.reason);
+        assert_eq!(reason, case.refused, "{:?}", case.header);
+    }
+    let options = Options::read(&headers(&[("x-class", "batch")])).expect("the class is known");
+    assert_eq!(options.class, Some(Class::Batch));
+}
+
+#[test]
+fn calls_that_may_not_be_repeated_are_known_by_method_and_key() {
+    let key = uuid::Uuid::parse_str(KEY_V7).expect("the key is a UUID");
+    let cases = [
+        (Method::GET, None, Repeat::Allowed),
+        (Method::HEAD, None, Repeat::Allowed),
+        (Method::OPTIONS, None, Repeat::Allowed),
+        (Method::POST, None, Repeat::Unkeyed),
+        (Method::PUT, None, Repeat::Unkeyed),
+        (Method::DELETE, None, Repeat::Unkeyed),
+        (Method::GET, Some(KEY_V7), Repeat::Once(key)),
+        (Method::POST, Some(KEY_V7), Repeat::Once(key)),
+    ];
+    for (method, key, expected) in cases {
+        let headers: Vec<_> = key.iter().map(|&key| ("idempotency-key", key)).collect();
+        let options = Options::read(&self::headers(&headers)).expect("the key is valid");
+        assert_eq!(options.repeat_plain(&method), expected, "{method} {key:?}");
+    }
+}
+
+#[test]
+fn chat_bodies_are_read_or_refused() {
+    let cases = [
+        (
+            r#"{"model":"m","messages":[{"role":"user","content":"hi"}]}"#,
+            true,
+        ),
+        (
+            r#"{"model":"m","messages":[{"content":[{"type":"text","text":"hi"}]}]}"#,
+            true,
+        ),
+        (r#"{"model":"m","messages":[]}"#, false),
+        (r#"{"model":"","messages":[{"content":"hi"}]}"#, false),
+        (r#"{"messages":[{"content":"hi"}]}"#, false),
+        (
+            r#"{"model":"m","stream":"yes","messages":[{"content":"hi"}]}"#,
+            false,
+        ),
+        (r#"{"model":"m","messages":[{"content":"hi"}]"#, false),
+        ("", false),
+        ("null", false),
+    ];
+    for (body, good) in cases {
+        let outcome = Chat::read(&Bytes::from_static(body.as_bytes()));
+        assert_eq!(outcome.is_ok(), good, "{body}");
+    }
+}
+
+#[test]
+fn the_engine_is_always_asked_to_stream() {
+    let body = r#"{"model":"m","messages":[{"role":"user","content":"eight by"}],"top_p":0.5}"#;
+    let chat = Chat::read(&Bytes::from_static(body.as_bytes())).expect("the body is good");
+    let sent: Value = serde_json::from_slice(&chat.body).expect("the new body is JSON");
+    assert!(!chat.stream);
+    assert_eq!(sent["stream"], Value::Bool(true));
+    assert_eq!(sent["top_p"], serde_json::json!(0.5));
+    assert_eq!(chat.prompt_tokens, 2);
+}
+
+#[test]
+fn the_prefix_is_that_of_the_leading_part() {
+    let chat = |text: &str| {
+        let body = serde_json::json!({ "model": "m", "messages": [{ "content": text }] });
+        Chat::read(&body.to_string().into())
+            .expect("the body is good")
+            .prefix
+    };
+    let lead = "x".repeat(2_000);
+    assert_eq!(chat(&format!("{lead}a")), chat(&format!("{lead}b")));
+    assert_ne!(chat("a"), chat("b"));
+}
+
+#[test]
+fn events_are_split_the_same_wherever_the_pieces_end() {
+    let text = b": hello\n\nid: 1\ndata: {}\n\nid: 2\r\ndata: {}\r\n\r\ndata: [DONE]\n\n";
+    for size in 1..=text.len() {
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        for piece in text.chunks(size) {
+            splitter.push(piece).expect("the events are small");
+            events.extend(std::iter::from_fn(|| splitter.next()));
+        }
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [None, Some(1), Some(2), None], "pieces of {size}");
+        let ends: Vec<_> = events.iter().map(|event| event.is_end).collect();
+        assert_eq!(ends, [false, false, false, true], "pieces of {size}");
+        let raw: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
+        assert_eq!(raw, text, "pieces of {size}");
+    }
+}
+
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut splitter = Splitter::default();
+    let piece = vec![b'x'; EVENT_BYTES_MAX / 2];
+    let refused = (0..8).any(|_| splitter.push(&piece).is_err());
+    assert!(refused);
+}
+
+fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    pairs
+        .iter()
+        .map(|&(name, value)| {
+            (
+                HeaderName::from_static(name),
+                HeaderValue::from_static(value),
+            )
+        })
+        .collect()
+}
