Decide when a router is current, alive and responsible

Cause: a router cut off from the log went on by its last catalogue for ever, a restarted one served an empty catalogue, and every router had to hear every other. Ruled out: serving on when stale (breaks the promise on data centres taken out); heartbeats from all to all (430 routers would send 51 KB/s each); dating a peer's word by its arrival (a delayed heartbeat would prove too much). Change: currency by own reads, by echoed heartbeats or by an outage that most contacts see; catching up from peers; undecided edits and copies of entries before records age out; leases by claims on the log; partners and rows in membership; addresses by home; the planned stop. Figures: in the unit tests a death reaches 60 and 200 routers with 6 and 12 partners within 12 rounds of 500 ms.

--- a/crates/core/src/catalogue/message.rs
+++ b/crates/core/src/catalogue/message.rs
@@ -54,6 +54,16 @@
     },
 }
 
+impl Change {
+    /// Returns the kind and the name of the entry that changes.
+    pub fn subject(&self) -> (Kind, &str) {
+        match self {
+            Self::Put { entry } => (entry.kind(), entry.name()),
+            Self::Remove { kind, name } => (*kind, name),
+        }
+    }
+}
+
 /// An entry together with where it stands in the log's order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stored {
@@ -85,17 +95,21 @@
 pub enum CataloguePart {
     /// The sender lacks what the log holds from this offset on.
     Want {
-        /// The first offset that the sender has not applied.
+        /// Every edit below this offset is in the sender's catalogue.
         from: Offset,
+        /// Only entries that were created after this offset are wanted; `None` for the first part.
+        after: Option<Offset>,
     },
-    /// Entries changed since the offset that was asked for, encoded as JSON [`Stored`] values,
+    /// Entries edited at or after the offset that was asked for, encoded as JSON [`Stored`] values,
     /// because their tagged form needs a self-describing codec.
     Entries {
         /// The JSON text of a list of [`Stored`] entries.
         json: Vec<u8>,
-        /// Every edit below this offset is contained or older than `Want::from`.
+        /// The `from` that these entries answer.
+        from: Offset,
+        /// Every edit below this offset is in the answering router's catalogue.
         applied: Offset,
-        /// Whether more follows.
-        more: bool,
+        /// From where on to ask for the next part; `None` if this is the last.
+        next: Option<Offset>,
     },
 }
--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -7,14 +7,24 @@
 //! replaces, and is a conflict otherwise, on every router alike. An entry's revision never falls, so an
 //! accepted edit never reverts, whatever a peer or an old copy says.
 //!
+//! # Records that have aged out
+//!
+//! The log forgets. While it still remembers, the holder of a lease appends entries again with their
+//! original offsets ([`message::Refresh`], [`Retention`]). A router that starts reads from the oldest record
+//! that is left, its horizon. Until it has reached the tail once, it cannot tell whether an edit of an entry
+//! that it has not met is a conflict, so it holds such edits back ([`Applied::Undecided`]) and settles them
+//! in log order when the entry's copy appears or the tail is reached.
+//!
 //! See `docs/OPERATIONS.md` for how operators edit the catalogue.
 
 pub mod entry;
 pub mod message;
+mod retention;
 mod state;
 #[cfg(test)]
 mod tests;
 mod validate;
 
+pub use self::retention::Retention;
 pub use self::state::{Applied, Catalogue, TargetView};
 pub use self::validate::{InvalidError, check};
--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -22,6 +22,8 @@
     },
     /// The edit's content is out of range; nothing changed.
     Invalid(InvalidError),
+    /// The entry's earlier records have aged out and no copy was read yet; the edit waits.
+    Undecided,
 }
 
 /// The entries of the catalogue, with the indexes that decisions need.
@@ -56,6 +58,9 @@
     names: BTreeMap<Offset, (Kind, String)>,
     targets_by_pool: BTreeMap<String, BTreeSet<TargetId>>,
     tokens: BTreeMap<[u8; 32], OrganisationId>,
+    /// Whether records below the first one that was read may have been lost.
+    unsettled: bool,
+    undecided: BTreeMap<Offset, Edit>,
 }
 
 /// A target with what its entry refers to.
@@ -77,16 +82,25 @@
         Self::default()
     }
 
+    /// Returns an empty catalogue that is to be filled from a log whose oldest records have aged out.
+    pub fn unsettled() -> Self {
+        Self {
+            unsettled: true,
+            ..Self::default()
+        }
+    }
+
     /// Applies the edit that the log holds at `offset`.
     pub fn apply(&mut self, offset: Offset, edit: &Edit) -> Applied {
-        let (kind, name) = match &edit.change {
-            Change::Put { entry } => (entry.kind(), entry.name()),
-            Change::Remove { kind, name } => (*kind, name.as_str()),
-        };
+        let (kind, name) = edit.change.subject();
         let present = self.stored(kind, name);
-        if present.is_some_and(|stored| stored.edit == edit.id) {
+        if present.is_some_and(|stored| stored.edit == edit.id || stored.revision >= offset) {
             return Applied::Repeated;
         }
+        if present.is_none() && self.unsettled {
+            self.undecided.insert(offset, edit.clone());
+            return Applied::Undecided;
+        }
         let stands_at = present.map(|stored| stored.revision);
         if stands_at != edit.replaces {
             return Applied::Conflict { stands_at };
@@ -117,10 +131,38 @@
             .is_none_or(|stored| stored.revision < copy.revision);
         if newer {
             self.put(copy.clone());
+            self.decide(|edit| edit.change.subject() == (copy.kind, copy.name.as_str()));
         }
         newer
     }
 
+    /// Decides the edits that waited for a copy of their entry: the tail of the log was reached, so an
+    /// entry without a copy never existed.
+    pub fn settle(&mut self) {
+        self.unsettled = false;
+        self.decide(|_| true);
+    }
+
+    /// Returns the entries that were edited at or after `from` and created after `after`, in the order
+    /// of creation.
+    pub fn edited_since(
+        &self,
+        from: Offset,
+        after: Option<Offset>,
+    ) -> impl Iterator<Item = &Stored> {
+        let start = after.map_or(Offset(0), |after| Offset(after.0.saturating_add(1)));
+        self.names
+            .range(start..)
+            .filter_map(|(_, (kind, name))| self.stored(*kind, name))
+            .filter(move |stored| stored.revision >= from)
+    }
+
+    /// Returns the entry that was created at `created`, with its place in the log's order.
+    pub fn stored_by_id(&self, created: Offset) -> Option<&Stored> {
+        let (kind, name) = self.names.get(&created)?;
+        self.stored(*kind, name)
+    }
+
     /// Returns an entry with its place in the log's order, removed ones included.
     pub fn stored(&self, kind: Kind, name: &str) -> Option<&Stored> {
         self.entries.get(&kind)?.get(name)
@@ -226,6 +268,17 @@
         }
     }
 
+    /// Applies the undecided edits that `wanted` picks, in log order.
+    fn decide(&mut self, wanted: impl Fn(&Edit) -> bool) {
+        let all = core::mem::take(&mut self.undecided);
+        let (due, rest): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            all.into_iter().partition(|(_, edit)| wanted(edit));
+        self.undecided = rest;
+        for (offset, edit) in due {
+            self.apply(offset, &edit);
+        }
+    }
+
     fn ids(&self, kind: Kind) -> impl Iterator<Item = u32> {
         self.entries
             .get(&kind)
@@ -236,8 +289,7 @@
     }
 
     fn by_id(&self, id: u32) -> Option<&Entry> {
-        let (kind, name) = self.names.get(&Offset(u64::from(id)))?;
-        self.stored(*kind, name)?.entry.as_ref()
+        self.stored_by_id(Offset(u64::from(id)))?.entry.as_ref()
     }
 
     fn put(&mut self, stored: Stored) {
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -82,6 +82,7 @@
             match catalogue.apply(Offset(offset), edit) {
                 Applied::Accepted => seen.push(offset),
                 Applied::Repeated | Applied::Conflict { .. } => {}
+                Applied::Undecided => panic!("{name}: the log is whole"),
                 Applied::Invalid(error) => panic!("{name}: {error}"),
             }
         }
@@ -105,3 +106,96 @@
     let (_, entry) = catalogue.pool_by_name("p").expect("it still exists");
     assert_eq!(entry.service, Service::Plain);
 }
+
+#[test]
+fn a_router_that_starts_after_records_aged_out_reaches_the_same_state() {
+    struct Case {
+        name: &'static str,
+        /// Edits at their offsets; those below 10 have aged out.
+        edits: Vec<(u64, Edit)>,
+        /// When the entry is appended again: before the record of this offset is read.
+        copied_at: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "the copy comes before the edit",
+            edits: vec![
+                (1, pool(1, None, Service::Model)),
+                (20, pool(2, Some(1), Service::Plain)),
+            ],
+            copied_at: Some(15),
+        },
+        Case {
+            name: "the copy comes after the edit",
+            edits: vec![
+                (1, pool(1, None, Service::Model)),
+                (20, pool(2, Some(1), Service::Plain)),
+            ],
+            copied_at: Some(25),
+        },
+        Case {
+            name: "a conflict before the copy",
+            edits: vec![
+                (1, pool(1, None, Service::Model)),
+                (2, pool(2, Some(1), Service::Plain)),
+                (20, pool(3, Some(1), Service::Model)),
+            ],
+            copied_at: Some(25),
+        },
+        Case {
+            name: "a creation that races with an entry that aged out",
+            edits: vec![
+                (1, pool(1, None, Service::Model)),
+                (20, pool(2, None, Service::Plain)),
+            ],
+            copied_at: Some(25),
+        },
+        Case {
+            name: "a creation that is really one",
+            edits: vec![
+                (20, pool(1, None, Service::Model)),
+                (21, pool(2, Some(20), Service::Plain)),
+            ],
+            copied_at: None,
+        },
+        Case {
+            name: "a repeated creation of a removed entry",
+            edits: vec![
+                (1, pool(1, None, Service::Model)),
+                (2, remove(2, Some(1))),
+                (20, pool(1, None, Service::Model)),
+            ],
+            copied_at: Some(25),
+        },
+    ];
+    for Case {
+        name,
+        edits,
+        copied_at,
+    } in cases
+    {
+        let mut old = Catalogue::new();
+        let mut new = Catalogue::unsettled();
+        for offset in 0..30 {
+            if copied_at == Some(offset) {
+                let copy = old
+                    .stored(Kind::Pool, "p")
+                    .expect("the case creates it")
+                    .clone();
+                new.merge(&copy);
+            }
+            for (_, edit) in edits.iter().filter(|(at, _)| *at == offset) {
+                old.apply(Offset(offset), edit);
+                if offset >= 10 {
+                    new.apply(Offset(offset), edit);
+                }
+            }
+        }
+        new.settle();
+        assert_eq!(
+            new.stored(Kind::Pool, "p"),
+            old.stored(Kind::Pool, "p"),
+            "{name}"
+        );
+    }
+}
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -1,19 +1,29 @@
 //! What is known about the other routers.
 
-use std::collections::BTreeMap;
+use core::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::input::{Vm, VmRole};
-use crate::membership::message::Heartbeat;
+use crate::membership::message::{Condition, Heartbeat, Row};
 use crate::membership::rendezvous;
 use crate::prelude::*;
 
-/// How long routers wait for one another.
+/// How many sent frames are remembered for each peer, to date what it answers.
+const SENT_FRAMES: usize = 16;
+/// The most rows in one heartbeat.
+const ROWS_PER_HEARTBEAT: usize = 64;
+
+/// How long routers wait for one another, and with how many they keep contact.
 #[derive(Debug, Clone)]
 pub struct Config {
-    /// The time between two heartbeats to a peer. Default: 500 ms.
+    /// The time between two heartbeats to a partner. Default: 500 ms.
     pub period: Duration,
-    /// The silence after which a peer counts as dead. Default: 2 s.
+    /// The silence after which a partner counts as dead. Default: 2 s.
     pub timeout: Duration,
+    /// To how many routers heartbeats are sent. Default: 12.
+    pub partners: usize,
+    /// In how many heartbeats to each partner a changed row is passed on. Default: 4.
+    pub relays: u32,
 }
 
 impl Default for Config {
@@ -21,6 +31,8 @@
         Self {
             period: Duration::from_millis(500),
             timeout: Duration::from_secs(2),
+            partners: 12,
+            relays: 4,
         }
     }
 }
@@ -30,71 +42,105 @@
 pub struct Members {
     cfg: Config,
     me: RouterId,
+    own: Row,
+    started: Time,
     peers: BTreeMap<RouterId, Peer>,
+    /// The routers on the VM list, from which partners were chosen last.
+    listed: Vec<RouterId>,
+    /// To whom this router sends heartbeats.
+    partners: BTreeSet<RouterId>,
+    /// Whose heartbeats this router expects.
+    expected: BTreeSet<RouterId>,
+    /// Rows to pass on, with the number of heartbeat rounds that are left.
+    rumours: BTreeMap<RouterId, u32>,
 }
 
 /// Another router.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Peer {
-    /// Where it accepts peers.
+    /// Where it accepts peers; empty until the VM list names it.
     pub address: String,
     /// The name of its data centre.
     pub data_centre: String,
     /// Whether the VM list shows it as leaving.
     pub leaving: bool,
-    /// The run that was heard last.
-    pub incarnation: Option<Incarnation>,
-    /// The sequence of the last frame that was taken.
-    pub sequence: u64,
-    /// When it was heard last.
+    /// Whether the VM list shows it.
+    pub listed: bool,
+    /// When it was heard last by this router itself.
     pub heard: Option<Time>,
-    /// What it said last.
-    pub heartbeat: Option<Heartbeat>,
+    /// Since when this router expects to hear it.
+    expected_since: Time,
+    /// What the fleet knows of it.
+    row: Option<Row>,
+    /// The run whose death this router has spread.
+    mourned: Option<Incarnation>,
+    incarnation: Option<Incarnation>,
+    sequence: u64,
+    sent: VecDeque<(u64, Time)>,
+    /// What its last heartbeat said, and the time by this router's clock that it surely came after.
+    heartbeat: Option<(Time, Heartbeat)>,
 }
 
 impl Members {
     /// Returns a fleet of one.
-    pub fn new(me: RouterId, cfg: Config) -> Self {
+    pub fn new(
+        now: Time,
+        me: RouterId,
+        incarnation: Incarnation,
+        address: &str,
+        cfg: Config,
+    ) -> Self {
+        let own = Row {
+            router: me,
+            incarnation,
+            version: 1,
+            condition: Condition::Unready,
+            address: address.to_owned(),
+        };
         Self {
             cfg,
             me,
+            own,
+            started: now,
             peers: BTreeMap::new(),
+            listed: Vec::new(),
+            partners: BTreeSet::new(),
+            expected: BTreeSet::new(),
+            rumours: BTreeMap::new(),
         }
     }
 
     /// Takes over the VM list. A router that is missing from it is forgotten once it is silent too,
     /// because the list lags.
     pub fn on_vms(&mut self, now: Time, vms: &[Vm]) {
-        let timeout = self.cfg.timeout;
-        let listed = |id: &RouterId| vms.iter().any(|vm| vm.id == id.0);
-        self.peers
-            .retain(|id, peer| listed(id) || peer.is_live(now, timeout));
+        for peer in self.peers.values_mut() {
+            peer.listed = false;
+        }
         let routers = vms
             .iter()
             .filter(|vm| vm.role == VmRole::Router && vm.id != self.me.0);
         for vm in routers {
-            let peer = self
-                .peers
-                .entry(RouterId(vm.id))
-                .or_insert_with(Peer::unheard);
+            let peer = self.peers.entry(RouterId(vm.id)).or_default();
+            peer.listed = true;
             peer.address.clone_from(&vm.address);
             peer.data_centre.clone_from(&vm.data_centre);
             peer.leaving = vm.leaving;
         }
+        let timeout = self.cfg.timeout;
+        self.peers
+            .retain(|_, peer| peer.listed || peer.is_heard(now, timeout));
+        self.rumours
+            .retain(|router, _| *router == self.me || self.peers.contains_key(router));
+        self.choose_partners(now);
     }
 
     /// Checks that a frame is newer than all before it, and notes that its sender was heard.
-    pub fn on_frame(
-        &mut self,
-        now: Time,
-        from: RouterId,
-        incarnation: Incarnation,
-        sequence: u64,
-    ) -> bool {
-        let peer = self.peers.entry(from).or_insert_with(Peer::unheard);
-        if peer.incarnation != Some(incarnation) {
-            peer.incarnation = Some(incarnation);
+    pub fn on_frame(&mut self, now: Time, from: RouterId, run: Incarnation, sequence: u64) -> bool {
+        let peer = self.peers.entry(from).or_default();
+        if peer.incarnation != Some(run) {
+            peer.incarnation = Some(run);
             peer.sequence = 0;
+            peer.heartbeat = None;
         }
         if sequence <= peer.sequence {
             return false;
@@ -105,25 +151,140 @@
     }
 
     /// Takes over a heartbeat.
-    pub fn on_heartbeat(&mut self, from: RouterId, heartbeat: &Heartbeat) {
+    pub fn on_heartbeat(&mut self, now: Time, from: RouterId, mut heartbeat: Heartbeat) {
+        let rows = core::mem::take(&mut heartbeat.rows);
         if let Some(peer) = self.peers.get_mut(&from) {
-            peer.heartbeat = Some(heartbeat.clone());
+            let sent = peer
+                .sent
+                .iter()
+                .find(|(sequence, _)| *sequence == heartbeat.echo);
+            if let Some(&(_, after)) = sent {
+                peer.heartbeat = Some((after, heartbeat));
+            }
+        }
+        for row in rows {
+            self.on_row(now, row);
+        }
+    }
+
+    /// Notes that a frame was sent, so that the peer's answer can be dated.
+    pub fn on_sent(&mut self, now: Time, to: RouterId, sequence: u64) {
+        if let Some(peer) = self.peers.get_mut(&to) {
+            if peer.sent.len() == SENT_FRAMES {
+                peer.sent.pop_front();
+            }
+            peer.sent.push_back((sequence, now));
         }
     }
 
+    /// Tells the fleet of this router's own condition.
+    pub fn set_condition(&mut self, condition: Condition) {
+        if self.own.condition != condition {
+            self.own.condition = condition;
+            self.raise_own();
+        }
+    }
+
+    /// Looks for silent partners and returns those whose death is news.
+    pub fn find_silent(&mut self, now: Time) -> Vec<RouterId> {
+        let timeout = self.cfg.timeout;
+        let mut dead = Vec::new();
+        for id in &self.expected {
+            let Some(peer) = self.peers.get_mut(id) else {
+                continue;
+            };
+            let silent = now.since(peer.expected_since) >= timeout && !peer.is_heard(now, timeout);
+            let Some(row) = peer.row.as_mut().filter(|_| silent) else {
+                continue;
+            };
+            if row.condition < Condition::Down && peer.mourned != Some(row.incarnation) {
+                peer.mourned = Some(row.incarnation);
+                row.condition = Condition::Down;
+                self.rumours.insert(*id, self.cfg.relays);
+                dead.push(*id);
+            }
+        }
+        dead
+    }
+
+    /// Returns the rows that go with this round of heartbeats, the latest news first.
+    pub fn take_rows(&mut self) -> Vec<Row> {
+        let mut due: Vec<(u32, RouterId)> = self
+            .rumours
+            .iter()
+            .map(|(&router, &left)| (left, router))
+            .collect();
+        due.sort_by_key(|&(left, _)| Reverse(left));
+        due.truncate(ROWS_PER_HEARTBEAT);
+        for (_, router) in &due {
+            if let Some(left) = self.rumours.get_mut(router) {
+                *left = left.saturating_sub(1);
+            }
+        }
+        self.rumours.retain(|_, left| *left > 0);
+        due.iter()
+            .filter_map(|&(_, router)| self.row(router).cloned())
+            .collect()
+    }
+
+    /// Returns every row that is known, for a router that has just been met.
+    pub fn all_rows(&self) -> Vec<Row> {
+        core::iter::once(&self.own)
+            .chain(self.peers.values().filter_map(|peer| peer.row.as_ref()))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns what the fleet knows of a router.
+    pub fn row(&self, router: RouterId) -> Option<&Row> {
+        if router == self.me {
+            return Some(&self.own);
+        }
+        self.peers.get(&router)?.row.as_ref()
+    }
+
+    /// Returns the last sequence that was taken from a peer.
+    pub fn last_sequence(&self, peer: RouterId) -> u64 {
+        self.peers.get(&peer).map_or(0, |peer| peer.sequence)
+    }
+
+    /// Returns to whom heartbeats are sent.
+    pub fn partners(&self) -> impl Iterator<Item = RouterId> {
+        self.partners.iter().copied()
+    }
+
     /// Returns all other routers, live or not, in the order of their keys.
     pub fn peers(&self) -> impl Iterator<Item = (RouterId, &Peer)> {
         self.peers.iter().map(|(&id, peer)| (id, peer))
     }
 
-    /// Returns the routers that are alive, this one included.
+    /// Returns the routers that are alive, this one included, in no useful order.
     pub fn live(&self, now: Time) -> impl Iterator<Item = RouterId> {
-        let timeout = self.cfg.timeout;
         let others = self
             .peers
-            .iter()
-            .filter(move |(_, peer)| peer.is_live(now, timeout));
-        core::iter::once(self.me).chain(others.map(|(&id, _)| id))
+            .keys()
+            .copied()
+            .filter(move |&id| self.is_live(now, id));
+        core::iter::once(self.me).chain(others)
+    }
+
+    /// Says whether a router is alive, as far as this router knows.
+    pub fn is_live(&self, now: Time, router: RouterId) -> bool {
+        if router == self.me {
+            return true;
+        }
+        let Some(peer) = self.peers.get(&router) else {
+            return false;
+        };
+        if peer.is_heard(now, self.cfg.timeout) {
+            return true;
+        }
+        if self.expected.contains(&router) {
+            return false;
+        }
+        peer.row
+            .as_ref()
+            .is_some_and(|row| row.condition < Condition::Down)
     }
 
     /// Returns the router that hands out the slots of a target.
@@ -131,26 +292,117 @@
         rendezvous::owner(u64::from(target.0), self.live(now)).unwrap_or(self.me)
     }
 
-    /// Returns the time between two heartbeats to a peer.
+    /// Returns the heartbeats of partners that were heard in time, each with a time by this router's
+    /// clock that it surely came after.
+    pub fn heartbeats(&self, now: Time) -> impl Iterator<Item = (RouterId, Time, &Heartbeat)> {
+        let timeout = self.cfg.timeout;
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_heard(now, timeout))
+            .filter_map(|(&id, peer)| {
+                peer.heartbeat
+                    .as_ref()
+                    .map(|(after, heartbeat)| (id, *after, heartbeat))
+            })
+    }
+
+    /// Returns how many routers this router exchanges heartbeats with, alive or not.
+    pub fn contacts(&self) -> usize {
+        self.partners.union(&self.expected).count()
+    }
+
+    /// Returns the time between two heartbeats to a partner.
     pub const fn period(&self) -> Duration {
         self.cfg.period
     }
-}
 
-impl Peer {
-    fn unheard() -> Self {
-        Self {
-            address: String::new(),
-            data_centre: String::new(),
-            leaving: false,
-            incarnation: None,
-            sequence: 0,
-            heard: None,
-            heartbeat: None,
+    /// Returns when this router started.
+    pub const fn started(&self) -> Time {
+        self.started
+    }
+
+    fn on_row(&mut self, now: Time, row: Row) {
+        if row.router == self.me {
+            self.answer_own_row(&row);
+            return;
+        }
+        let relays = self.cfg.relays;
+        let peer = self.peers.entry(row.router).or_default();
+        let newer = peer.row.as_ref().is_none_or(|known| is_newer(&row, known));
+        if newer {
+            if row.condition < Condition::Down && peer.expected_since < now {
+                peer.expected_since = now;
+            }
+            self.rumours.insert(row.router, relays);
+            peer.row = Some(row);
+        }
+    }
+
+    /// Takes back a wrong rumour about this router.
+    fn answer_own_row(&mut self, row: &Row) {
+        let stale = row.incarnation < self.own.incarnation;
+        let wrong = !stale && row.version >= self.own.version && row.condition == Condition::Down;
+        if wrong {
+            self.own.version = row.version;
+            self.raise_own();
+        } else if stale {
+            self.rumours.insert(self.me, self.cfg.relays);
         }
     }
 
-    fn is_live(&self, now: Time, timeout: Duration) -> bool {
+    fn raise_own(&mut self) {
+        self.own.version += 1;
+        self.rumours.insert(self.me, self.cfg.relays);
+    }
+
+    /// Partners are chosen among all listed routers, dead ones included, so that everyone computes the
+    /// same choice from the same list.
+    fn choose_partners(&mut self, now: Time) {
+        let listed = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.listed)
+            .map(|(&id, _)| id);
+        let all: Vec<RouterId> = listed.chain([self.me]).collect();
+        if all == self.listed {
+            return;
+        }
+        let partners = self.partners_of(self.me, &all);
+        let expected: BTreeSet<RouterId> = all
+            .iter()
+            .copied()
+            .filter(|&other| other != self.me && self.partners_of(other, &all).contains(&self.me))
+            .collect();
+        for id in expected.difference(&self.expected) {
+            if let Some(peer) = self.peers.get_mut(id) {
+                peer.expected_since = now;
+            }
+        }
+        if partners != self.partners {
+            self.rumours.insert(self.me, self.cfg.relays);
+        }
+        self.partners = partners;
+        self.expected = expected;
+        self.listed = all;
+    }
+
+    fn partners_of(&self, router: RouterId, all: &[RouterId]) -> BTreeSet<RouterId> {
+        let others = all.iter().copied().filter(|&other| other != router);
+        if all.len() <= self.cfg.partners + 1 {
+            return others.collect();
+        }
+        let ranked = rendezvous::ranking(u64::from(router.0) << 32, others);
+        ranked.into_iter().take(self.cfg.partners).collect()
+    }
+}
+
+impl Peer {
+    fn is_heard(&self, now: Time, timeout: Duration) -> bool {
         self.heard.is_some_and(|heard| now.since(heard) < timeout)
     }
 }
+
+fn is_newer(row: &Row, known: &Row) -> bool {
+    let rank = |row: &Row| (row.incarnation, row.version, row.condition);
+    rank(row) > rank(known)
+}
--- /dev/null
+++ b/crates/core/src/membership/tests.rs
@@ -0,0 +1,194 @@
+//! Tests of liveness and of the spread of rows.
+
+use super::message::{Condition, Heartbeat};
+use super::{Config, Members};
+use crate::input::{Vm, VmRole};
+use crate::prelude::*;
+
+/// A fleet in which heartbeats pass at once, but for cut links.
+struct Group {
+    now: Time,
+    members: Vec<Members>,
+    sequences: Vec<u64>,
+    cut: Vec<(usize, usize)>,
+    dead: Vec<usize>,
+}
+
+impl Group {
+    fn new(routers: u32, partners: usize) -> Self {
+        let now = Time::from_millis(1_000);
+        let cfg = Config {
+            partners,
+            ..Config::default()
+        };
+        let vms: Vec<Vm> = (0..routers).map(vm).collect();
+        let member = |id: u32| {
+            let address = format!("127.0.0.1:{id}");
+            let mut member = Members::new(now, RouterId(id), Incarnation(1), &address, cfg.clone());
+            member.on_vms(now, &vms);
+            member.set_condition(Condition::Ready);
+            member
+        };
+        Self {
+            now,
+            members: (0..routers).map(member).collect(),
+            sequences: vec![0; routers as usize],
+            cut: Vec::new(),
+            dead: Vec::new(),
+        }
+    }
+
+    fn round(&mut self) {
+        self.now = self.now + Duration::from_millis(500);
+        for from in 0..self.members.len() {
+            if self.dead.contains(&from) {
+                continue;
+            }
+            self.members[from].find_silent(self.now);
+            let rows = self.members[from].take_rows();
+            let partners: Vec<RouterId> = self.members[from].partners().collect();
+            for to in partners {
+                self.heartbeat(from, to.0 as usize, rows.clone());
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, from: usize, to: usize, rows: Vec<super::message::Row>) {
+        let cut = self.cut.contains(&(from, to)) || self.cut.contains(&(to, from));
+        if cut || self.dead.contains(&to) {
+            return;
+        }
+        self.sequences[from] += 1;
+        let sender = RouterId(from as u32);
+        let heartbeat = Heartbeat {
+            echo: 0,
+            applied: Offset(0),
+            current_age_ms: 0,
+            log_down: false,
+            wants_rows: false,
+            rows,
+        };
+        let receiver = &mut self.members[to];
+        assert!(receiver.on_frame(self.now, sender, Incarnation(1), self.sequences[from]));
+        receiver.on_heartbeat(self.now, sender, heartbeat);
+    }
+
+    fn rounds(&mut self, rounds: u32) {
+        for _ in 0..rounds {
+            self.round();
+        }
+    }
+
+    /// Returns how many of the running routers see `router` as alive.
+    fn seen_alive(&self, router: usize) -> usize {
+        let id = RouterId(router as u32);
+        let running = (0..self.members.len()).filter(|index| !self.dead.contains(index));
+        running
+            .filter(|&index| self.members[index].is_live(self.now, id))
+            .count()
+    }
+}
+
+fn vm(id: u32) -> Vm {
+    Vm {
+        id,
+        role: VmRole::Router,
+        address: String::new(),
+        data_centre: "a".to_owned(),
+        leaving: false,
+    }
+}
+
+#[test]
+fn deaths_and_returns_reach_everyone() {
+    struct Case {
+        name: &'static str,
+        routers: u32,
+        partners: usize,
+    }
+    let cases = [
+        Case {
+            name: "everyone hears everyone",
+            routers: 8,
+            partners: 12,
+        },
+        Case {
+            name: "a few partners each",
+            routers: 60,
+            partners: 6,
+        },
+        Case {
+            name: "many routers",
+            routers: 200,
+            partners: 12,
+        },
+    ];
+    for Case {
+        name,
+        routers,
+        partners,
+    } in cases
+    {
+        let mut group = Group::new(routers, partners);
+        group.rounds(12);
+        let all = routers as usize;
+        for router in 0..all {
+            assert_eq!(
+                group.seen_alive(router),
+                all,
+                "{name}: at the start, router {router}"
+            );
+        }
+        group.dead.push(3);
+        group.rounds(12);
+        assert_eq!(group.seen_alive(3), 0, "{name}: after the death");
+        assert_eq!(group.seen_alive(4), all - 1, "{name}: another one");
+    }
+}
+
+#[test]
+fn one_broken_link_does_not_kill_a_router_for_the_fleet() {
+    let mut group = Group::new(60, 6);
+    group.rounds(12);
+    let partner = group.members[3]
+        .partners()
+        .next()
+        .expect("it has partners")
+        .0 as usize;
+    group.cut.push((3, partner));
+    for _ in 0..40 {
+        group.round();
+    }
+    // The partner that hears nothing trusts its own ears; everyone else sees the router alive.
+    assert!(group.seen_alive(3) >= 59);
+}
+
+#[test]
+fn an_echo_dates_what_a_peer_says() {
+    let now = Time::from_millis(1_000);
+    let mut members = Members::new(now, RouterId(0), Incarnation(1), "", Config::default());
+    members.on_vms(now, &[vm(0), vm(1)]);
+    members.on_sent(now, RouterId(1), 7);
+    let later = now + Duration::from_millis(400);
+    let heartbeat = |echo| Heartbeat {
+        echo,
+        applied: Offset(5),
+        current_age_ms: 100,
+        log_down: false,
+        wants_rows: false,
+        rows: Vec::new(),
+    };
+    assert!(members.on_frame(later, RouterId(1), Incarnation(1), 1));
+    members.on_heartbeat(later, RouterId(1), heartbeat(3));
+    assert_eq!(
+        members.heartbeats(later).count(),
+        0,
+        "an echo of an unknown frame dates nothing"
+    );
+    members.on_heartbeat(later, RouterId(1), heartbeat(7));
+    let dated: Vec<Time> = members
+        .heartbeats(later)
+        .map(|(_, after, _)| after)
+        .collect();
+    assert_eq!(dated, [now]);
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,6 @@
 //! counts more than its content. The codec is `postcard`; see
 //! `docs/design/0003-peer-messages.md`.
 
-use crate::address::message::AddressPart;
 use crate::catalogue::message::CataloguePart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
@@ -36,8 +35,6 @@
 pub enum Part {
     /// Liveness and how far the sender has applied the log.
     Heartbeat(Heartbeat),
-    /// The addresses that callers use.
-    Address(AddressPart),
     /// Entries for a peer that lags.
     Catalogue(CataloguePart),
     /// Service counted.
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,14 +1,15 @@
 //! The settings of a node.
 
-use crate::membership;
 use crate::prelude::*;
+use crate::{address, lease, membership};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
 pub struct Config {
     /// This router.
     pub me: RouterId,
-    /// This run of it; drawn at random by the embedding, never used twice.
+    /// This run of it. It must be greater than that of every earlier run; the time of the start in
+    /// microseconds serves.
     pub incarnation: Incarnation,
     /// The name of this router's data centre.
     pub data_centre: String,
@@ -16,12 +17,37 @@
     pub caller_address: String,
     /// The most requests that this router holds at a time. Default: 10000.
     pub requests_max: usize,
-    /// The wait before a failed read of the log is repeated. Default: 250 ms.
-    pub read_retry: Duration,
     /// How often one request is sent to a target at most. Default: 3.
     pub attempts_max: u32,
+    /// Settings of reading the log.
+    pub log: LogConfig,
     /// Settings of membership.
     pub membership: membership::Config,
+    /// Settings of leases.
+    pub lease: lease::Config,
+    /// Settings of the addresses that callers are given.
+    pub address: address::Config,
+}
+
+/// Settings of reading the log.
+#[derive(Debug, Clone)]
+pub struct LogConfig {
+    /// The wait before a failed read is repeated. Default: 250 ms.
+    pub retry: Duration,
+    /// For how long a router gives out new work after it last knew that it was current. Default: 3 s.
+    pub stale_after: Duration,
+    /// How long the log keeps records. Default: 7 days.
+    pub retention: Duration,
+}
+
+impl Default for LogConfig {
+    fn default() -> Self {
+        Self {
+            retry: Duration::from_millis(250),
+            stale_after: Duration::from_secs(3),
+            retention: Duration::from_secs(7 * 24 * 3_600),
+        }
+    }
 }
 
 impl Config {
@@ -33,9 +59,11 @@
             data_centre: String::new(),
             caller_address: String::new(),
             requests_max: 10_000,
-            read_retry: Duration::from_millis(250),
             attempts_max: 3,
+            log: LogConfig::default(),
             membership: membership::Config::default(),
+            lease: lease::Config::default(),
+            address: address::Config::default(),
         }
     }
 }
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -1,39 +1,57 @@
-//! Reading the platform's log.
+//! Reading the platform's log and keeping on it what must not age out.
 
-use crate::catalogue::Applied;
+use crate::catalogue::message::{Refresh, Stored};
+use crate::catalogue::{Applied, Catalogue, Retention};
 use crate::input::{LogEvent, LogRecord};
+use crate::lease::message::Lease;
+use crate::membership;
 use crate::node::Node;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::record::Record;
 
+/// The most entries in one record of copies.
+const COPIES: usize = 100;
+/// The rendezvous key of the router that appends entries again.
+const REFRESH_KEY: u64 = u64::MAX;
+
 /// How far the log has been read.
 #[derive(Debug)]
 pub(super) struct Reader {
-    /// The next offset to apply.
+    /// The next offset to read.
     pub(super) applied: Offset,
-    /// When everything up to the log's tail was applied, as seen last.
+    /// Every edit below this offset is in the catalogue, read or heard from a peer.
+    pub(super) known: Offset,
+    /// The oldest offset that the log still keeps.
+    pub(super) first: Offset,
+    /// The latest time at which surely nothing was on the log that this router had not applied.
     pub(super) current: Option<Time>,
     /// Whether the last read failed.
     pub(super) down: bool,
+    /// When entries were last on the log.
+    pub(super) retention: Retention,
     /// When the next read is due; `None` while one is under way.
-    pub(super) next: Option<Time>,
+    next: Option<Time>,
+    /// When the read that is under way was sent.
+    sent: Time,
+    /// Copies that were appended and not read back, and when.
+    copying: Option<Time>,
 }
 
 impl Reader {
-    pub(super) const fn new(now: Time) -> Self {
+    pub(super) fn new(now: Time) -> Self {
         Self {
             applied: Offset(0),
+            known: Offset(0),
+            first: Offset(0),
             current: None,
             down: false,
+            retention: Retention::new(),
             next: Some(now),
+            sent: now,
+            copying: None,
         }
     }
-
-    /// Says whether the router has caught up with the log since it started.
-    pub(super) const fn is_ready(&self) -> bool {
-        self.current.is_some()
-    }
 }
 
 impl Node {
@@ -42,26 +60,69 @@
             LogEvent::Read {
                 records,
                 tail,
-                first: _,
-            } => self.on_read(&records, tail),
+                first,
+            } => self.on_read(&records, tail, first),
             LogEvent::ReadFailed => self.on_read_failed(),
             LogEvent::Appended(..) => {}
-            LogEvent::AppendFailed(_) | LogEvent::AppendUnknown(_) => {
+            LogEvent::AppendFailed(id) => {
+                self.leases.on_append_failed(id);
                 self.cx.count(Counter::AppendUnanswered);
             }
+            LogEvent::AppendUnknown(_) => self.cx.count(Counter::AppendUnanswered),
         }
     }
 
     pub(super) fn read_if_due(&mut self) {
         if self.reader.next.is_some_and(|next| next <= self.cx.now) {
             self.reader.next = None;
+            self.reader.sent = self.cx.now;
             self.cx.out.push(Output::Read {
                 from: self.reader.applied,
             });
         }
     }
 
-    fn on_read(&mut self, records: &[LogRecord], tail: Offset) {
+    /// Appends entries again that would age out, if this router holds the lease for it.
+    pub(super) fn refresh_if_due(&mut self) {
+        let now = self.cx.now;
+        let half = self.cfg.log.retention / 2;
+        let waiting = self
+            .reader
+            .copying
+            .is_some_and(|sent| now < sent + self.cfg.lease.term);
+        if waiting
+            || self
+                .reader
+                .retention
+                .older_than(now - half)
+                .next()
+                .is_none()
+        {
+            return;
+        }
+        if membership::owner(REFRESH_KEY, self.members.live(now)) != Some(self.cx.me) {
+            return;
+        }
+        self.leases.want(&mut self.cx, Lease::Refresh);
+        let Some(fence) = self.leases.held(now, Lease::Refresh) else {
+            return;
+        };
+        let due = self.reader.retention.older_than(now - half).take(COPIES);
+        let entries: Vec<Stored> = due
+            .filter_map(|created| self.catalogue.stored_by_id(created).cloned())
+            .collect();
+        self.cx.append(&Record::Refresh(Refresh {
+            fence: fence.0,
+            entries,
+        }));
+        self.reader.copying = Some(now);
+    }
+
+    fn on_read(&mut self, records: &[LogRecord], tail: Offset, first: Offset) {
+        self.reader.first = first;
+        if self.reader.applied < first {
+            self.start_over(first);
+        }
         for record in records {
             if record.offset < self.reader.applied {
                 self.cx.count(Counter::RecordRepeated);
@@ -75,38 +136,68 @@
             self.cx.notice(NoticeKind::Log, "the log is back");
         }
         if self.reader.applied >= tail {
-            if !self.reader.is_ready() {
-                self.cx
-                    .notice(NoticeKind::Readiness, "caught up with the log");
-            }
-            self.reader.current = Some(self.cx.now);
+            self.catalogue.settle();
+            self.reader.current = Some(self.reader.sent);
+            self.reader.known = self.reader.known.max(self.reader.applied);
         }
         self.reader.next = Some(self.cx.now);
     }
 
+    /// Forgets the catalogue, because edits that were never read have aged out.
+    fn start_over(&mut self, first: Offset) {
+        self.reader.applied = first;
+        self.reader.known = Offset(0);
+        self.reader.current = None;
+        self.catalogue = Catalogue::unsettled();
+        self.cx.notice(
+            NoticeKind::Catalogue,
+            "records aged out unread; starting over",
+        );
+    }
+
     fn on_read_failed(&mut self) {
         if !self.reader.down {
             self.reader.down = true;
             self.cx.notice(NoticeKind::Log, "the log cannot be read");
         }
-        self.reader.next = Some(self.cx.now + self.cfg.read_retry);
+        self.reader.next = Some(self.cx.now + self.cfg.log.retry);
     }
 
     fn apply(&mut self, record: &LogRecord) {
         match Record::decode(&record.bytes) {
             Err(_) => self.cx.count(Counter::RecordInvalid),
-            Ok(Record::Edit(edit)) => match self.catalogue.apply(record.offset, &edit) {
-                Applied::Accepted => {}
-                Applied::Repeated => self.cx.count(Counter::RecordRepeated),
-                Applied::Conflict { .. } => self.cx.count(Counter::EditConflict),
-                Applied::Invalid(_) => self.cx.count(Counter::RecordInvalid),
-            },
+            Ok(Record::Edit(edit)) => {
+                let applied = self.catalogue.apply(record.offset, &edit);
+                self.count_applied(&applied);
+                let (kind, name) = edit.change.subject();
+                if let Some(stored) = self.catalogue.stored(kind, name)
+                    && stored.revision == record.offset
+                {
+                    self.reader.retention.on_record(stored.created, record.at);
+                }
+            }
             Ok(Record::Refresh(refresh)) => {
                 for copy in &refresh.entries {
                     self.catalogue.merge(copy);
+                    self.reader.retention.on_record(copy.created, record.at);
                 }
+                self.reader.copying = None;
             }
-            Ok(Record::Claims(_) | Record::Lease(_) | Record::Move(_)) => {}
+            Ok(Record::Lease(claim)) => {
+                let first = self.reader.first;
+                self.leases
+                    .on_record(&mut self.cx, record.offset, first, &claim);
+            }
+            Ok(Record::Claims(_) | Record::Move(_)) => {}
+        }
+    }
+
+    fn count_applied(&mut self, applied: &Applied) {
+        match applied {
+            Applied::Accepted | Applied::Undecided => {}
+            Applied::Repeated => self.cx.count(Counter::RecordRepeated),
+            Applied::Conflict { .. } => self.cx.count(Counter::EditConflict),
+            Applied::Invalid(_) => self.cx.count(Counter::RecordInvalid),
         }
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -5,16 +5,18 @@
 
 mod attempt;
 mod config;
+mod currency;
 mod log;
 mod peer;
 mod pump;
 mod request;
 mod state;
 mod status;
+mod stop;
 #[cfg(test)]
 mod tests;
 mod timer;
 
-pub use self::config::Config;
+pub use self::config::{Config, LogConfig};
 pub use self::state::Node;
 pub use self::status::Status;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -1,6 +1,6 @@
 //! Frames from and to the other routers.
 
-use crate::membership::message::Heartbeat;
+use crate::membership::message::{Heartbeat, Row};
 use crate::message::Frame;
 use crate::node::Node;
 use crate::output::Output;
@@ -17,6 +17,10 @@
             return;
         }
         let now = self.cx.now;
+        let met = self
+            .members
+            .row(from)
+            .is_some_and(|row| row.incarnation == frame.incarnation);
         if !self
             .members
             .on_frame(now, from, frame.incarnation, frame.sequence)
@@ -24,30 +28,46 @@
             self.cx.count(Counter::PeerMessageStale);
             return;
         }
+        if !met {
+            self.send_heartbeat(from, Vec::new(), true);
+        }
         for part in frame.parts {
             self.on_part(from, part);
         }
     }
 
-    /// Queues what is due to every peer once in a period.
+    /// Queues what is due to every partner once in a period.
     pub(super) fn send_heartbeats(&mut self) {
+        let rows = self.members.take_rows();
+        let partners: Vec<RouterId> = self.members.partners().collect();
+        for to in partners {
+            self.send_heartbeat(to, rows.clone(), false);
+        }
+    }
+
+    /// Reports the partners that have fallen silent.
+    pub(super) fn find_silent_peers(&mut self) {
+        for router in self.members.find_silent(self.cx.now) {
+            self.cx
+                .notice(NoticeKind::Peer, format!("{router} is silent"));
+        }
+    }
+
+    fn send_heartbeat(&mut self, to: RouterId, rows: Vec<Row>, wants_rows: bool) {
         let now = self.cx.now;
         let age = self
             .reader
             .current
             .map_or(Duration::MAX, |current| now.since(current));
         let heartbeat = Heartbeat {
-            applied: self.reader.applied,
+            echo: self.members.last_sequence(to),
+            applied: self.reader.known,
             current_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             log_down: self.reader.down,
-            ready: self.reader.is_ready(),
-            stopping: self.stopping.is_some(),
+            wants_rows,
+            rows,
         };
-        let peers: Vec<RouterId> = self.members.peers().map(|(id, _)| id).collect();
-        for to in peers {
-            self.cx
-                .send(to, Part::Heartbeat(heartbeat.clone()), Urgency::Now);
-        }
+        self.cx.send(to, Part::Heartbeat(heartbeat), Urgency::Now);
     }
 
     /// Sends a frame to every peer that something urgent is due to.
@@ -55,6 +75,7 @@
         for (to, parts) in self.cx.take_due(false) {
             let sequence = self.sequences.entry(to).or_default();
             *sequence += 1;
+            self.members.on_sent(self.cx.now, to, *sequence);
             let frame = Frame {
                 from: self.cx.me,
                 incarnation: self.cx.incarnation,
@@ -70,10 +91,15 @@
 
     fn on_part(&mut self, from: RouterId, part: Part) {
         match part {
-            Part::Heartbeat(heartbeat) => self.members.on_heartbeat(from, &heartbeat),
-            Part::Address(_)
-            | Part::Catalogue(_)
-            | Part::Share(_)
+            Part::Heartbeat(heartbeat) => {
+                if heartbeat.wants_rows {
+                    let rows = self.members.all_rows();
+                    self.send_heartbeat(from, rows, false);
+                }
+                self.members.on_heartbeat(self.cx.now, from, heartbeat);
+            }
+            Part::Catalogue(part) => self.on_catalogue_part(from, part),
+            Part::Share(_)
             | Part::Slots(_)
             | Part::Target(_)
             | Part::Version(_)
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -10,6 +10,9 @@
 impl Node {
     /// Dispatches requests as long as there is a slot for the next one.
     pub(super) fn pump(&mut self) {
+        if !self.is_ready() {
+            return;
+        }
         for pool in self.queues.pools() {
             while let Some(target) = self.choose(pool) {
                 let Some(waiting) = self.next(pool) else {
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -58,8 +58,13 @@
         self.cx.count(Counter::Refused(Reason::CallerLeft));
     }
 
-    pub(super) fn on_stop(&mut self, deadline: Time) {
-        self.stopping.get_or_insert(deadline);
+    /// Gives up a request that waits.
+    pub(super) fn give_up(&mut self, request: RequestId, reason: Reason) {
+        if let Some(active) = self.requests.get(&request) {
+            self.queues
+                .remove(active.req.pool, active.req.organisation, request);
+            self.refuse(request, Refusal::not_run(reason, Some(RETRY_AFTER)));
+        }
     }
 
     /// Gives a request its final answer and forgets it.
@@ -71,9 +76,12 @@
 
     fn admit(&mut self, req: Request) -> Result<(), Refusal> {
         let busy = |reason| Refusal::not_run(reason, Some(RETRY_AFTER));
-        if !self.reader.is_ready() {
+        if !self.is_ready() {
             return Err(busy(Reason::NotCurrent));
         }
+        if !self.accepts() {
+            return Err(busy(Reason::Stopping));
+        }
         if self.requests.len() >= self.cfg.requests_max {
             return Err(busy(Reason::Overloaded));
         }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -7,11 +7,14 @@
 
 use crate::catalogue::Catalogue;
 use crate::input::Input;
+use crate::lease::Leases;
 use crate::membership::Members;
 use crate::node::Config;
 use crate::node::attempt::Attempt;
+use crate::node::currency::CatchUp;
 use crate::node::log::Reader;
 use crate::node::request::Active;
+use crate::node::stop::Stopping;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Queues;
@@ -45,7 +48,9 @@
     pub(super) cfg: Config,
     pub(super) catalogue: Catalogue,
     pub(super) reader: Reader,
+    pub(super) catch_up: CatchUp,
     pub(super) members: Members,
+    pub(super) leases: Leases,
     pub(super) ledger: Ledger,
     pub(super) queues: Queues,
     pub(super) slots: Slots,
@@ -55,7 +60,8 @@
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
     pub(super) next_frame: Time,
-    pub(super) stopping: Option<Time>,
+    pub(super) was_ready: bool,
+    pub(super) stopping: Option<Stopping>,
     pub(super) stopped: bool,
 }
 
@@ -69,7 +75,15 @@
             cx,
             catalogue: Catalogue::new(),
             reader: Reader::new(now),
-            members: Members::new(cfg.me, cfg.membership.clone()),
+            catch_up: CatchUp::default(),
+            members: Members::new(
+                now,
+                cfg.me,
+                cfg.incarnation,
+                &cfg.caller_address,
+                cfg.membership.clone(),
+            ),
+            leases: Leases::new(cfg.lease.clone()),
             ledger: Ledger::new(),
             queues: Queues::new(),
             slots: Slots::new(),
@@ -79,6 +93,7 @@
             sequences: BTreeMap::new(),
             next_tick: now,
             next_frame: now,
+            was_ready: false,
             stopping: None,
             stopped: false,
             cfg,
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use crate::address;
 use crate::node::Node;
 use crate::prelude::*;
 
@@ -32,7 +33,7 @@
         Status {
             router: self.cx.me,
             incarnation: self.cx.incarnation,
-            ready: self.reader.is_ready() && self.stopping.is_none(),
+            ready: self.is_ready() && self.stopping.is_none(),
             stopping: self.stopping.is_some(),
             applied: self.reader.applied,
             log_down: self.reader.down,
@@ -41,15 +42,14 @@
         }
     }
 
-    /// Says whether the router takes new requests.
-    pub fn is_ready(&self) -> bool {
-        self.reader.is_ready() && self.stopping.is_none()
+    /// Returns the addresses that a caller of `organisation` should use, the best first.
+    pub fn addresses(&self, organisation: OrganisationId) -> Vec<String> {
+        address::answer(&self.members, self.cx.now, organisation)
     }
 
-    /// Returns the addresses that a caller of `organisation` should use, the best first.
-    pub fn addresses(&self, organisation: Option<OrganisationId>) -> Vec<String> {
-        let _ = organisation;
-        vec![self.cfg.caller_address.clone()]
+    /// Returns for how long a caller may keep the answer about addresses.
+    pub const fn addresses_valid(&self) -> Duration {
+        self.cfg.address.valid
     }
 
     /// Returns where to reach the other routers.
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -1,7 +1,6 @@
 //! What happens because time has passed.
 
 use crate::node::Node;
-use crate::output::Output;
 use crate::prelude::*;
 
 /// The time between two looks at deadlines.
@@ -14,6 +13,10 @@
         self.read_if_due();
         if self.cx.now >= self.next_tick {
             self.next_tick = self.cx.now + TICK;
+            self.find_silent_peers();
+            self.watch_currency();
+            self.catch_up_if_behind();
+            self.refresh_if_due();
             self.give_up_expired();
             self.finish_stop();
             self.cx.wake(self.next_tick);
@@ -26,22 +29,7 @@
 
     fn give_up_expired(&mut self) {
         for request in self.queues.expired(self.cx.now) {
-            let Some(active) = self.requests.get(&request) else {
-                continue;
-            };
-            let (pool, org) = (active.req.pool, active.req.organisation);
-            self.queues.remove(pool, org, request);
-            self.refuse(
-                request,
-                Refusal::not_run(Reason::DeadlinePassed, Some(TICK)),
-            );
-        }
-    }
-
-    fn finish_stop(&mut self) {
-        if self.stopping.is_some() && self.requests.is_empty() && !self.stopped {
-            self.stopped = true;
-            self.cx.out.push(Output::Stopped);
+            self.give_up(request, Reason::DeadlinePassed);
         }
     }
 }
