--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -199,3 +199,18 @@
         );
     }
 }
+
+#[test]
+fn a_repeated_append_is_told_from_a_conflict() {
+    let mut catalogue = Catalogue::new();
+    let create = pool(1, None, Service::Model);
+    assert_matches!(catalogue.apply(Offset(0), &create), Applied::Accepted);
+    assert_matches!(catalogue.apply(Offset(1), &create), Applied::Repeated);
+    let late = pool(2, None, Service::Plain);
+    assert_matches!(
+        catalogue.apply(Offset(2), &late),
+        Applied::Conflict {
+            stands_at: Some(Offset(0))
+        }
+    );
+}
