Refuse at the callers' door with reason, verdict and counter

A router that had not read the catalogue called every token unauthorised, which is false; it now answers not_current. Ports of the tests come from below the ephemeral range: a daemon started again lost its port to an outgoing connection once in two runs of the ten tests.

--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -5,9 +5,10 @@
 
 use bulrushtrestle_core::input::AttemptEvent;
 use bulrushtrestle_core::key::{AttemptId, OrganisationId, RequestId};
+use bulrushtrestle_core::verdict::Refusal;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::control::message::{Arrival, Ask, Decision, Identity, Note};
+use crate::control::message::{Addresses, Arrival, Ask, Decision, Identity, Note};
 
 /// The control thread does not take more now, or has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -37,7 +38,7 @@
     }
 
     /// Asks whose token it is.
-    pub(crate) async fn identity(&self, sum: [u8; 32]) -> Result<Option<Identity>, Busy> {
+    pub(crate) async fn identity(&self, sum: [u8; 32]) -> Result<Result<Identity, Refusal>, Busy> {
         self.ask(|reply| Ask::Identity { sum, reply }).await
     }
 
@@ -45,7 +46,7 @@
     pub(crate) async fn addresses(
         &self,
         organisation: Option<OrganisationId>,
-    ) -> Result<Vec<String>, Busy> {
+    ) -> Result<Addresses, Busy> {
         self.ask(|reply| Ask::Addresses {
             organisation,
             reply,
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -1,6 +1,7 @@
 //! What the traffic threads and the control thread tell each other.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{Limits, Service};
 use bulrushtrestle_core::input::AttemptEvent;
@@ -18,14 +19,14 @@
         /// The SHA-256 sum of the token.
         sum: [u8; 32],
         /// Takes the answer.
-        reply: oneshot::Sender<Option<Identity>>,
+        reply: oneshot::Sender<Result<Identity, Refusal>>,
     },
     /// Which addresses should a caller use?
     Addresses {
         /// The caller's organisation, if it showed a token.
         organisation: Option<OrganisationId>,
         /// Takes the answer.
-        reply: oneshot::Sender<Vec<String>>,
+        reply: oneshot::Sender<Addresses>,
     },
     /// A request wants to be run.
     Request {
@@ -46,6 +47,15 @@
     },
 }
 
+/// The addresses that a caller should use.
+#[derive(Debug, Clone)]
+pub(crate) struct Addresses {
+    /// The addresses, the best first.
+    pub(crate) addresses: Vec<String>,
+    /// For how long the answer holds.
+    pub(crate) valid: Duration,
+}
+
 /// Who a caller is.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Identity {
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -7,7 +7,7 @@
 use bulrushtrestle_core::catalogue::entry::Service;
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::input::{AttemptEvent, Input};
-use bulrushtrestle_core::key::{AttemptId, PoolId, RequestId};
+use bulrushtrestle_core::key::{AttemptId, OrganisationId, PoolId, RequestId};
 use bulrushtrestle_core::node::Node;
 use bulrushtrestle_core::output::Output;
 use bulrushtrestle_core::request::Request;
@@ -21,7 +21,7 @@
 use crate::clock::Clock;
 use crate::control::handle::Handle;
 use crate::control::log::LogPump;
-use crate::control::message::{Arrival, Ask, Decision, Identity, Note};
+use crate::control::message::{Addresses, Arrival, Ask, Decision, Identity, Note};
 use crate::control::orders::Orders;
 use crate::control::peers::{self, Peers};
 use crate::control::watch::{Reports, Watched, watch_vms};
@@ -33,6 +33,9 @@
 /// The time between two measurements of how late the thread is.
 const LAG_TICK: Duration = Duration::from_millis(20);
 
+/// The wait that is proposed while the router does not know the whole catalogue.
+const NOT_CURRENT_RETRY: Duration = Duration::from_secs(1);
+
 /// The control thread's ends of the channels.
 #[derive(Debug)]
 pub(crate) struct Receivers {
@@ -257,7 +260,7 @@
             Ask::Addresses {
                 organisation,
                 reply,
-            } => drop(reply.send(self.node.addresses(organisation))),
+            } => drop(reply.send(self.addresses(organisation))),
             Ask::Request { arrival, decisions } => self.on_request(arrival, decisions),
             Ask::Status { reply } => {
                 let status = serde_json::to_string(&self.node.status(self.clock.now()));
@@ -267,18 +270,37 @@
         }
     }
 
-    fn identity(&self, sum: &[u8; 32]) -> Option<Identity> {
-        let organisation = self.node.catalogue().organisation_by_token(sum)?;
-        let entry = self.node.catalogue().organisation(organisation)?;
-        Some(Identity {
+    fn identity(&self, sum: &[u8; 32]) -> Result<Identity, Refusal> {
+        let catalogue = self.node.catalogue();
+        let found = catalogue
+            .organisation_by_token(sum)
+            .and_then(|id| catalogue.organisation(id).map(|entry| (id, entry)));
+        let (organisation, entry) = found.ok_or(self.not_found(Reason::Unauthorised))?;
+        Ok(Identity {
             organisation,
             limits: entry.limits,
         })
     }
 
+    /// Returns the addresses for an organisation, or those that anybody may try first.
+    fn addresses(&self, organisation: Option<OrganisationId>) -> Addresses {
+        Addresses {
+            addresses: self.node.addresses(organisation.unwrap_or_default()),
+            valid: self.node.addresses_valid(),
+        }
+    }
+
+    /// Refuses for want of an entry, unless the entry may only not have been read yet.
+    fn not_found(&self, reason: Reason) -> Refusal {
+        match self.node.is_ready() {
+            true => Refusal::not_run(reason, None),
+            false => Refusal::not_run(Reason::NotCurrent, Some(NOT_CURRENT_RETRY)),
+        }
+    }
+
     fn on_request(&mut self, arrival: Arrival, decisions: mpsc::UnboundedSender<Decision>) {
         let Some(pool) = self.pool(&arrival.pool, arrival.kind) else {
-            let refusal = Refusal::not_run(Reason::UnknownPool, None);
+            let refusal = self.not_found(Reason::UnknownPool);
             self.metrics.count(Counter::Refused(refusal.reason));
             let _ = decisions.send(Decision::Refuse(refusal));
             return;
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -81,7 +81,8 @@
     let settings = Arc::new(settings);
     let metrics = Arc::new(Metrics::new());
     let clock = Clock::start();
-    let incarnation = Incarnation(rand::rng().next_u64());
+    // A later run of the same router has to have a greater number.
+    let incarnation = Incarnation(clock.now().0);
     Journal::new().line("listening", &listeners.describe()?);
 
     let (handle, receivers) = control::channels(settings.callers.handover_max);
@@ -168,6 +169,8 @@
     config.data_centre.clone_from(&settings.data_centre);
     config.caller_address = settings.callers.advertise.unwrap_or(callers).to_string();
     config.requests_max = settings.callers.requests_max;
+    config.address.valid = settings.callers.addresses_valid;
+    config.log.retention = settings.platform.log_retention;
     config
 }
 
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -51,6 +51,9 @@
     pub(crate) listen: SocketAddr,
     /// Where callers reach this router. Default: the address of the listener.
     pub(crate) advertise: Option<SocketAddr>,
+    /// For how long callers may keep an answer about addresses. A planned stop lasts longer.
+    /// Default: 30 s.
+    pub(crate) addresses_valid: Duration,
     /// Connections at a time. Default: 4096.
     pub(crate) connections_max: usize,
     /// Requests at a time, waiting and running. Default: 10000.
@@ -108,6 +111,8 @@
     pub(crate) weights: Option<SocketAddr>,
     /// The token for all three.
     pub(crate) token: Option<String>,
+    /// How long the log keeps records. Default: 7 days.
+    pub(crate) log_retention: Duration,
     /// The time for an append. Default: 2 s.
     pub(crate) append_timeout: Duration,
     /// For how long the log may hold back a read. Default: 500 ms.
@@ -155,6 +160,14 @@
             targets: Targets::read(&mut root.optional_section("targets")?)?,
         };
         root.finish()?;
+        // Requests may come in until the last answer about addresses has run out.
+        root.at_least(
+            ("stop_timeout_ms", settings.stop_timeout),
+            (
+                "callers.addresses_valid_ms",
+                settings.callers.addresses_valid,
+            ),
+        )?;
         Ok(settings)
     }
 }
@@ -164,6 +177,7 @@
         let callers = Self {
             listen: s.required_address("listen")?,
             advertise: s.address("advertise")?,
+            addresses_valid: s.millis("addresses_valid_ms", 500..=600_000, 30_000)?,
             connections_max: s.int("connections_max", 1..=1_000_000, 4_096)?,
             requests_max: s.int("requests_max", 1..=1_000_000, 10_000)?,
             handover_max: s.int("handover_max", 1..=65_536, 1_024)?,
@@ -212,6 +226,7 @@
             vms: s.required_address("vms")?,
             weights: s.address("weights")?,
             token: s.secret("token", "token_file", 1..=4_096)?,
+            log_retention: s.millis("log_retention_ms", 60_000..=31_536_000_000, 604_800_000)?,
             append_timeout: s.millis("append_timeout_ms", 100..=60_000, 2_000)?,
             read_wait: s.millis("read_wait_ms", 10..=10_000, 500)?,
             vms_every: s.millis("vms_every_ms", 100..=60_000, 1_000)?,
--- a/crates/bulrushtrestled/src/settings/section.rs
+++ b/crates/bulrushtrestled/src/settings/section.rs
@@ -209,6 +209,22 @@
             .ok_or_else(|| self.wrong(key, HIDDEN, allowed))
     }
 
+    /// Refuses a duration that is shorter than another.
+    pub(super) fn at_least(
+        &self,
+        (key, found): (&str, Duration),
+        (other, least): (&str, Duration),
+    ) -> Result<(), Error> {
+        match found >= least {
+            true => Ok(()),
+            false => Err(self.wrong(
+                key,
+                found.as_millis().to_string(),
+                format!("{} or more, as {other}", least.as_millis()),
+            )),
+        }
+    }
+
     fn new(file: &Path, prefix: &str, left: Map<String, Value>) -> Self {
         Self {
             file: file.to_owned(),
--- a/crates/bulrushtrestled/src/settings/tests.rs
+++ b/crates/bulrushtrestled/src/settings/tests.rs
@@ -123,6 +123,16 @@
             Some(json!(600_001)),
             &["key targets.gap_timeout_ms", "from 100 to 600000"],
         ),
+        case(
+            "stop shorter than addresses hold",
+            "/stop_timeout_ms",
+            Some(json!(29_999)),
+            &[
+                "key stop_timeout_ms",
+                "30000 or more",
+                "callers.addresses_valid_ms",
+            ],
+        ),
         case(
             "empty text",
             "/data_centre",
--- a/crates/bulrushtrestled/src/traffic/admission.rs
+++ b/crates/bulrushtrestled/src/traffic/admission.rs
@@ -71,7 +71,7 @@
             .identity(sum)
             .await
             .map_err(|_| Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)))?;
-        let identity = found.ok_or(Refusal::not_run(Reason::Unauthorised, None))?;
+        let identity = found?;
         self.remember(sum, identity);
         Ok(identity)
     }
--- a/crates/bulrushtrestled/src/traffic/callers.rs
+++ b/crates/bulrushtrestled/src/traffic/callers.rs
@@ -1,7 +1,6 @@
 //! The callers' paths.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use axum::body::Body;
 use axum::error_handling::HandleErrorLayer;
@@ -30,9 +29,6 @@
 use crate::traffic::refusal::{self, RETRY_SOON};
 use crate::traffic::reply::Reply;
 
-/// For how long an answer to a question for addresses holds.
-const ADDRESSES_HOLD: Duration = Duration::from_secs(5);
-
 #[derive(Serialize)]
 struct Addresses {
     addresses: Vec<String>,
@@ -77,6 +73,8 @@
             let found = traffic.admission.identify(&traffic.control, &headers).await;
             match found {
                 Ok(identity) => Some(identity),
+                // A router that does not know its callers yet still tells them where to go.
+                Err(refusal) if refusal.reason == Reason::NotCurrent => None,
                 Err(refusal) => return refusal::response(&traffic.refused(refusal)),
             }
         }
@@ -84,9 +82,9 @@
     };
     let organisation = identity.map(|identity| identity.organisation);
     match traffic.control.addresses(organisation).await {
-        Ok(addresses) => Json(Addresses {
-            addresses,
-            valid_for_ms: ADDRESSES_HOLD.as_secs() * 1_000,
+        Ok(answer) => Json(Addresses {
+            valid_for_ms: refusal::millis(answer.valid),
+            addresses: answer.addresses,
         })
         .into_response(),
         Err(_) => {
--- a/crates/bulrushtrestled/src/traffic/refusal.rs
+++ b/crates/bulrushtrestled/src/traffic/refusal.rs
@@ -55,7 +55,8 @@
     response
 }
 
-fn millis(duration: Duration) -> u64 {
+/// Returns whole milliseconds.
+pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
--- /dev/null
+++ b/crates/bulrushtrestled/tests/refusals.rs
@@ -0,0 +1,569 @@
+//! Every refusal at the callers' door: a clear answer, its own counter, no effect on others.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bulrushtrestle_core::catalogue::entry::Limits;
+use bulrushtrestle_standin::fault::Outage;
+use bulrushtrestle_standin::{engine, log, plain};
+use http::{Request, StatusCode};
+use serde_json::{Value, json};
+use support::client::{Answer, request};
+use support::{Fleet, PATIENCE, Plan, TOKEN, as_organisation, chat_body, eventually};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A request that is refused at once.
+struct Case {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    token: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: String,
+    reason: &'static str,
+    status: u16,
+}
+
+fn good() -> Case {
+    Case {
+        name: "",
+        method: "POST",
+        path: "/v1/chat/completions",
+        token: TOKEN,
+        headers: &[],
+        body: chat_body(1, true).to_string(),
+        reason: "malformed",
+        status: 400,
+    }
+}
+
+fn cases() -> Vec<Case> {
+    vec![
+        Case {
+            name: "no JSON",
+            body: "{".to_owned(),
+            ..good()
+        },
+        Case {
+            name: "no model",
+            body: json!({ "messages": [] }).to_string(),
+            ..good()
+        },
+        Case {
+            name: "unknown path",
+            path: "/v2/chat",
+            ..good()
+        },
+        Case {
+            name: "wrong method",
+            method: "GET",
+            ..good()
+        },
+        Case {
+            name: "wrong class",
+            headers: &[("x-class", "urgent")],
+            ..good()
+        },
+        Case {
+            name: "wrong hint",
+            headers: &[("x-cost-hint", "many")],
+            ..good()
+        },
+        Case {
+            name: "wrong deadline",
+            headers: &[("x-deadline-ms", "0")],
+            ..good()
+        },
+        Case {
+            name: "wrong token",
+            token: "nobody",
+            reason: "unauthorised",
+            status: 401,
+            ..good()
+        },
+        Case {
+            name: "no token",
+            token: "",
+            reason: "unauthorised",
+            status: 401,
+            ..good()
+        },
+        Case {
+            name: "unknown model",
+            body: chat_body(1, true).to_string().replace("\"m\"", "\"n\""),
+            reason: "unknown_pool",
+            status: 404,
+            ..good()
+        },
+        Case {
+            name: "a plain service asked to chat",
+            body: chat_body(1, true)
+                .to_string()
+                .replace("\"m\"", "\"booking\""),
+            reason: "unknown_pool",
+            status: 404,
+            ..good()
+        },
+        Case {
+            name: "a model called as a service",
+            path: "/v1/services/m/x",
+            reason: "unknown_pool",
+            status: 404,
+            ..good()
+        },
+        Case {
+            name: "body too large",
+            body: " ".repeat(65_537),
+            reason: "too_large",
+            status: 413,
+            ..good()
+        },
+        Case {
+            name: "key of another version",
+            headers: &[("idempotency-key", "01934f3c-5b1a-4c3e-8a4d-2f6b9e0c1d2e")],
+            reason: "key_invalid",
+            status: 400,
+            ..good()
+        },
+        Case {
+            name: "key that is no UUID",
+            headers: &[("idempotency-key", "order-7")],
+            reason: "key_invalid",
+            status: 400,
+            ..good()
+        },
+    ]
+}
+
+fn small_bodies(_: u32, settings: &mut Value) {
+    settings["callers"]["body_bytes_max"] = json!(65_536);
+    settings["callers"]["body_timeout_ms"] = json!(300);
+    settings["callers"]["header_timeout_ms"] = json!(300);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_requests_are_refused_with_reason_and_verdict() {
+    let fleet = Fleet::start(Plan {
+        tune: small_bodies,
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    for case in cases() {
+        let before = fleet.refused(router, case.reason).await;
+        let token = format!("Bearer {}", case.token);
+        let mut headers = case.headers.to_vec();
+        if !case.token.is_empty() {
+            headers.push(("authorization", &token));
+        }
+        let req = request(case.method, router.callers, case.path, &headers, case.body);
+        let answer = fleet.client.whole(req).await;
+        assert_refused(&answer, case.status, case.reason, case.name);
+        let after = fleet.refused(router, case.reason).await;
+        assert_eq!(after, before + 1.0, "{}", case.name);
+    }
+    let answer = fleet.chat(router, &chat_body(3, true), &[]).await;
+    assert!(
+        answer.has_end_mark(),
+        "others are served: {}",
+        answer.text()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_and_broken_callers_are_let_go() {
+    let fleet = Fleet::start(Plan {
+        tune: small_bodies,
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: r\r\nauthorization: Bearer {TOKEN}\r\n"
+    );
+    let cases = [
+        (
+            "a body that does not come",
+            format!("{head}content-length: 10\r\n\r\n{{"),
+            "408",
+            "caller_too_slow",
+        ),
+        (
+            "a chunk that does not come",
+            format!("{head}transfer-encoding: chunked\r\n\r\n5\r\n{{"),
+            "408",
+            "caller_too_slow",
+        ),
+        (
+            "a chunked body too large",
+            format!(
+                "{head}transfer-encoding: chunked\r\n\r\n20000\r\n{}",
+                " ".repeat(0x2_0000)
+            ),
+            "413",
+            "too_large",
+        ),
+    ];
+    for (name, sent, status, reason) in cases {
+        let before = fleet.refused(router, reason).await;
+        let answer = raw(router.callers, sent.as_bytes()).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{name}: {answer}"
+        );
+        assert!(
+            answer.contains(&format!("\"reason\":\"{reason}\"")),
+            "{name}: {answer}"
+        );
+        assert_eq!(fleet.refused(router, reason).await, before + 1.0, "{name}");
+    }
+    let large = format!("{head}x-large: {}\r\n\r\n", "x".repeat(100_000));
+    let cases = [
+        (
+            "a head that does not end",
+            head.clone(),
+            "caller_head_timeout",
+        ),
+        (
+            "a connection that says next to nothing",
+            "P".to_owned(),
+            "caller_head_timeout",
+        ),
+        ("a head too large", large, "caller_head_too_large"),
+        (
+            "no HTTP",
+            "hello\r\n\r\n".to_owned(),
+            "caller_head_malformed",
+        ),
+    ];
+    for (name, sent, event) in cases {
+        let before = fleet.edge(router, event).await;
+        let answer = raw(router.callers, sent.as_bytes()).await;
+        assert!(!answer.starts_with("HTTP/1.1 2"), "{name}: {answer}");
+        eventually(name, async || {
+            fleet.edge(router, event).await == before + 1.0
+        })
+        .await;
+    }
+    let answer = fleet.chat(router, &chat_body(3, true), &[]).await;
+    assert!(
+        answer.has_end_mark(),
+        "others are served: {}",
+        answer.text()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limits_of_an_organisation_hold() {
+    let fleet = Fleet::start(Plan {
+        slots: 1,
+        limits: Limits {
+            waiting: 1,
+            running: 1,
+            wait_ms: 60_000,
+        },
+        engine: engine::Config {
+            token_ms: 50,
+            ..engine::Config::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let long = chat_body(1_000, true);
+    // The first runs, the second waits.
+    let running = fleet.client.open(chat_request(router, &long)).await;
+    let waiting = tokio::spawn({
+        let client = fleet.client.clone();
+        let req = chat_request(router, &chat_body(1, true));
+        async move { client.whole(req).await }
+    });
+    eventually("both are taken in", async || {
+        fleet.metric(router, "bulrushtrestle_open_requests").await == 2.0
+    })
+    .await;
+    let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+    assert_refused(&answer, 429, "too_many_open", "a third request");
+    assert!(!waiting.is_finished());
+    // The caller of the first leaves, and the second gets its slot.
+    drop(running);
+    let answer = waiting.await.expect("the caller does not panic");
+    assert!(answer.has_end_mark(), "{}", answer.text());
+    assert_eq!(fleet.refused(router, "caller_left").await, 1.0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_queue_refuses_at_once() {
+    let fleet = Fleet::start(Plan {
+        slots: 1,
+        limits: Limits {
+            waiting: 1,
+            running: 10,
+            wait_ms: 60_000,
+        },
+        engine: engine::Config {
+            token_ms: 50,
+            ..engine::Config::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let _running = fleet
+        .client
+        .open(chat_request(router, &chat_body(1_000, true)))
+        .await;
+    let _waiting = tokio::spawn({
+        let client = fleet.client.clone();
+        let req = chat_request(router, &chat_body(1, true));
+        async move { client.whole(req).await }
+    });
+    eventually("both are taken in", async || {
+        fleet.metric(router, "bulrushtrestle_open_requests").await == 2.0
+    })
+    .await;
+    let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+    assert_refused(&answer, 429, "queue_full", "a third request");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_deadline_that_passes_in_the_queue_is_a_refusal_not_run() {
+    let fleet = Fleet::start(Plan {
+        slots: 1,
+        engine: engine::Config {
+            token_ms: 50,
+            ..engine::Config::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let _running = fleet
+        .client
+        .open(chat_request(router, &chat_body(1_000, true)))
+        .await;
+    let answer = fleet
+        .chat(router, &chat_body(1, true), &[("x-deadline-ms", "200")])
+        .await;
+    assert_refused(&answer, 504, "deadline_passed", "a short deadline");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_is_full_refuses_and_still_tells_addresses() {
+    let fleet = Fleet::start(Plan {
+        tune: |_, settings| settings["callers"]["requests_max"] = json!(1),
+        engine: engine::Config {
+            token_ms: 50,
+            ..engine::Config::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let running = fleet
+        .client
+        .open(chat_request(router, &chat_body(1_000, true)))
+        .await;
+    let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+    assert_refused(&answer, 503, "overloaded", "a second request");
+    let get = as_organisation("GET", router, "/v1/addresses", &[], String::new());
+    assert_eq!(fleet.client.whole(get).await.status, StatusCode::OK);
+    drop(running);
+    eventually("the next caller is served", async || {
+        let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+        answer.has_end_mark()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_over_the_limit_are_told_so() {
+    const CONNECTIONS_MAX: usize = 4;
+    let fleet = Fleet::start(Plan {
+        tune: |_, settings| settings["callers"]["connections_max"] = json!(CONNECTIONS_MAX),
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let mut idle = Vec::new();
+    for _ in 0..CONNECTIONS_MAX {
+        idle.push(
+            TcpStream::connect(router.callers)
+                .await
+                .expect("there is room"),
+        );
+    }
+    eventually("the connections are counted", async || {
+        fleet
+            .metric(router, "bulrushtrestle_caller_connections")
+            .await
+            == CONNECTIONS_MAX as f64
+    })
+    .await;
+    let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+    assert_refused(&answer, 503, "overloaded", "a connection over the limit");
+    assert_eq!(fleet.edge(router, "caller_connection_refused").await, 1.0);
+    drop(idle);
+    eventually("the next caller is served", async || {
+        let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+        answer.has_end_mark()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_has_not_caught_up_refuses_as_not_current() {
+    let mut fleet = Fleet::start(Plan::default()).await;
+    fleet.log.set_faults(log::Faults {
+        outage: Outage::Unavailable,
+        ..log::Faults::default()
+    });
+    fleet.routers[0].kill();
+    fleet.routers[0].restart();
+    let router = &fleet.routers[0];
+    eventually("the router answers operators", async || {
+        !fleet.status(router).await.is_null()
+    })
+    .await;
+    assert_eq!(
+        fleet.operators(router, "/readyz").await.status,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    assert_eq!(
+        fleet.operators(router, "/healthz").await.status,
+        StatusCode::OK
+    );
+    let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+    assert_refused(&answer, 503, "not_current", "before the catalogue is read");
+    fleet.log.set_faults(log::Faults::default());
+    fleet.wait_ready().await;
+    assert_eq!(
+        fleet.operators(router, "/readyz").await.status,
+        StatusCode::OK
+    );
+    let answer = fleet.chat(router, &chat_body(1, true), &[]).await;
+    assert!(answer.has_end_mark(), "{}", answer.text());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_that_may_have_run_is_never_said_not_to_have_run() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    let cases = [
+        (
+            "the answer is lost",
+            plain::Faults {
+                lost_answers: 1,
+                ..plain::Faults::default()
+            },
+        ),
+        (
+            "the answer does not come",
+            plain::Faults {
+                silent_answers: 1,
+                ..plain::Faults::default()
+            },
+        ),
+        (
+            "the answer is another's",
+            plain::Faults {
+                crossed_answers: 1,
+                ..plain::Faults::default()
+            },
+        ),
+    ];
+    for (name, faults) in cases {
+        let before = fleet.runs().await.unkeyed;
+        fleet.plain.set_faults(faults);
+        let answer = fleet.call("POST", router, "/deposits", &[], "{}").await;
+        assert!(answer.status.is_server_error(), "{name}: {}", answer.text());
+        assert_eq!(answer.json()["verdict"], "may_have_run", "{name}");
+        assert_eq!(
+            fleet.runs().await.unkeyed,
+            before + 1,
+            "{name}: it ran once"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_need_their_token() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    for path in ["/metrics", "/healthz", "/readyz", "/status", "/other"] {
+        for headers in [
+            &[][..],
+            &[("authorization", "Bearer nobody")],
+            &[("authorization", "x")],
+        ] {
+            let get = request("GET", router.operators, path, headers, String::new());
+            let answer = fleet.client.whole(get).await;
+            assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "{path}");
+            assert!(answer.body.is_empty(), "{path}");
+        }
+    }
+    assert_eq!(fleet.edge(router, "operator_refused").await, 15.0);
+}
+
+fn chat_request(
+    router: &support::daemon::Daemon,
+    body: &Value,
+) -> Request<http_body_util::Full<bytes::Bytes>> {
+    as_organisation(
+        "POST",
+        router,
+        "/v1/chat/completions",
+        &[],
+        body.to_string(),
+    )
+}
+
+fn assert_refused(answer: &Answer, status: u16, reason: &str, name: &str) {
+    assert_eq!(answer.status.as_u16(), status, "{name}: {}", answer.text());
+    let header = |name| {
+        answer
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    assert_eq!(
+        header("content-type"),
+        Some("application/problem+json"),
+        "{name}"
+    );
+    let problem = answer.json();
+    assert_eq!(problem["reason"], reason, "{name}");
+    assert_eq!(problem["verdict"], "not_run", "{name}");
+    assert_eq!(problem["status"], status, "{name}");
+    assert!(
+        problem["type"].as_str().is_some_and(|t| t.contains(reason)),
+        "{name}"
+    );
+    assert!(problem["title"].is_string(), "{name}");
+    let seconds = header("retry-after").and_then(|text| text.parse::<u64>().ok());
+    let whole = problem["retry_after_ms"]
+        .as_u64()
+        .map(|ms| ms.div_ceil(1_000));
+    assert_eq!(seconds, whole, "{name}");
+}
+
+/// Sends bytes and returns what comes back until the connection is closed.
+async fn raw(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).await.expect("the listener is open");
+    // The other side may close while it is being written to.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let mut buf = [0; 4096];
+    let reading = async {
+        while let Ok(n @ 1..) = stream.read(&mut buf).await {
+            answer.extend_from_slice(&buf[..n]);
+        }
+    };
+    tokio::time::timeout(PATIENCE.max(Duration::from_secs(1)), reading)
+        .await
+        .expect("the connection is closed in time");
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -242,9 +242,17 @@
 }
 
 /// Returns an address of loopback on which nobody listens now.
+///
+/// It lies below the ports that the system gives to outgoing connections, so that it is still free when
+/// a daemon that was killed starts again.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+    const PORTS: std::ops::Range<u16> = 10_000..30_000;
+    loop {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Appends entries to the log.
@@ -318,14 +326,14 @@
         "router": id,
         "data_centre": "a",
         "stop_timeout_ms": 20_000,
-        "callers": { "listen": free_address().to_string() },
+        "callers": { "listen": free_address().to_string(), "addresses_valid_ms": 1_000 },
         "peers": { "listen": free_address().to_string(), "fleet_key": FLEET_KEY },
         "operators": {
             "listen": free_address().to_string(),
             "tokens_sha256": [hex(&Sha256::digest(OPERATOR_TOKEN))],
         },
         "platform": { "log": log.to_string(), "vms": vms.to_string(), "vms_every_ms": 100 },
-        "targets": { "gap_timeout_ms": 1_000 },
+        "targets": { "gap_timeout_ms": 1_000, "first_timeout_ms": 3_000 },
     })
 }
 
