--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -266,7 +266,7 @@
                 let status = serde_json::to_string(&self.node.status(self.clock.now()));
                 drop(reply.send(status.unwrap_or_default()));
             }
-            Ask::Ready { reply } => drop(reply.send(self.node.is_ready())),
+            Ask::Ready { reply } => drop(reply.send(self.node.status(self.clock.now()).ready)),
         }
     }
 
--- a/crates/bulrushtrestled/src/traffic/reply.rs
+++ b/crates/bulrushtrestled/src/traffic/reply.rs
@@ -15,7 +15,7 @@
 use crate::traffic::refusal;
 
 /// Pieces of an answer that wait for the caller to read them.
-const PIECES: usize = 16;
+const PIECES: usize = 4;
 
 /// The answer was cut off; the caller sees a broken body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
--- /dev/null
+++ b/crates/bulrushtrestled/tests/answers.rs
@@ -0,0 +1,266 @@
+//! Whole answers: what a caller is given when targets break, fall silent, cross answers or crash.
+
+mod support;
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::body::Body;
+use bulrushtrestle_standin::{engine, plain};
+use http::StatusCode;
+use serde_json::json;
+use support::client::Answer;
+use support::{Fleet, Plan, as_organisation, chat_body, eventually, publish};
+use tokio::net::TcpListener;
+
+const TOKENS: u32 = 30;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_ends_early_never_passes_for_whole() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    let cases = [
+        (
+            "truncated at once",
+            engine::StreamEnd::Truncated,
+            0,
+            "target_truncated",
+        ),
+        (
+            "truncated",
+            engine::StreamEnd::Truncated,
+            10,
+            "target_truncated",
+        ),
+        ("broken", engine::StreamEnd::Broken, 10, "target_broken"),
+        ("silent", engine::StreamEnd::Silent, 10, "target_silent"),
+    ];
+    for (name, how, after_tokens, event) in cases {
+        for stream in [true, false] {
+            let before = fleet.edge(router, event).await;
+            fleet.engine.set_faults(engine::Faults {
+                stream: Some(engine::StreamFault {
+                    how,
+                    after_tokens,
+                    times: 1,
+                }),
+                ..engine::Faults::default()
+            });
+            let answer = fleet.chat(router, &chat_body(TOKENS, stream), &[]).await;
+            assert_honest(&answer, stream, name);
+            assert_eq!(fleet.edge(router, event).await, before + 1.0, "{name}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_to_another_request_is_dropped_and_counted() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    for stream in [true, false] {
+        let before = fleet.edge(router, "target_crossed").await;
+        fleet.engine.set_faults(engine::Faults {
+            crossed_answers: 1,
+            ..engine::Faults::default()
+        });
+        let answer = fleet.chat(router, &chat_body(TOKENS, stream), &[]).await;
+        assert_honest(&answer, stream, "crossed");
+        assert_eq!(fleet.edge(router, "target_crossed").await, before + 1.0);
+    }
+    fleet.plain.set_faults(plain::Faults {
+        crossed_answers: 1,
+        ..plain::Faults::default()
+    });
+    let answer = fleet.call("POST", router, "/deposits", &[], "{}").await;
+    assert_ne!(answer.status, StatusCode::OK);
+    assert_eq!(answer.json()["verdict"], "may_have_run");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_that_went_silent_are_dropped_and_new_ones_work() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    let answer = fleet.chat(router, &chat_body(3, true), &[]).await;
+    assert!(answer.has_end_mark(), "{}", answer.text());
+    // The connection of that answer is kept, and now leads nowhere.
+    fleet.engine.silence();
+    fleet.plain.silence();
+    let first = fleet.chat(router, &chat_body(3, true), &[]).await;
+    assert_honest_of(&first, true, 3, "on the silent connection");
+    let second = fleet.chat(router, &chat_body(3, true), &[]).await;
+    assert!(
+        second.has_end_mark(),
+        "on a new connection: {}",
+        second.text()
+    );
+    let call = fleet.call("POST", router, "/deposits", &[], "{}").await;
+    assert_eq!(
+        call.status,
+        StatusCode::OK,
+        "a call that may not be repeated never meets a kept one"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_leaves_frees_the_target() {
+    let fleet = Fleet::start(Plan {
+        engine: engine::Config {
+            token_ms: 50,
+            ..engine::Config::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let body = chat_body(1_000, true).to_string();
+    let post = as_organisation("POST", router, "/v1/chat/completions", &[], body);
+    let answer = fleet.client.open(post).await;
+    eventually("the engine runs it", async || running(&fleet).await == 1).await;
+    drop(answer);
+    eventually("the engine is free", async || running(&fleet).await == 0).await;
+    eventually("nothing is open", async || {
+        fleet.metric(router, "bulrushtrestle_open_requests").await == 0.0
+    })
+    .await;
+    assert_eq!(fleet.refused(router, "caller_left").await, 1.0);
+    assert_eq!(fleet.status(router).await["requests"], 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_reads_nothing_is_let_go() {
+    let fleet = Fleet::start(Plan {
+        tune: |_, settings| settings["callers"]["unread_timeout_ms"] = json!(500),
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let flood = start_flood().await;
+    let log = fleet.log.address();
+    publish(&fleet.client, log, support::service("flood", flood, 8)).await;
+    eventually("the new pool is known", async || {
+        fleet.status(router).await["applied"].as_u64() >= Some(8)
+    })
+    .await;
+    let get = as_organisation("GET", router, "/v1/services/flood/", &[], String::new());
+    let unread = fleet.client.open(get).await;
+    assert_eq!(unread.status(), StatusCode::OK);
+    eventually("it is let go", async || {
+        fleet.edge(router, "caller_unread").await == 1.0
+    })
+    .await;
+    eventually("nothing is open", async || {
+        fleet.metric(router, "bulrushtrestle_open_requests").await == 0.0
+    })
+    .await;
+    drop(unread);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_crashes_gives_no_false_answer() {
+    let fleet = Fleet::start(Plan {
+        engine: engine::Config {
+            token_ms: 20,
+            ..engine::Config::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+    let router = &fleet.routers[0];
+    let chat = tokio::spawn({
+        let client = fleet.client.clone();
+        let body = chat_body(TOKENS, true).to_string();
+        let post = as_organisation("POST", router, "/v1/chat/completions", &[], body);
+        async move { client.whole(post).await }
+    });
+    eventually("the engine runs it", async || running(&fleet).await == 1).await;
+    fleet.engine.crash(Duration::from_millis(300));
+    let answer = chat.await.expect("the caller does not panic");
+    assert_honest(&answer, true, "crash");
+    eventually("the engine serves again", async || {
+        fleet
+            .chat(router, &chat_body(3, true), &[])
+            .await
+            .has_end_mark()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_is_not_there_is_a_refusal_not_run() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    fleet.plain.crash(Duration::from_secs(60));
+    let answer = fleet
+        .call(
+            "POST",
+            router,
+            "/deposits",
+            &[("x-deadline-ms", "2000")],
+            "{}",
+        )
+        .await;
+    assert!(answer.status.is_server_error(), "{}", answer.text());
+    assert_eq!(answer.json()["verdict"], "not_run", "{}", answer.text());
+}
+
+/// Starts a plain service whose answers have no end.
+async fn start_flood() -> SocketAddr {
+    let app = axum::Router::new().fallback(async |headers: http::HeaderMap| {
+        let pieces = futures::stream::repeat_with(|| Ok::<_, Infallible>(vec![b'x'; 64 * 1024]));
+        let attempt = headers["x-attempt-id"].clone();
+        ([("x-attempt-id", attempt)], Body::from_stream(pieces))
+    });
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    address
+}
+
+async fn running(fleet: &Fleet) -> u64 {
+    let get = support::client::request(
+        "GET",
+        fleet.engine.address(),
+        "/v1/report",
+        &[],
+        String::new(),
+    );
+    let report = fleet.client.whole(get).await.json();
+    report["running"].as_u64().unwrap_or(u64::MAX)
+}
+
+fn assert_honest(answer: &Answer, stream: bool, name: &str) {
+    assert_honest_of(answer, stream, TOKENS, name);
+}
+
+/// Asserts that an answer is the whole one, each token once and in order, or says that it is not.
+fn assert_honest_of(answer: &Answer, stream: bool, tokens: u32, name: &str) {
+    let text = answer.text();
+    if answer.status != StatusCode::OK {
+        assert_eq!(answer.json()["verdict"], "may_have_run", "{name}: {text}");
+        return;
+    }
+    assert!(answer.is_whole, "{name}: {text}");
+    if !stream {
+        let content = answer.json()["choices"][0]["message"]["content"].clone();
+        let words = content
+            .as_str()
+            .unwrap_or_default()
+            .split_whitespace()
+            .count();
+        assert_eq!(words, tokens as usize, "{name}: {text}");
+        return;
+    }
+    let numbers = answer.token_numbers();
+    let expected: Vec<u64> = (1..).take(numbers.len()).collect();
+    assert_eq!(numbers, expected, "{name}");
+    match answer.has_end_mark() {
+        true => assert_eq!(numbers.len(), tokens as usize, "{name}: {text}"),
+        false => assert!(
+            text.contains("event: error\ndata: ") && text.contains("\"verdict\":\"may_have_run\""),
+            "{name}: {text}"
+        ),
+    }
+}
--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -280,24 +280,6 @@
     limits: &Limits,
     slots: u32,
 ) -> Vec<Entry> {
-    let target = |name: &str, pool: &str, address: SocketAddr| {
-        Entry::Target(Target {
-            name: name.to_owned(),
-            vm: 100,
-            address: address.to_string(),
-            data_centre: "a".to_owned(),
-            pool: pool.to_owned(),
-            version: "v1".to_owned(),
-            slots,
-            checks_fence: true,
-        })
-    };
-    let pool = |name: &str, service| {
-        Entry::Pool(Pool {
-            name: name.to_owned(),
-            service,
-        })
-    };
     vec![
         Entry::DataCentre(DataCentre {
             name: "a".to_owned(),
@@ -306,9 +288,8 @@
         }),
         pool("m", Service::Model),
         pool("booking", Service::Plain),
-        pool("empty", Service::Model),
-        target("engine", "m", engine.address()),
-        target("desk", "booking", plain.address()),
+        target("engine", "m", engine.address(), slots),
+        target("desk", "booking", plain.address(), slots),
         Entry::Organisation(Organisation {
             name: "club".to_owned(),
             owner: "the club's board".to_owned(),
@@ -320,6 +301,34 @@
     ]
 }
 
+/// Returns the entries of a further plain service.
+pub fn service(name: &str, address: SocketAddr, slots: u32) -> Vec<Entry> {
+    vec![
+        pool(name, Service::Plain),
+        target(&format!("{name}-1"), name, address, slots),
+    ]
+}
+
+fn pool(name: &str, service: Service) -> Entry {
+    Entry::Pool(Pool {
+        name: name.to_owned(),
+        service,
+    })
+}
+
+fn target(name: &str, pool: &str, address: SocketAddr, slots: u32) -> Entry {
+    Entry::Target(Target {
+        name: name.to_owned(),
+        vm: 100,
+        address: address.to_string(),
+        data_centre: "a".to_owned(),
+        pool: pool.to_owned(),
+        version: "v1".to_owned(),
+        slots,
+        checks_fence: true,
+    })
+}
+
 /// Returns the settings of a router.
 pub fn settings(id: u32, log: SocketAddr, vms: SocketAddr) -> Value {
     json!({
