Add load experiments with open-loop arrivals to bulrushctl

Fairness and waits have to be measured from outside, the way callers see them. A closed loop was ruled out: a slow router would slow the load down and hide its own slowness. So arrivals are drawn from a seed before the start, latencies count from the intended start, and what could not be sent is counted as such.

An experiment is bounded in requests, time and requests under way, and goes to loopback addresses only, also when a router names others. The gap is the widest swing in weighted service between two organisations over a stretch in which both are backlogged. Report as JSON, plot as SVG, table for people. A run against a router is not tested yet.

--- a/crates/bulrushctl/src/args/mod.rs
+++ b/crates/bulrushctl/src/args/mod.rs
@@ -63,6 +63,7 @@
     Status(Status),
     Watch(Watch),
     Check(Check),
+    Load(Load),
 }
 
 /// Shows entries of the catalogue as the log holds them.
@@ -103,6 +104,21 @@
     pub(crate) file: PathBuf,
 }
 
+/// Runs a load experiment against routers on this machine.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub(crate) struct Load {
+    /// the JSON file that describes the experiment
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+    /// where to write the report as JSON
+    #[argh(option)]
+    pub(crate) report: Option<PathBuf>,
+    /// where to write the plot as SVG
+    #[argh(option)]
+    pub(crate) plot: Option<PathBuf>,
+}
+
 /// What a command line asks for.
 pub(crate) enum Parsed {
     /// Run a command.
--- a/crates/bulrushctl/src/check.rs
+++ b/crates/bulrushctl/src/check.rs
@@ -7,8 +7,16 @@
 use serde_json::{Value, json};
 
 use crate::error::Error;
+use crate::load::Experiment;
 use crate::output::Output;
 
+/// What a file holds.
+enum Content {
+    Entries(Vec<Value>),
+    Experiment,
+    Settings,
+}
+
 /// Checks a file with the validator that every router uses.
 ///
 /// # Errors
@@ -19,17 +27,44 @@
     let text = std::fs::read_to_string(file).map_err(|err| Error::field(&name, err.to_string()))?;
     let value: Value =
         serde_json::from_str(&text).map_err(|err| Error::field(&name, err.to_string()))?;
-    let entries = match value {
-        Value::Array(entries) => entries,
-        entry => vec![entry],
-    };
+    match Content::of(value) {
+        Content::Entries(entries) => {
+            check_entries(&name, &entries)?;
+            valid(out, &name, &format!("{} entries", entries.len()));
+        }
+        Content::Experiment => {
+            Experiment::load(file)?;
+            valid(out, &name, "a load experiment");
+        }
+        Content::Settings => {
+            let problem =
+                "settings of a router; check them with bulrushtrestled --check --settings";
+            return Err(Error::field(&name, problem));
+        }
+    }
+    Ok(())
+}
+
+impl Content {
+    fn of(value: Value) -> Self {
+        match value {
+            Value::Array(entries) => Self::Entries(entries),
+            object if object.get("seeds").is_some() => Self::Experiment,
+            object if object.get("callers").is_some() => Self::Settings,
+            entry => Self::Entries(vec![entry]),
+        }
+    }
+}
+
+fn valid(out: &Output, name: &str, content: &str) {
+    let result = json!({ "outcome": "valid", "content": content });
+    out.result(&result, || format!("{name}: valid, {content}"));
+}
+
+fn check_entries(name: &str, entries: &[Value]) -> Result<(), Error> {
     for (n, entry) in entries.iter().enumerate() {
         check_entry(entry).map_err(|err| Error::field(format!("{name}: entry {n}"), err))?;
     }
-    let count = entries.len();
-    out.result(&json!({ "outcome": "valid", "entries": count }), || {
-        format!("{name}: {count} entries are valid")
-    });
     Ok(())
 }
 
--- a/crates/bulrushctl/src/command.rs
+++ b/crates/bulrushctl/src/command.rs
@@ -16,7 +16,7 @@
 use crate::error::Error;
 use crate::http::Client;
 use crate::output::{self, Output};
-use crate::{check, status, watch};
+use crate::{check, load, status, watch};
 
 /// One call may take this part of the time that is given to a whole command, so that a call that
 /// hangs leaves time to try again.
@@ -33,6 +33,7 @@
         Command::Status(_) => status::run(&router(&args)?, out).await,
         Command::Watch(watch) => watch::run(&router(&args)?, watch, out).await,
         Command::Check(check) => check::run(&check.file, out),
+        Command::Load(args) => load::run(args, out).await,
         _ => edit(args, out).await,
     }
 }
@@ -150,7 +151,11 @@
             VersionAction::Move(put) => catalogue::version_move(entries, put, now()),
             VersionAction::Remove(gone) => remove(Kind::Move, gone.pool),
         },
-        Command::Get(_) | Command::Status(_) | Command::Watch(_) | Command::Check(_) => Ok(None),
+        Command::Get(_)
+        | Command::Status(_)
+        | Command::Watch(_)
+        | Command::Check(_)
+        | Command::Load(_) => Ok(None),
     }
 }
 
--- a/crates/bulrushctl/src/http.rs
+++ b/crates/bulrushctl/src/http.rs
@@ -1,5 +1,6 @@
 //! Calls to the platform and to routers, each bounded in time.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -61,6 +62,13 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Base(String);
 
+impl Base {
+    /// Returns the base of a service at an address.
+    pub(crate) fn of(address: SocketAddr) -> Self {
+        Self(format!("http://{address}"))
+    }
+}
+
 impl std::str::FromStr for Base {
     type Err = String;
 
--- /dev/null
+++ b/crates/bulrushctl/src/load/experiment.rs
@@ -0,0 +1,305 @@
+//! The file that describes an experiment.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+
+use bulrushtrestle_core::request::Class;
+use serde::{Deserialize, Serialize};
+
+use crate::error::Error;
+
+/// The range of the length of an experiment, in seconds.
+const SECONDS: RangeInclusive<f64> = 0.1..=600.0;
+/// The range of the number of requests of an experiment.
+const REQUESTS: RangeInclusive<u64> = 1..=200_000;
+/// The range of the number of requests under way at a time.
+const IN_FLIGHT: RangeInclusive<u64> = 1..=10_000;
+/// The range of the time between two samples, in milliseconds.
+const SAMPLE_MS: RangeInclusive<u64> = 50..=10_000;
+/// The range of the wait that makes an organisation backlogged, in milliseconds.
+const BACKLOG_MS: RangeInclusive<u64> = 1..=60_000;
+/// The range of the time given to requests under way at the end, in seconds.
+const DRAIN_SECONDS: RangeInclusive<f64> = 0.0..=600.0;
+/// The range of the rate of a stream of requests, per second.
+const PER_SECOND: RangeInclusive<f64> = 0.001..=10_000.0;
+/// The range of the size of a prompt or a body, in bytes.
+const BODY_BYTES: RangeInclusive<u64> = 0..=1_000_000;
+/// The range of the tokens of an answer.
+const TOKENS: RangeInclusive<u64> = 1..=1_000_000;
+/// The range of the time of a plain call, in milliseconds.
+const CALL_MS: RangeInclusive<u64> = 0..=600_000;
+/// The range of weights of organisations.
+const WEIGHTS: RangeInclusive<u64> = 1..=1_000;
+
+/// An experiment.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Experiment {
+    /// Addresses of routers to ask for the addresses to use. Loopback only.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// For how many seconds requests arrive.
+    pub(crate) seconds: f64,
+    /// How many requests arrive at most. Default: 20000.
+    #[serde(default = "default_requests")]
+    pub(crate) requests_max: u64,
+    /// How many requests are under way at most; others are counted as not sent. Default: 2000.
+    #[serde(default = "default_in_flight")]
+    pub(crate) in_flight_max: u64,
+    /// For how many seconds requests that are under way at the end are awaited. Default: 30.
+    #[serde(default = "default_drain")]
+    pub(crate) drain_seconds: f64,
+    /// The time between two samples of the service, in milliseconds. Default: 500.
+    #[serde(default = "default_sample")]
+    pub(crate) sample_ms: u64,
+    /// An organisation is backlogged while one of its requests has waited this long for the
+    /// beginning of its answer, in milliseconds. Default: 500.
+    #[serde(default = "default_backlog")]
+    pub(crate) backlog_ms: u64,
+    /// The same seed gives the same arrivals. Default: 1.
+    #[serde(default = "default_seed")]
+    pub(crate) seed: u64,
+    /// Who sends what.
+    pub(crate) organisations: Vec<Organisation>,
+}
+
+/// An organisation of an experiment.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Organisation {
+    /// The name in the report.
+    pub(crate) name: String,
+    /// Its bearer token; or see `token_file`.
+    #[serde(default)]
+    pub(crate) token: Option<String>,
+    /// A file with its bearer token.
+    #[serde(default)]
+    pub(crate) token_file: Option<PathBuf>,
+    /// The weight of its entry, for the fairness gap. Default: 1.
+    #[serde(default = "default_weight")]
+    pub(crate) weight: u64,
+    /// Its streams of requests.
+    pub(crate) streams: Vec<Stream>,
+}
+
+/// Requests of one kind that arrive at one rate.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Stream {
+    /// What is asked for.
+    pub(crate) kind: Kind,
+    /// The pool: a model or a plain service.
+    pub(crate) pool: String,
+    /// How many arrive in a second, on average, independent of each other.
+    pub(crate) per_second: f64,
+    /// When the first may arrive, in seconds after the start. Default: 0.
+    #[serde(default)]
+    pub(crate) start_seconds: f64,
+    /// For how many seconds they arrive. Default: to the end of the experiment.
+    #[serde(default)]
+    pub(crate) seconds: Option<f64>,
+    /// How urgent they are. Default: as the organisation's entry says.
+    #[serde(default)]
+    pub(crate) class: Option<Class>,
+    /// The size of the prompt or the body, in bytes. Default: 200.
+    #[serde(default = "default_body")]
+    pub(crate) body_bytes: u64,
+    /// How many tokens of an answer are accepted. Default: 64.
+    #[serde(default = "default_tokens")]
+    pub(crate) max_tokens: u64,
+    /// How many tokens a stand-in engine shall answer with. Default: as it likes.
+    #[serde(default)]
+    pub(crate) answer_tokens: Option<u64>,
+    /// The path of a call of a plain service. Default: `/`.
+    #[serde(default = "default_path")]
+    pub(crate) path: String,
+    /// How long a call of a plain service runs, in milliseconds, which a caller cannot tell apart from
+    /// waiting; for the figure of service. Default: 20.
+    #[serde(default = "default_call")]
+    pub(crate) call_ms: u64,
+    /// Whether a call of a plain service carries an idempotency key. Default: false.
+    #[serde(default)]
+    pub(crate) once: bool,
+}
+
+/// What a stream of requests asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Kind {
+    /// A streamed answer of a model.
+    Chat,
+    /// A `POST` to a plain service.
+    Plain,
+}
+
+impl Experiment {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the field that is missing, unknown or out of range, and the range.
+    pub(crate) fn load(file: &Path) -> Result<Self, Error> {
+        let name = file.display().to_string();
+        let fail = |problem: String| Error::field(name.clone(), problem);
+        let text = std::fs::read_to_string(file).map_err(|err| fail(err.to_string()))?;
+        let mut experiment: Self =
+            serde_json::from_str(&text).map_err(|err| fail(err.to_string()))?;
+        experiment.check()?;
+        experiment.read_tokens()?;
+        Ok(experiment)
+    }
+
+    /// Checks every field against its range.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first field that is out of range, and the range.
+    pub(crate) fn check(&self) -> Result<(), Error> {
+        if self.seeds.is_empty() {
+            return Err(Error::field("seeds", "must name at least one router"));
+        }
+        for seed in &self.seeds {
+            only_loopback("seeds", *seed)?;
+        }
+        within("seconds", self.seconds, SECONDS)?;
+        within("requests_max", self.requests_max, REQUESTS)?;
+        within("in_flight_max", self.in_flight_max, IN_FLIGHT)?;
+        within("drain_seconds", self.drain_seconds, DRAIN_SECONDS)?;
+        within("sample_ms", self.sample_ms, SAMPLE_MS)?;
+        within("backlog_ms", self.backlog_ms, BACKLOG_MS)?;
+        if self.organisations.is_empty() {
+            return Err(Error::field("organisations", "must name at least one"));
+        }
+        for (n, organisation) in self.organisations.iter().enumerate() {
+            organisation.check(&format!("organisations[{n}]"), self.seconds)?;
+        }
+        Ok(())
+    }
+
+    fn read_tokens(&mut self) -> Result<(), Error> {
+        for organisation in &mut self.organisations {
+            if let Some(file) = &organisation.token_file {
+                organisation.token = Some(crate::command::read_token(file)?);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Organisation {
+    fn check(&self, at: &str, seconds: f64) -> Result<(), Error> {
+        if self.token.is_some() == self.token_file.is_some() {
+            let field = format!("{at}.token");
+            return Err(Error::field(field, "must be given, or else token_file"));
+        }
+        within(&format!("{at}.weight"), self.weight, WEIGHTS)?;
+        if self.streams.is_empty() {
+            return Err(Error::field(
+                format!("{at}.streams"),
+                "must hold at least one",
+            ));
+        }
+        for (n, stream) in self.streams.iter().enumerate() {
+            stream.check(&format!("{at}.streams[{n}]"), seconds)?;
+        }
+        Ok(())
+    }
+}
+
+impl Stream {
+    fn check(&self, at: &str, seconds: f64) -> Result<(), Error> {
+        let field = |name: &str| format!("{at}.{name}");
+        within(&field("per_second"), self.per_second, PER_SECOND)?;
+        within(&field("start_seconds"), self.start_seconds, 0.0..=seconds)?;
+        if let Some(own) = self.seconds {
+            within(&field("seconds"), own, 0.0..=seconds)?;
+        }
+        within(&field("body_bytes"), self.body_bytes, BODY_BYTES)?;
+        within(&field("call_ms"), self.call_ms, CALL_MS)?;
+        within(&field("max_tokens"), self.max_tokens, TOKENS)?;
+        if let Some(tokens) = self.answer_tokens {
+            within(&field("answer_tokens"), tokens, TOKENS)?;
+        }
+        if !self.path.starts_with('/') {
+            return Err(Error::field(field("path"), "must begin with a slash"));
+        }
+        Ok(())
+    }
+
+    /// Returns when the last request may arrive, in seconds after the start.
+    pub(crate) fn end_seconds(&self, whole: f64) -> f64 {
+        self.seconds
+            .map_or(whole, |own| (self.start_seconds + own).min(whole))
+    }
+}
+
+/// Refuses an address that is not of this machine.
+///
+/// # Errors
+///
+/// Fails unless it is a loopback address.
+pub(crate) fn only_loopback(field: &str, address: SocketAddr) -> Result<(), Error> {
+    if address.ip().is_loopback() {
+        return Ok(());
+    }
+    let problem = format!("{address} is not a loopback address, such as 127.0.0.1:8001");
+    Err(Error::field(field, problem))
+}
+
+fn within<T>(field: &str, value: T, range: RangeInclusive<T>) -> Result<(), Error>
+where
+    T: PartialOrd + std::fmt::Display,
+{
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let (min, max) = (range.start(), range.end());
+    Err(Error::field(
+        field,
+        format!("{value} is not in {min} to {max}"),
+    ))
+}
+
+const fn default_requests() -> u64 {
+    20_000
+}
+
+const fn default_in_flight() -> u64 {
+    2_000
+}
+
+const fn default_drain() -> f64 {
+    30.0
+}
+
+const fn default_sample() -> u64 {
+    500
+}
+
+const fn default_backlog() -> u64 {
+    500
+}
+
+const fn default_seed() -> u64 {
+    1
+}
+
+const fn default_weight() -> u64 {
+    1
+}
+
+const fn default_body() -> u64 {
+    200
+}
+
+const fn default_tokens() -> u64 {
+    64
+}
+
+const fn default_call() -> u64 {
+    20
+}
+
+fn default_path() -> String {
+    "/".to_owned()
+}
--- /dev/null
+++ b/crates/bulrushctl/src/load/run.rs
@@ -0,0 +1,192 @@
+//! Running an experiment.
+
+use std::io::{IsTerminal, Write};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bulrushtrestle_core::cost::Cost;
+use tokio::task::JoinSet;
+use tokio::time::{self, MissedTickBehavior};
+
+use super::caller::Caller;
+use super::experiment::{Experiment, Kind, Stream};
+use super::gap::{Gap, Point};
+use super::report::{Report, Sample};
+use super::schedule::{Arrival, arrivals};
+use super::tally::{Call, Charge, Tally};
+use super::{plot, report};
+use crate::args::Load;
+use crate::error::Error;
+use crate::output::Output;
+
+/// How many bytes of a prompt count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Runs the experiment of a file, prints a table and writes the report and the plot.
+///
+/// # Errors
+///
+/// Fails if the file is not valid, if no router can be reached, or if a result cannot be written.
+pub(crate) async fn run(args: &Load, out: &Output) -> Result<(), Error> {
+    let experiment = Experiment::load(&args.file)?;
+    let caller = Caller::new(&experiment);
+    caller.reach().await?;
+    let report = Run::new(experiment, caller).finish().await;
+    if let Some(file) = &args.report {
+        let json = serde_json::to_vec_pretty(&report).expect("reports have string keys");
+        std::fs::write(file, json).map_err(|err| cannot_write(file, &err.to_string()))?;
+    }
+    if let Some(file) = &args.plot {
+        plot::write(&report, file).map_err(|err| cannot_write(file, &err))?;
+    }
+    out.result(&report, || report::text(&report));
+    Ok(())
+}
+
+fn cannot_write(file: &Path, problem: &str) -> Error {
+    Error::failed(format!("{} cannot be written: {problem}", file.display()))
+}
+
+/// An experiment under way.
+struct Run {
+    experiment: Arc<Experiment>,
+    caller: Arc<Caller>,
+    tally: Arc<Tally>,
+    calls: JoinSet<()>,
+    sent: u64,
+    gap: Gap,
+    samples: Vec<Sample>,
+    start: Instant,
+}
+
+impl Run {
+    fn new(experiment: Experiment, caller: Caller) -> Self {
+        Self {
+            tally: Arc::new(Tally::new(experiment.organisations.len())),
+            experiment: Arc::new(experiment),
+            caller: Arc::new(caller),
+            calls: JoinSet::new(),
+            sent: 0,
+            gap: Gap::default(),
+            samples: Vec::new(),
+            start: Instant::now(),
+        }
+    }
+
+    /// Sends every request at its time, awaits those under way and reports.
+    async fn finish(mut self) -> Report {
+        let arrivals = arrivals(&self.experiment);
+        self.start = Instant::now();
+        let mut ticks = time::interval(Duration::from_millis(self.experiment.sample_ms));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut due = arrivals.iter().peekable();
+        while let Some(&arrival) = due.peek() {
+            tokio::select! {
+                biased;
+                () = time::sleep_until((self.start + arrival.at).into()) => {
+                    self.send(*arrival);
+                    due.next();
+                }
+                _ = ticks.tick() => self.sample(),
+                Some(_) = self.calls.join_next() => {}
+            }
+        }
+        self.drain(&mut ticks).await;
+        self.sample();
+        if std::io::stderr().is_terminal() {
+            eprintln!();
+        }
+        Report::new(
+            &self.experiment,
+            &self.tally.counts(),
+            self.samples,
+            self.gap.max(),
+        )
+    }
+
+    fn send(&mut self, arrival: Arrival) {
+        let Arrival {
+            at,
+            organisation,
+            stream,
+        } = arrival;
+        if self.calls.len() as u64 >= self.experiment.in_flight_max {
+            self.tally.not_sent(organisation);
+            return;
+        }
+        let (experiment, caller) = (Arc::clone(&self.experiment), Arc::clone(&self.caller));
+        let charge = charge(&experiment.organisations[organisation].streams[stream]);
+        let intended = self.start + at;
+        let call = Call::start(&self.tally, organisation, self.sent, charge, intended);
+        self.sent += 1;
+        self.calls.spawn(async move {
+            let entry = &experiment.organisations[organisation];
+            let stream = &entry.streams[stream];
+            let outcome = caller.call(organisation, entry, stream, &call).await;
+            call.end(&outcome);
+        });
+    }
+
+    /// Awaits the requests that are under way, for as long as the experiment says.
+    async fn drain(&mut self, ticks: &mut time::Interval) {
+        let until = Instant::now() + Duration::from_secs_f64(self.experiment.drain_seconds);
+        while !self.calls.is_empty() {
+            tokio::select! {
+                biased;
+                () = time::sleep_until(until.into()) => break,
+                _ = ticks.tick() => self.sample(),
+                Some(_) = self.calls.join_next() => {}
+            }
+        }
+        self.calls.shutdown().await;
+    }
+
+    fn sample(&mut self) {
+        let now = Instant::now();
+        let backlog = Duration::from_millis(self.experiment.backlog_ms);
+        let points: Vec<Point> = self
+            .tally
+            .counts()
+            .iter()
+            .zip(&self.experiment.organisations)
+            .map(|(counts, entry)| Point {
+                service: report::tokens(counts.service) / entry.weight as f64,
+                backlogged: counts.is_backlogged(now, backlog),
+            })
+            .collect();
+        let gap = self.gap.sample(&points);
+        let at = now - self.start;
+        self.show_progress(at, gap);
+        self.samples.push(Sample::new(at, &points, gap));
+    }
+
+    fn show_progress(&self, at: Duration, gap: f64) {
+        if !std::io::stderr().is_terminal() {
+            return;
+        }
+        let (seconds, under_way) = (at.as_secs_f64(), self.calls.len());
+        let whole = self.experiment.seconds;
+        let mut stderr = std::io::stderr();
+        // Progress that cannot be shown is not missed.
+        let _ = write!(
+            stderr,
+            "\r{seconds:6.1} of {whole:.1} s, {} sent, {under_way} under way, gap {gap:.0}  ",
+            self.sent,
+        );
+        let _ = stderr.flush();
+    }
+}
+
+fn charge(stream: &Stream) -> Charge {
+    match stream.kind {
+        Kind::Chat => Charge {
+            at_first: Cost::prompt(stream.body_bytes / BYTES_PER_TOKEN),
+            at_end: Cost::ZERO,
+        },
+        Kind::Plain => Charge {
+            at_first: Cost::ZERO,
+            at_end: Cost::elapsed(Duration::from_millis(stream.call_ms)),
+        },
+    }
+}
--- /dev/null
+++ b/crates/bulrushctl/src/load/tally.rs
@@ -0,0 +1,260 @@
+//! What is counted while an experiment runs.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use bulrushtrestle_core::cost::Cost;
+use hdrhistogram::Histogram;
+
+/// The longest time that a histogram tells apart, in microseconds.
+const LATENCY_MAX_US: u64 = 3_600_000_000;
+
+/// The significant digits of a histogram.
+const LATENCY_DIGITS: u8 = 3;
+
+/// How a request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// The whole answer arrived.
+    Finished,
+    /// The router refused it.
+    Refused(Refusal),
+    /// There was no whole answer and no refusal either.
+    Failed(Failure),
+}
+
+/// Why a router refused a request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Refusal {
+    pub(super) reason: String,
+    pub(super) verdict: String,
+    /// Whether it says when to come back.
+    pub(super) retry_after: bool,
+}
+
+/// Why there was no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Failure {
+    /// No router could be connected to.
+    Connect,
+    /// The connection broke.
+    Broken,
+    /// The answer ended without its end mark or length.
+    Truncated,
+    /// The router reported a problem in the middle of the answer.
+    Problem,
+    /// Tokens were missing, doubled or out of order.
+    OutOfOrder,
+    /// An error that is no refusal.
+    Status(u16),
+    /// It was still under way when the experiment gave up waiting.
+    Unfinished,
+}
+
+impl Failure {
+    pub(super) fn name(self) -> String {
+        match self {
+            Self::Connect => "connect".to_owned(),
+            Self::Broken => "broken".to_owned(),
+            Self::Truncated => "truncated".to_owned(),
+            Self::Problem => "problem".to_owned(),
+            Self::OutOfOrder => "out_of_order".to_owned(),
+            Self::Status(status) => format!("status_{status}"),
+            Self::Unfinished => "unfinished".to_owned(),
+        }
+    }
+}
+
+/// The counts of one organisation.
+#[derive(Debug)]
+pub(super) struct Counts {
+    pub(super) sent: u64,
+    pub(super) not_sent: u64,
+    pub(super) finished: u64,
+    pub(super) refused: BTreeMap<Refusal, u64>,
+    pub(super) failed: BTreeMap<Failure, u64>,
+    pub(super) tokens: u64,
+    pub(super) service: Cost,
+    pub(super) latency: Histogram<u64>,
+    pub(super) first: Histogram<u64>,
+    pub(super) between: Histogram<u64>,
+    pub(super) refusal: Histogram<u64>,
+    /// Intended starts of requests whose answer has not begun.
+    waiting: BTreeMap<u64, Instant>,
+}
+
+impl Counts {
+    fn new() -> Self {
+        let histogram = || {
+            Histogram::new_with_bounds(1, LATENCY_MAX_US, LATENCY_DIGITS)
+                .expect("the bounds are in range")
+        };
+        Self {
+            sent: 0,
+            not_sent: 0,
+            finished: 0,
+            refused: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            tokens: 0,
+            service: Cost::ZERO,
+            latency: histogram(),
+            first: histogram(),
+            between: histogram(),
+            refusal: histogram(),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Says whether a request has waited that long for the beginning of its answer.
+    pub(super) fn is_backlogged(&self, now: Instant, backlog: Duration) -> bool {
+        // Requests are numbered in the order of their intended starts.
+        let oldest = self.waiting.first_key_value().map(|(_, &since)| since);
+        oldest.is_some_and(|since| now.saturating_duration_since(since) >= backlog)
+    }
+
+    fn end(&mut self, outcome: &Outcome, after: Duration) {
+        match outcome {
+            Outcome::Finished => {
+                self.finished += 1;
+                record(&mut self.latency, after);
+            }
+            Outcome::Refused(refusal) => {
+                *self.refused.entry(refusal.clone()).or_default() += 1;
+                record(&mut self.refusal, after);
+            }
+            Outcome::Failed(failure) => *self.failed.entry(*failure).or_default() += 1,
+        }
+    }
+}
+
+fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    histogram.saturating_record(micros.max(1));
+}
+
+/// The counts of all organisations.
+#[derive(Debug)]
+pub(super) struct Tally(Mutex<Vec<Counts>>);
+
+impl Tally {
+    pub(super) fn new(organisations: usize) -> Self {
+        Self(Mutex::new(
+            (0..organisations).map(|_| Counts::new()).collect(),
+        ))
+    }
+
+    pub(super) fn counts(&self) -> MutexGuard<'_, Vec<Counts>> {
+        self.0
+            .lock()
+            .expect("no thread panics while it holds this lock")
+    }
+
+    /// Counts a request that was not sent because too many were under way.
+    pub(super) fn not_sent(&self, organisation: usize) {
+        self.counts()[organisation].not_sent += 1;
+    }
+}
+
+/// What a request is charged beside its tokens.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Charge {
+    /// With the first token: the prompt.
+    pub(super) at_first: Cost,
+    /// With the end: the time of a plain call.
+    pub(super) at_end: Cost,
+}
+
+/// One request under way. If it is dropped before it is ended, it counts as unfinished.
+#[derive(Debug)]
+pub(super) struct Call {
+    tally: Arc<Tally>,
+    organisation: usize,
+    number: u64,
+    charge: Charge,
+    intended: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    last: Option<Instant>,
+    ended: bool,
+}
+
+impl Call {
+    /// Counts a request as sent. Requests are numbered in the order of their intended starts.
+    pub(super) fn start(
+        tally: &Arc<Tally>,
+        organisation: usize,
+        number: u64,
+        charge: Charge,
+        intended: Instant,
+    ) -> Self {
+        {
+            let counts = &mut tally.counts()[organisation];
+            counts.sent += 1;
+            counts.waiting.insert(number, intended);
+        }
+        Self {
+            tally: Arc::clone(tally),
+            organisation,
+            number,
+            charge,
+            intended,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Counts a token that has just arrived; the prompt is served with the first.
+    pub(super) fn token(&self) {
+        let now = Instant::now();
+        let last = self.state().last.replace(now);
+        let counts = &mut self.tally.counts()[self.organisation];
+        counts.tokens += 1;
+        counts.service += Cost::TOKEN;
+        match last {
+            Some(last) => record(&mut counts.between, now - last),
+            None => {
+                counts.waiting.remove(&self.number);
+                counts.service += self.charge.at_first;
+                record(&mut counts.first, now - self.intended);
+            }
+        }
+    }
+
+    /// Counts the beginning of an answer that has no tokens.
+    pub(super) fn begun(&self) {
+        let now = Instant::now();
+        self.state().last = Some(now);
+        let counts = &mut self.tally.counts()[self.organisation];
+        counts.waiting.remove(&self.number);
+        record(&mut counts.first, now - self.intended);
+    }
+
+    /// Counts the end of the request.
+    pub(super) fn end(&self, outcome: &Outcome) {
+        self.state().ended = true;
+        let now = Instant::now();
+        let counts = &mut self.tally.counts()[self.organisation];
+        counts.waiting.remove(&self.number);
+        if *outcome == Outcome::Finished {
+            counts.service += self.charge.at_end;
+        }
+        counts.end(outcome, now - self.intended);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no thread panics while it holds this lock")
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.state().ended {
+            self.end(&Outcome::Failed(Failure::Unfinished));
+        }
+    }
+}
--- a/crates/bulrushctl/src/main.rs
+++ b/crates/bulrushctl/src/main.rs
@@ -23,6 +23,7 @@
 mod command;
 mod error;
 mod http;
+mod load;
 mod output;
 mod status;
 mod watch;
@@ -32,7 +33,7 @@
 use crate::args::Parsed;
 use crate::output::Output;
 
-#[tokio::main(flavor = "current_thread")]
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() -> ExitCode {
     let args = match args::parse(std::env::args()) {
         Parsed::Run(args) => args,
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -64,6 +64,8 @@
     pub lost_answers: u32,
     /// How many appends are lost before they take effect; the connection is closed.
     pub lost_appends: u32,
+    /// Records of other writers that get in just before the next append.
+    pub rivals: Vec<String>,
     /// How many of the newest records are kept, whatever their age; all if zero.
     pub keep_records: usize,
 }
@@ -223,6 +225,12 @@
             return None;
         }
         let at_ms = epoch_ms();
+        for rival in self
+            .faults
+            .update(|faults| std::mem::take(&mut faults.rivals))
+        {
+            records.push(rival, at_ms);
+        }
         let offsets = bodies
             .into_iter()
             .map(|body| records.push(body, at_ms))
