--- a/crates/bulrushctl/src/catalogue/fold.rs
+++ b/crates/bulrushctl/src/catalogue/fold.rs
@@ -77,7 +77,8 @@
         self.authors.get(&stored.edit).map(String::as_str)
     }
 
-    fn take(&mut self, kept: &Kept) {
+    /// Takes a record; one that was taken before is skipped.
+    pub(super) fn take(&mut self, kept: &Kept) {
         if kept.offset < self.next {
             return;
         }
--- a/crates/bulrushctl/src/catalogue/mod.rs
+++ b/crates/bulrushctl/src/catalogue/mod.rs
@@ -4,6 +4,8 @@
 mod fold;
 mod log;
 mod publish;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::build::Changed;
 pub(crate) use self::build::{data_centre, organisation, pool, removal, target, version_move};
--- a/crates/bulrushctl/src/catalogue/publish.rs
+++ b/crates/bulrushctl/src/catalogue/publish.rs
@@ -18,7 +18,7 @@
 use super::build::Changed;
 use super::fold::Fold;
 use super::log::Log;
-use crate::error::{Error, Winner};
+use crate::error::{Error, Service, Winner};
 use crate::http;
 
 /// The pause before a failed append is sent again.
@@ -86,7 +86,7 @@
 fn given_up(edit: &Edit, may_be_on_log: bool, err: Option<http::Error>) -> Error {
     let id = edit.id;
     match err {
-        Some(err) if !may_be_on_log => Error::unavailable("the log", err),
+        Some(err) if !may_be_on_log => Error::unavailable(Service::Log, err),
         Some(err) => Error::unknown(format!(
             "it is not known whether edit {id} applies, look with `get` before you repeat it: {err}"
         )),
--- a/crates/bulrushctl/src/command.rs
+++ b/crates/bulrushctl/src/command.rs
@@ -13,7 +13,7 @@
     VersionAction,
 };
 use crate::catalogue::{self, Changed, Fold, Log, publish};
-use crate::error::Error;
+use crate::error::{Error, Service};
 use crate::http::Client;
 use crate::output::{self, Output};
 use crate::{check, load, status, watch};
@@ -82,7 +82,7 @@
 async fn read(log: &Log) -> Result<Fold, Error> {
     Fold::read(log)
         .await
-        .map_err(|err| Error::unavailable("the log", err))
+        .map_err(|err| Error::unavailable(Service::Log, err))
 }
 
 async fn show(args: &Args, get: &Get, out: &Output) -> Result<(), Error> {
--- a/crates/bulrushctl/src/error.rs
+++ b/crates/bulrushctl/src/error.rs
@@ -1,5 +1,8 @@
 //! What can go wrong, and the exit code that scripts see.
 
+use std::fmt;
+
+use ::http::StatusCode;
 use bulrushtrestle_core::catalogue::InvalidError;
 use bulrushtrestle_core::catalogue::message::Stored;
 
@@ -30,14 +33,42 @@
     #[error("another edit of {} {} won", .0.stored.kind.as_str(), .0.stored.name)]
     Conflict(Box<Winner>),
     #[error("{who} cannot be reached: {source}")]
-    Unavailable {
-        who: &'static str,
-        source: http::Error,
-    },
+    Unavailable { who: Service, source: http::Error },
     #[error("{0}")]
     Unknown(String),
 }
 
+/// A service that the command calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Service {
+    /// The platform's log.
+    Log,
+    /// The operators' listener of a router.
+    Router,
+    /// The callers' listener of a router.
+    Callers,
+}
+
+impl Service {
+    /// Returns the option or field by which its token is given.
+    const fn token_option(self) -> &'static str {
+        match self {
+            Self::Log => "--log-token-file",
+            Self::Router => "--router-token-file",
+            Self::Callers => "organisations[0].token",
+        }
+    }
+}
+
+impl fmt::Display for Service {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Log => "the log",
+            Self::Router | Self::Callers => "the router",
+        })
+    }
+}
+
 /// The entry that won against an edit.
 #[derive(Debug, serde::Serialize)]
 pub(crate) struct Winner {
@@ -68,9 +99,14 @@
         ErrorKind::Conflict(Box::new(winner)).into()
     }
 
-    /// Returns the error of a service that does not answer.
-    pub(crate) fn unavailable(who: &'static str, source: http::Error) -> Self {
-        ErrorKind::Unavailable { who, source }.into()
+    /// Returns the error of a service that does not answer, or that does not know the caller.
+    pub(crate) fn unavailable(who: Service, source: http::Error) -> Self {
+        match source.status() {
+            Some(StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN) => {
+                Self::field(who.token_option(), source.to_string())
+            }
+            _ => ErrorKind::Unavailable { who, source }.into(),
+        }
     }
 
     /// Returns the error of an edit of which it is not known whether it applies.
--- a/crates/bulrushctl/src/load/address.rs
+++ b/crates/bulrushctl/src/load/address.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::experiment::only_loopback;
-use crate::error::Error;
+use crate::error::{Error, Service};
 use crate::http::{self, Base, Client};
 
 /// How long one router may take to name addresses.
@@ -60,7 +60,7 @@
                     let problem = format!("{seed} names no loopback address");
                     last = Err(Error::field("addresses", problem));
                 }
-                Err(err) => last = Err(Error::unavailable("the router", err)),
+                Err(err) => last = Err(Error::unavailable(Service::Callers, err)),
             }
         }
         last
--- a/crates/bulrushctl/src/status.rs
+++ b/crates/bulrushctl/src/status.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::error::Error;
+use crate::error::{Error, Service};
 use crate::http::Client;
 use crate::output::{self, Output};
 
@@ -26,10 +26,6 @@
 ///
 /// Fails if the router does not answer or refuses the token.
 pub(crate) async fn read<T: serde::de::DeserializeOwned>(router: &Client) -> Result<T, Error> {
-    router.get(PATH).await.map_err(|err| match err.status() {
-        Some(status) if status.is_client_error() => {
-            Error::field("--router-token-file", err.to_string())
-        }
-        _ => Error::unavailable("the router", err),
-    })
+    let status = router.get(PATH).await;
+    status.map_err(|err| Error::unavailable(Service::Router, err))
 }
