Test load, status, watch and check of bulrushctl as a process

A router of the tests' own answers as told: whole, truncated, with a token missing, refused, silent; it names addresses and shows a status.

--- a/crates/bulrushctl/tests/edit.rs
+++ b/crates/bulrushctl/tests/ctl/edit.rs
@@ -1,16 +1,15 @@
 //! Edits of the catalogue: input, races, lost answers, outages.
 
-mod common;
-
 use bulrushtrestle_core::catalogue::entry::{Entry, Pool, Service};
 use bulrushtrestle_core::catalogue::message::Edit;
 use bulrushtrestle_core::key::Offset;
 use bulrushtrestle_core::record::Record;
 use bulrushtrestle_standin::fault::Outage;
 use bulrushtrestle_standin::log::{self, Config, Faults};
-use common::bulrushctl;
 use uuid::Uuid;
 
+use crate::command::bulrushctl;
+
 /// Splits a command line at its spaces.
 fn words(line: &str) -> Vec<&str> {
     line.split_whitespace().collect()
--- /dev/null
+++ b/crates/bulrushctl/tests/ctl/fake.rs
@@ -0,0 +1,161 @@
+//! A router as far as callers and operators see it, with answers set by the test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::State;
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, get, post};
+use axum::{Json, Router};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// How a router answers a chat request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Answer {
+    /// This many tokens and the end mark, after a while.
+    Whole { tokens: u64, after: Duration },
+    /// This many tokens and no end mark.
+    Truncated { tokens: u64 },
+    /// Tokens with a number left out, and the end mark.
+    Gap,
+    /// A refusal.
+    Refused,
+    /// Nothing, ever.
+    Silent,
+}
+
+/// The settings of a router.
+#[derive(Debug, Clone)]
+pub(crate) struct Config {
+    /// How it answers chat requests.
+    pub(crate) answer: Answer,
+    /// The addresses that it names; its own if empty.
+    pub(crate) addresses: Vec<String>,
+    /// What it shows to operators, one after another; the last stays.
+    pub(crate) status: Vec<Value>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            answer: Answer::Whole {
+                tokens: 4,
+                after: Duration::ZERO,
+            },
+            addresses: Vec::new(),
+            status: Vec::new(),
+        }
+    }
+}
+
+/// A running router.
+#[derive(Debug)]
+pub(crate) struct Handle {
+    pub(crate) address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct App {
+    cfg: Config,
+    address: SocketAddr,
+    looks: AtomicU64,
+}
+
+/// Starts a router that knows the token `secret`.
+pub(crate) async fn spawn(cfg: Config) -> Handle {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback has free ports");
+    let address = listener.local_addr().expect("the listener is bound");
+    let app = Arc::new(App {
+        cfg,
+        address,
+        looks: AtomicU64::new(0),
+    });
+    let routes = Router::new()
+        .route("/v1/addresses", get(addresses))
+        .route("/v1/chat/completions", post(chat))
+        .route("/v1/services/{*path}", any(plain))
+        .route("/status", get(status))
+        .layer(axum::middleware::from_fn(authorise))
+        .with_state(app);
+    let task = tokio::spawn(async move {
+        axum::serve(listener, routes)
+            .await
+            .expect("the listener stays open");
+    });
+    Handle { address, task }
+}
+
+async fn authorise(
+    headers: HeaderMap,
+    req: axum::extract::Request,
+    next: axum::middleware::Next,
+) -> Response {
+    let token = headers.get(header::AUTHORIZATION);
+    if token.is_none_or(|token| token != "Bearer secret") {
+        return StatusCode::UNAUTHORIZED.into_response();
+    }
+    next.run(req).await
+}
+
+async fn addresses(State(app): State<Arc<App>>) -> Json<Value> {
+    let mut addresses = app.cfg.addresses.clone();
+    if addresses.is_empty() {
+        addresses.push(app.address.to_string());
+    }
+    Json(json!({ "addresses": addresses, "valid_for_ms": 30_000, "keys": [] }))
+}
+
+async fn status(State(app): State<Arc<App>>) -> Json<Value> {
+    let look = app.looks.fetch_add(1, Ordering::SeqCst);
+    let last = app.cfg.status.len().saturating_sub(1);
+    let n = usize::try_from(look).unwrap_or(usize::MAX).min(last);
+    Json(app.cfg.status.get(n).cloned().unwrap_or_default())
+}
+
+async fn plain(body: Bytes) -> Bytes {
+    body
+}
+
+async fn chat(State(app): State<Arc<App>>) -> Response {
+    let numbers: Vec<u64> = match app.cfg.answer {
+        Answer::Whole { tokens, after } => {
+            tokio::time::sleep(after).await;
+            (1..=tokens).collect()
+        }
+        Answer::Truncated { tokens } => (1..=tokens).collect(),
+        Answer::Gap => vec![1, 3],
+        Answer::Refused => return refusal(),
+        Answer::Silent => std::future::pending().await,
+    };
+    let mut text: String = numbers
+        .iter()
+        .map(|number| format!("id: {number}\ndata: {{}}\n\n"))
+        .collect();
+    if !matches!(app.cfg.answer, Answer::Truncated { .. }) {
+        text.push_str("data: [DONE]\n\n");
+    }
+    Body::from(text).into_response()
+}
+
+fn refusal() -> Response {
+    let headers = [
+        (header::CONTENT_TYPE, "application/problem+json"),
+        (header::RETRY_AFTER, "2"),
+    ];
+    let problem = json!({ "verdict": "not_run", "reason": "queue_full" });
+    (StatusCode::TOO_MANY_REQUESTS, headers, problem.to_string()).into_response()
+}
--- /dev/null
+++ b/crates/bulrushctl/tests/ctl/load.rs
@@ -0,0 +1,338 @@
+//! Load experiments against a router that answers as the test says.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+use crate::command::{Ran, bulrushctl};
+use crate::fake::{self, Answer, Config};
+
+/// A file that is removed in the end.
+struct Temporary(PathBuf);
+
+impl Temporary {
+    fn new(suffix: &str) -> Self {
+        let name = format!("bulrushctl-{}.{suffix}", Uuid::now_v7());
+        Self(std::env::temp_dir().join(name))
+    }
+
+    fn path(&self) -> String {
+        self.0.display().to_string()
+    }
+
+    fn text(&self) -> String {
+        std::fs::read_to_string(&self.0).expect("the command has written the file")
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        // A file that was never written need not be removed.
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn experiment(seed: &str) -> Value {
+    json!({
+        "seeds": [seed],
+        "seconds": 0.5,
+        "drain_seconds": 1.0,
+        "sample_ms": 50,
+        "organisations": [{
+            "name": "lyceum",
+            "token": "secret",
+            "streams": [{ "kind": "chat", "pool": "m", "per_second": 100.0 }],
+        }],
+    })
+}
+
+async fn run(experiment: &Value, args: &[&str]) -> Ran {
+    let file = Temporary::new("json");
+    std::fs::write(&file.0, experiment.to_string()).expect("the file can be written");
+    let path = file.path();
+    let mut all = vec!["--json", "load", path.as_str()];
+    all.extend(args);
+    bulrushctl(&all).await
+}
+
+#[tokio::test]
+async fn every_request_that_was_due_is_accounted_for() {
+    struct Case {
+        name: &'static str,
+        answer: Answer,
+        /// The single way in which all requests end, as a path into the organisation's report.
+        ends: &'static str,
+        tokens_each: u64,
+    }
+    let cases = [
+        Case {
+            name: "whole answers",
+            answer: Answer::Whole {
+                tokens: 4,
+                after: Duration::ZERO,
+            },
+            ends: "/finished",
+            tokens_each: 4,
+        },
+        Case {
+            name: "answers without their end mark",
+            answer: Answer::Truncated { tokens: 2 },
+            ends: "/failed/truncated",
+            tokens_each: 2,
+        },
+        Case {
+            name: "answers with a token missing",
+            answer: Answer::Gap,
+            ends: "/failed/out_of_order",
+            tokens_each: 2,
+        },
+        Case {
+            name: "refusals",
+            answer: Answer::Refused,
+            ends: "/refused/0/count",
+            tokens_each: 0,
+        },
+        Case {
+            name: "silence",
+            answer: Answer::Silent,
+            ends: "/failed/unfinished",
+            tokens_each: 0,
+        },
+    ];
+    for Case {
+        name,
+        answer,
+        ends,
+        tokens_each,
+    } in cases
+    {
+        let router = fake::spawn(Config {
+            answer,
+            ..Config::default()
+        })
+        .await;
+        let ran = run(&experiment(&router.address.to_string()), &[]).await;
+        assert_eq!(ran.code, 0, "{name}: {ran:?}");
+        let report = ran.json();
+        let share = &report["organisations"][0];
+        let sent = share["sent"]
+            .as_u64()
+            .expect("the report counts what was sent");
+        // 50 on average; the arrivals are the same on every run.
+        assert!((20..=80).contains(&sent), "{name}: {sent}");
+        assert_eq!(
+            share.pointer(ends).and_then(Value::as_u64),
+            Some(sent),
+            "{name}: {share}"
+        );
+        assert_eq!(share["tokens"], tokens_each * sent, "{name}: {share}");
+    }
+}
+
+#[tokio::test]
+async fn latencies_count_from_the_intended_start() {
+    let after = Duration::from_millis(300);
+    let answer = Answer::Whole { tokens: 1, after };
+    let router = fake::spawn(Config {
+        answer,
+        ..Config::default()
+    })
+    .await;
+    let ran = run(&experiment(&router.address.to_string()), &[]).await;
+    let report = ran.json();
+    let p50 = report["organisations"][0]["first_ms"]["p50"].as_f64();
+    let p50 = p50.expect("the report holds latencies");
+    // The upper bound only shows that the unit is right.
+    assert!((299.0..3_000.0).contains(&p50), "{p50}");
+}
+
+#[tokio::test]
+async fn requests_under_way_and_time_are_bounded() {
+    let router = fake::spawn(Config {
+        answer: Answer::Silent,
+        ..Config::default()
+    })
+    .await;
+    let mut experiment = experiment(&router.address.to_string());
+    experiment["in_flight_max"] = json!(5);
+    experiment["drain_seconds"] = json!(0.2);
+    let start = Instant::now();
+    let ran = run(&experiment, &[]).await;
+    assert!(
+        start.elapsed() < Duration::from_secs(30),
+        "{:?}",
+        start.elapsed()
+    );
+    let report = ran.json();
+    let share = &report["organisations"][0];
+    assert_eq!(share["sent"], 5, "{share}");
+    assert!(share["not_sent"].as_u64() > Some(10), "{share}");
+}
+
+#[tokio::test]
+async fn addresses_are_asked_for_and_followed() {
+    struct Case {
+        name: &'static str,
+        /// The addresses that the seed names; `OTHER` stands for that of another router.
+        named: &'static [&'static str],
+        code: i32,
+        stderr: &'static str,
+        finished: bool,
+    }
+    const OTHER: &str = "other";
+    let cases = [
+        Case {
+            name: "another router",
+            named: &[OTHER],
+            code: 0,
+            stderr: "",
+            finished: true,
+        },
+        Case {
+            name: "the first does not answer",
+            named: &["127.0.0.1:1", OTHER],
+            code: 0,
+            stderr: "",
+            finished: true,
+        },
+        Case {
+            name: "another machine and a router",
+            named: &["192.0.2.1:80", OTHER],
+            code: 0,
+            stderr: "",
+            finished: true,
+        },
+        Case {
+            name: "another machine only",
+            named: &["192.0.2.1:80"],
+            code: 2,
+            stderr: "names no loopback address",
+            finished: false,
+        },
+    ];
+    for Case {
+        name,
+        named,
+        code,
+        stderr,
+        finished,
+    } in cases
+    {
+        let other = fake::spawn(Config::default()).await;
+        let named = named.iter().map(|&address| match address {
+            OTHER => other.address.to_string(),
+            address => address.to_owned(),
+        });
+        let seed = fake::spawn(Config {
+            answer: Answer::Refused,
+            addresses: named.collect(),
+            ..Config::default()
+        })
+        .await;
+        let ran = run(&experiment(&seed.address.to_string()), &[]).await;
+        assert_eq!(ran.code, code, "{name}: {ran:?}");
+        assert!(ran.stderr.contains(stderr), "{name}: {ran:?}");
+        let report = ran.json();
+        let share = &report["organisations"][0];
+        assert_eq!(
+            share["finished"] == share["sent"] && finished,
+            finished,
+            "{name}: {share}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn wrong_experiments_are_refused_before_anything_is_sent() {
+    struct Case {
+        name: &'static str,
+        field: &'static str,
+        value: Value,
+        code: i32,
+        stderr: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "another machine",
+            field: "seeds",
+            value: json!(["192.0.2.1:8001"]),
+            code: 2,
+            stderr: "seeds: 192.0.2.1:8001 is not a loopback address",
+        },
+        Case {
+            name: "too long",
+            field: "seconds",
+            value: json!(3_600.0),
+            code: 2,
+            stderr: "seconds: 3600 is not in 0.1 to 600",
+        },
+        Case {
+            name: "an unknown field",
+            field: "speed",
+            value: json!(1),
+            code: 2,
+            stderr: "unknown field `speed`",
+        },
+        Case {
+            name: "no router there",
+            field: "seeds",
+            value: json!(["127.0.0.1:1"]),
+            code: 4,
+            stderr: "the router cannot be reached",
+        },
+    ];
+    for Case {
+        name,
+        field,
+        value,
+        code,
+        stderr,
+    } in cases
+    {
+        let mut experiment = experiment("127.0.0.1:1");
+        experiment[field] = value;
+        let ran = run(&experiment, &[]).await;
+        assert_eq!(ran.code, code, "{name}: {ran:?}");
+        assert!(ran.stderr.contains(stderr), "{name}: {ran:?}");
+    }
+}
+
+#[tokio::test]
+async fn report_and_plot_are_written() {
+    let router = fake::spawn(Config::default()).await;
+    let mut experiment = experiment(&router.address.to_string());
+    let plain = json!({ "kind": "plain", "pool": "desk", "per_second": 50.0, "once": true });
+    let other = json!({ "name": "guild", "token": "secret", "weight": 2, "streams": [plain] });
+    experiment["organisations"]
+        .as_array_mut()
+        .expect("it is a list")
+        .push(other);
+    let (report, plot) = (Temporary::new("json"), Temporary::new("svg"));
+    let args = ["--report", &report.path(), "--plot", &plot.path()];
+    let ran = run(&experiment, &args).await;
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let report: Value = serde_json::from_str(&report.text()).expect("the report is JSON");
+    assert_eq!(report, ran.json());
+    let samples = report["samples"]
+        .as_array()
+        .expect("the report holds samples");
+    let last = samples.last().expect("there is a sample at the end");
+    for (n, share) in [(0, 1.0), (1, 2.0)] {
+        let entry = &report["organisations"][n];
+        assert_eq!(entry["finished"], entry["sent"], "{entry}");
+        let service = entry["service"].as_f64().expect("service is a number");
+        assert!(service > 0.0, "{entry}");
+        assert_eq!(
+            last["service"][n].as_f64(),
+            Some(service / share),
+            "{entry}"
+        );
+    }
+    let plot = plot.text();
+    assert!(plot.starts_with("<svg") && plot.trim_end().ends_with("</svg>"));
+    for name in ["lyceum", "guild"] {
+        assert!(plot.contains(name), "{name} is not in the plot");
+    }
+}
