Fold a log whose oldest records have aged out in the command too

Ruled out: a second rule in the command. Change: the command starts over at the oldest record, unsettled, and settles at the tail; an undecided edit is reported as failed; addresses take callers that do not say who they are. Conclusion: one rule for both.

--- a/crates/bulrushctl/src/catalogue/fold.rs
+++ b/crates/bulrushctl/src/catalogue/fold.rs
@@ -49,10 +49,14 @@
     pub(crate) async fn catch_up(&mut self, log: &Log) -> Result<(), Error> {
         loop {
             let page = log.read(self.next, Duration::ZERO).await?;
+            if page.first > self.next {
+                self.start_over(page.first);
+            }
             for record in &page.records {
                 self.take(record);
             }
             if self.next >= page.tail || page.records.is_empty() {
+                self.catalogue.settle();
                 return Ok(());
             }
         }
@@ -95,6 +99,12 @@
         }
     }
 
+    /// Begins at the oldest record that is left, because earlier ones were not read.
+    fn start_over(&mut self, first: Offset) {
+        self.next = first;
+        self.catalogue = Catalogue::unsettled();
+    }
+
     fn edit(&mut self, offset: Offset, edit: Edit) {
         let applied = self.catalogue.apply(offset, &edit);
         // An edit that was appended twice is decided by its first record.
--- a/crates/bulrushctl/src/catalogue/log.rs
+++ b/crates/bulrushctl/src/catalogue/log.rs
@@ -18,6 +18,8 @@
 /// An answer to a read.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Page {
+    /// The oldest offset that is still kept.
+    pub(crate) first: Offset,
     /// The next offset that will be given out.
     pub(crate) tail: Offset,
     /// Records in the order of their offsets.
--- a/crates/bulrushctl/src/catalogue/publish.rs
+++ b/crates/bulrushctl/src/catalogue/publish.rs
@@ -80,6 +80,9 @@
                 "the entry aged out of the log while it was edited",
             )),
         },
+        Applied::Undecided => Err(Error::failed(
+            "records aged out of the log while the edit was made; look with `get`",
+        )),
     }
 }
 
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -43,7 +43,9 @@
     }
 
     /// Returns the addresses that a caller of `organisation` should use, the best first.
-    pub fn addresses(&self, organisation: OrganisationId) -> Vec<String> {
+    /// Callers that do not say who they are are spread by the router that they ask.
+    pub fn addresses(&self, organisation: Option<OrganisationId>) -> Vec<String> {
+        let organisation = organisation.unwrap_or(OrganisationId(self.cx.me.0));
         address::answer(&self.members, self.cx.now, organisation)
     }
 
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -375,7 +375,7 @@
                 let (until, router) = self.addresses[index];
                 if fleet.now >= until {
                     let node = &fleet.hosts[&router].node;
-                    let best = node.addresses(organisation);
+                    let best = node.addresses(Some(organisation));
                     let port: u32 = best[0]
                         .rsplit(':')
                         .next()
