--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -282,10 +282,10 @@
         })
     }
 
-    /// Returns the addresses for an organisation, or those that anybody may try first.
+    /// Returns the addresses for an organisation, or for a caller that does not say who it is.
     fn addresses(&self, organisation: Option<OrganisationId>) -> Addresses {
         Addresses {
-            addresses: self.node.addresses(organisation.unwrap_or_default()),
+            addresses: self.node.addresses(organisation),
             valid: self.node.addresses_valid(),
         }
     }
