--- /dev/null
+++ b/crates/bulrushtrestled/src/listener.rs
@@ -0,0 +1,221 @@
+//! Listeners over HTTP/1 and HTTP/2: connections, their limits, and their end at a planned stop.
+//!
+//! A caller that sends next to nothing, or a head without end, is let go in time; connections over the
+//! limit are told so as far as that is cheap, and closed without a word beyond.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use axum::Router;
+use bytes::Bytes;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{sleep, timeout};
+use tower::ServiceExt;
+
+/// The wait after a connection could not be accepted, for want of file handles for example.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Connections over the limit that are told so at the same time.
+const TURNED_AWAY_MAX: usize = 64;
+
+/// The time for a caller that is turned away to ask, and to read why.
+const TURNED_AWAY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Streams of one connection of HTTP/2.
+const STREAMS_MAX: u32 = 256;
+
+/// The time between two pings on a connection of HTTP/2, and for the answer.
+const PING_EVERY: Duration = Duration::from_secs(10);
+
+/// The limits of a listener.
+#[derive(Debug, Clone)]
+pub(crate) struct Limits {
+    /// Connections at a time.
+    pub(crate) connections_max: usize,
+    /// The size of a request's head.
+    pub(crate) header_bytes_max: usize,
+    /// The time for a request's head to arrive, and for an idle connection.
+    pub(crate) header_timeout: Duration,
+    /// The whole answer to a connection over the limit.
+    pub(crate) turned_away: Bytes,
+}
+
+/// What happens to connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Event {
+    /// A connection was opened.
+    Opened,
+    /// A connection that was opened has ended.
+    Closed,
+    /// A connection was turned away because too many are open.
+    TurnedAway,
+    /// No whole request head arrived in time.
+    HeadTimeout,
+    /// A request head was too large.
+    HeadTooLarge,
+    /// A request head was not HTTP.
+    HeadMalformed,
+}
+
+/// Serves connections until `draining` is set, then finishes what is open.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    router: Router,
+    limits: Limits,
+    events: impl Fn(Event) + Send + Sync + 'static,
+    mut draining: watch::Receiver<bool>,
+) {
+    let connections = Arc::new(Semaphore::new(limits.connections_max));
+    let turned_away = Arc::new(Semaphore::new(TURNED_AWAY_MAX));
+    let server = Arc::new(Server {
+        builder: builder(&limits),
+        router,
+        limits,
+        events,
+    });
+    loop {
+        let accepted = tokio::select! {
+            _ = draining.wait_for(|draining| *draining) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        if let Ok(permit) = Arc::clone(&connections).try_acquire_owned() {
+            let server = Arc::clone(&server);
+            let draining = draining.clone();
+            tokio::spawn(async move {
+                server.serve(stream, draining).await;
+                drop(permit);
+            });
+            continue;
+        }
+        (server.events)(Event::TurnedAway);
+        if let Ok(permit) = Arc::clone(&turned_away).try_acquire_owned() {
+            let answer = server.limits.turned_away.clone();
+            tokio::spawn(async move {
+                drop(timeout(TURNED_AWAY_TIMEOUT, turn_away(stream, &answer)).await);
+                drop(permit);
+            });
+        }
+    }
+}
+
+/// What serves one connection after the other.
+struct Server<F> {
+    router: Router,
+    builder: auto::Builder<TokioExecutor>,
+    limits: Limits,
+    events: F,
+}
+
+impl<F: Fn(Event)> Server<F> {
+    async fn serve(&self, stream: TcpStream, mut draining: watch::Receiver<bool>) {
+        let _open = Open::new(&self.events);
+        // A connection without the option works as well, only slower.
+        drop(stream.set_nodelay(true));
+        let has_asked = Arc::new(AtomicBool::new(false));
+        let service = {
+            let has_asked = Arc::clone(&has_asked);
+            let router = self.router.clone();
+            service_fn(move |req| {
+                has_asked.store(true, Ordering::Relaxed);
+                router.clone().oneshot(req)
+            })
+        };
+        let connection = self.builder.serve_connection(TokioIo::new(stream), service);
+        let mut connection = core::pin::pin!(connection);
+        // The limits of either protocol do not hold before the protocol is known.
+        let first_head = sleep(2 * self.limits.header_timeout);
+        let mut first_head = core::pin::pin!(first_head);
+        let mut awaits_first_head = true;
+        let mut is_draining = false;
+        let ended = loop {
+            tokio::select! {
+                ended = &mut connection => break ended,
+                () = &mut first_head, if awaits_first_head => {
+                    if !has_asked.load(Ordering::Relaxed) {
+                        (self.events)(Event::HeadTimeout);
+                        return;
+                    }
+                    awaits_first_head = false;
+                }
+                _ = draining.wait_for(|draining| *draining), if !is_draining => {
+                    is_draining = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        };
+        if let Err(error) = ended {
+            self.tell(&*error);
+        }
+    }
+
+    /// Tells what ended a connection before a request was whole.
+    fn tell(&self, error: &(dyn std::error::Error + 'static)) {
+        let Some(error) = error.downcast_ref::<hyper::Error>() else {
+            return;
+        };
+        if error.is_timeout() {
+            (self.events)(Event::HeadTimeout);
+        } else if error.is_parse_too_large() {
+            (self.events)(Event::HeadTooLarge);
+        } else if error.is_parse() {
+            (self.events)(Event::HeadMalformed);
+        }
+    }
+}
+
+/// Shows a connection as open until this is dropped.
+struct Open<'a, F: Fn(Event)>(&'a F);
+
+impl<'a, F: Fn(Event)> Open<'a, F> {
+    fn new(events: &'a F) -> Self {
+        events(Event::Opened);
+        Self(events)
+    }
+}
+
+impl<F: Fn(Event)> Drop for Open<'_, F> {
+    fn drop(&mut self) {
+        (self.0)(Event::Closed);
+    }
+}
+
+fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes_max);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(STREAMS_MAX)
+        .max_header_list_size(u32::try_from(limits.header_bytes_max).unwrap_or(u32::MAX))
+        .keep_alive_interval(PING_EVERY)
+        .keep_alive_timeout(PING_EVERY);
+    builder
+}
+
+/// Gives a connection over the limit its answer, once it has begun to ask: clients take an answer that
+/// comes before their request for a fault of the connection.
+async fn turn_away(mut stream: TcpStream, answer: &[u8]) -> std::io::Result<()> {
+    let mut asked = [0; 1024];
+    if stream.read(&mut asked).await? == 0 {
+        return Ok(());
+    }
+    stream.write_all(answer).await?;
+    stream.shutdown().await?;
+    // Closing with unread bytes would take the answer away from the caller.
+    while stream.read(&mut asked).await? > 0 {}
+    Ok(())
+}
--- a/crates/bulrushtrestled/src/main.rs
+++ b/crates/bulrushtrestled/src/main.rs
@@ -12,6 +12,7 @@
 
 mod clock;
 mod control;
+mod listener;
 mod logging;
 mod metrics;
 mod operators;
--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -33,6 +33,8 @@
     CallerHeadMalformed = "caller_head_malformed";
     /// A caller left its answer unread for too long and was let go.
     CallerUnread = "caller_unread";
+    /// An operator's connection was turned away because too many are open.
+    OperatorConnectionRefused = "operator_connection_refused";
     /// An operator's token was wrong or missing.
     OperatorRefused = "operator_refused";
     /// A connection to a target could not be made.
--- a/crates/bulrushtrestled/src/operators.rs
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -11,21 +11,37 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{BoxError, Router};
+use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, StatusCode};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::timeout;
 use tower::ServiceBuilder;
 
 use crate::control::Handle;
+use crate::listener::{self, Event, Limits};
 use crate::metrics::{Edge, Metrics};
 use crate::settings;
 
 /// Requests of operators at a time.
 const REQUESTS_MAX: usize = 16;
 
+/// Connections of operators at a time.
+const CONNECTIONS_MAX: usize = 64;
+
+/// The size of a request's head.
+const HEADER_BYTES_MAX: usize = 8 * 1024;
+
+/// The time for a request's head to arrive, and for an idle connection.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The answer to a connection over the limit.
+const TURNED_AWAY: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
 /// The time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -50,6 +66,7 @@
 
 /// Serves operators for as long as the process lives.
 pub(crate) async fn serve(listener: TcpListener, app: App) {
+    let counters = Arc::clone(&app.metrics);
     let app = Arc::new(app);
     let limits = ServiceBuilder::new()
         .layer(HandleErrorLayer::new(|_: BoxError| async {
@@ -66,8 +83,20 @@
         .layer(limits)
         .layer(middleware::from_fn_with_state(Arc::clone(&app), authorise))
         .with_state(app);
-    // `axum::serve` never returns an error.
-    drop(axum::serve(listener, router).await);
+    let limits = Limits {
+        connections_max: CONNECTIONS_MAX,
+        header_bytes_max: HEADER_BYTES_MAX,
+        header_timeout: HEADER_TIMEOUT,
+        turned_away: Bytes::from_static(TURNED_AWAY),
+    };
+    let events = move |event| {
+        if event == Event::TurnedAway {
+            counters.edge(Edge::OperatorConnectionRefused);
+        }
+    };
+    // Operators watch a planned stop to its end.
+    let (_open, never) = watch::channel(false);
+    listener::serve(listener, router, limits, events, never).await;
 }
 
 async fn authorise(State(app): State<Arc<App>>, req: Request, next: Next) -> Response {
--- a/crates/bulrushtrestled/src/platform/mod.rs
+++ b/crates/bulrushtrestled/src/platform/mod.rs
@@ -6,6 +6,8 @@
 mod http;
 mod log;
 mod target;
+#[cfg(test)]
+mod tests;
 mod vms;
 mod weights;
 
--- a/crates/bulrushtrestled/src/platform/target.rs
+++ b/crates/bulrushtrestled/src/platform/target.rs
@@ -35,7 +35,7 @@
 }
 
 #[derive(Deserialize)]
-struct CacheAnswer {
+pub(super) struct CacheAnswer {
     next: u64,
     events: Vec<CacheChange>,
 }
@@ -116,7 +116,7 @@
 }
 
 /// Turns numbered changes into events. A missing number, or numbers that start anew, are a gap.
-fn changes(from: u64, answer: &CacheAnswer) -> Vec<CacheEvent> {
+pub(super) fn changes(from: u64, answer: &CacheAnswer) -> Vec<CacheEvent> {
     let mut events = Vec::with_capacity(answer.events.len());
     let mut expected = from;
     if answer.next < from {
--- a/crates/bulrushtrestled/src/traffic/chat.rs
+++ b/crates/bulrushtrestled/src/traffic/chat.rs
@@ -35,6 +35,8 @@
     delivered: u64,
     /// What is gathered; `None` for a caller that asked for a stream.
     gathered: Option<Gathered>,
+    /// Whether the caller has the beginning of a stream.
+    is_streaming: bool,
 }
 
 #[derive(Debug, Default)]
@@ -104,6 +106,7 @@
         Self {
             delivered: 0,
             gathered: (!stream).then(Gathered::default),
+            is_streaming: false,
         }
     }
 
@@ -112,6 +115,11 @@
         self.delivered
     }
 
+    /// Says whether the caller has the beginning of a stream, which a further attempt can go on with.
+    pub(super) const fn is_streaming(&self) -> bool {
+        self.is_streaming
+    }
+
     /// Makes an attempt, from where the last one ended.
     pub(super) async fn take(&mut self, attempt: &Attempt<'_>, reply: &mut Reply) -> Ended {
         match self.stream(attempt, reply).await {
@@ -173,6 +181,7 @@
         }
         if self.gathered.is_none() && !batch.is_empty() {
             reply.begin(stream_head());
+            self.is_streaming = true;
             reply.send(batch.freeze()).await?;
         }
         self.delivered = taken.delivered;
--- a/crates/bulrushtrestled/src/traffic/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/drive.rs
@@ -85,7 +85,8 @@
         End::Refused(refusal) => {
             guard.armed = false;
             drop(guard);
-            driver.reply.refuse(&refusal, call.stream).await;
+            let is_streaming = driver.chat.is_streaming();
+            driver.reply.refuse(&refusal, is_streaming).await;
         }
         End::Cut => driver.reply.cut().await,
         End::Gone => {}
@@ -188,7 +189,7 @@
                     tokens: self.chat.delivered(),
                 };
                 control.attempt(attempt.id, AttemptEvent::Failed(failure));
-                match self.reply.is_begun() && self.call.service == Service::Plain {
+                match self.reply.is_begun() && !self.chat.is_streaming() {
                     true => Step::End(End::Cut),
                     false => Step::Next(None),
                 }
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -12,7 +12,6 @@
 mod callers;
 mod chat;
 mod drive;
-mod listener;
 mod parse;
 mod plain;
 mod pool;
@@ -27,17 +26,41 @@
 
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::key::Incarnation;
-use bulrushtrestle_core::verdict::Refusal;
+use bulrushtrestle_core::verdict::{Reason, Refusal};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use self::admission::Admission;
-pub(crate) use self::listener::serve;
 use self::pool::Pools;
 use self::progress::Progress;
 use crate::clock::Clock;
 use crate::control::Handle;
-use crate::metrics::Metrics;
+use crate::listener::{self, Event, Limits};
+use crate::metrics::{Edge, Metrics};
 use crate::settings::Settings;
 
+/// Serves callers until `draining` is set, then finishes what is open.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    traffic: Arc<Traffic>,
+    draining: watch::Receiver<bool>,
+) {
+    tokio::spawn(progress::flush(Arc::clone(&traffic)));
+    let cfg = &traffic.settings.callers;
+    let limits = Limits {
+        connections_max: cfg.connections_max,
+        header_bytes_max: cfg.header_bytes_max,
+        header_timeout: cfg.header_timeout,
+        turned_away: refusal::raw(&TURNED_AWAY),
+    };
+    let router = callers::router(Arc::clone(&traffic));
+    let events = move |event| traffic.note(event);
+    listener::serve(listener, router, limits, events, draining).await;
+}
+
+/// The answer to a connection over the limit.
+const TURNED_AWAY: Refusal = Refusal::not_run(Reason::Overloaded, Some(refusal::RETRY_SOON));
+
 /// What all requests share.
 #[derive(Debug)]
 pub(crate) struct Traffic {
@@ -73,6 +96,22 @@
         }
     }
 
+    /// Counts what happens to a connection.
+    fn note(&self, event: Event) {
+        let metrics = &self.metrics;
+        match event {
+            Event::Opened => metrics.connections.inc(),
+            Event::Closed => metrics.connections.dec(),
+            Event::TurnedAway => {
+                metrics.edge(Edge::CallerConnectionRefused);
+                self.refused(TURNED_AWAY);
+            }
+            Event::HeadTimeout => metrics.edge(Edge::CallerHeadTimeout),
+            Event::HeadTooLarge => metrics.edge(Edge::CallerHeadTooLarge),
+            Event::HeadMalformed => metrics.edge(Edge::CallerHeadMalformed),
+        }
+    }
+
     /// Counts a refusal that is decided here rather than by the node, and returns it.
     fn refused(&self, refusal: Refusal) -> Refusal {
         self.metrics.count(Counter::Refused(refusal.reason));
--- a/crates/bulrushtrestled/src/traffic/plain.rs
+++ b/crates/bulrushtrestled/src/traffic/plain.rs
@@ -40,15 +40,15 @@
     let hold_max = attempt.traffic.settings.targets.hold_bytes_max;
     let mut held = BytesMut::new();
     while let Some(piece) = attempt.piece(&mut body, limit).await? {
-        if !reply.is_begun() && held.len() + piece.len() <= hold_max {
-            held.extend_from_slice(&piece);
-            continue;
+        if reply.is_begun() || held.len() + piece.len() > hold_max {
+            reply.begin(caller_head(&head));
+            if !held.is_empty() {
+                reply.send(held.split().freeze()).await?;
+            }
         }
-        reply.begin(caller_head(&head));
-        if !held.is_empty() {
-            reply.send(held.split().freeze()).await?;
-        }
-        reply.send(piece).await?;
+        // The last piece waits until the end is seen: a caller that has all bytes leaves, and must not
+        // be taken for one that left early.
+        held.extend_from_slice(&piece);
     }
     reply.begin(caller_head(&head));
     if !held.is_empty() {
--- a/crates/bulrushtrestled/src/traffic/refusal.rs
+++ b/crates/bulrushtrestled/src/traffic/refusal.rs
@@ -55,6 +55,23 @@
     response
 }
 
+/// Returns the whole answer with its head, for a connection that is closed behind it.
+pub(super) fn raw(refusal: &Refusal) -> Bytes {
+    let document = document(refusal);
+    let status = StatusCode::from_u16(refusal.reason.status())
+        .expect("the status of every reason is a valid status");
+    let mut answer = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/problem+json\r\ncontent-length: {}\r\n\
+         connection: close\r\n",
+        document.len(),
+    );
+    if let Some(after) = refusal.retry_after {
+        answer.push_str(&format!("retry-after: {}\r\n", whole_seconds(after)));
+    }
+    answer.push_str("\r\n");
+    [answer.as_bytes(), &document].concat().into()
+}
+
 /// Returns whole milliseconds.
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
