Limit connections by address, and count only body bytes that arrived

An announced body took its memory at once, so sixty-four callers that send nothing could take all of it from the others; one address could hold every connection. A limit per organisation does not help there, since a connection has no organisation before it asks. A request that was sent again after its caller's task had gone left an entry behind; it is dropped now. All tests of the daemon pass, with one more for HTTP/2 and the limit by address.

--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -57,7 +57,9 @@
             address,
         };
         if !self.decide(dispatch.request, decision) {
+            // Whoever served the request has gone meanwhile.
             self.attempts.remove(&dispatch.attempt);
+            self.decisions.remove(&dispatch.request);
             self.follow_ups
                 .push_back(Input::Cancelled(dispatch.request));
         }
--- a/crates/bulrushtrestled/src/listener.rs
+++ b/crates/bulrushtrestled/src/listener.rs
@@ -3,8 +3,10 @@
 //! A caller that sends next to nothing, or a head without end, is let go in time; connections over the
 //! limit are told so as far as that is cheap, and closed without a word beyond.
 
-use std::sync::Arc;
+use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::Router;
@@ -38,6 +40,8 @@
 pub(crate) struct Limits {
     /// Connections at a time.
     pub(crate) connections_max: usize,
+    /// Connections from one address at a time.
+    pub(crate) per_address_max: usize,
     /// The size of a request's head.
     pub(crate) header_bytes_max: usize,
     /// The time for a request's head to arrive, and for an idle connection.
@@ -72,6 +76,7 @@
     mut draining: watch::Receiver<bool>,
 ) {
     let connections = Arc::new(Semaphore::new(limits.connections_max));
+    let addresses = Addresses::default();
     let turned_away = Arc::new(Semaphore::new(TURNED_AWAY_MAX));
     let server = Arc::new(Server {
         builder: builder(&limits),
@@ -84,16 +89,18 @@
             _ = draining.wait_for(|draining| *draining) => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, from)) = accepted else {
             sleep(ACCEPT_RETRY).await;
             continue;
         };
-        if let Ok(permit) = Arc::clone(&connections).try_acquire_owned() {
+        let permit = Arc::clone(&connections).try_acquire_owned().ok();
+        let share = addresses.take(from.ip(), server.limits.per_address_max);
+        if let (Some(permit), Some(share)) = (permit, share) {
             let server = Arc::clone(&server);
             let draining = draining.clone();
             tokio::spawn(async move {
                 server.serve(stream, draining).await;
-                drop(permit);
+                drop((permit, share));
             });
             continue;
         }
@@ -108,6 +115,49 @@
     }
 }
 
+/// How many connections each address has open.
+#[derive(Debug, Clone, Default)]
+struct Addresses(Arc<Mutex<HashMap<IpAddr, usize>>>);
+
+/// One connection of an address, until this is dropped.
+#[derive(Debug)]
+struct Share {
+    addresses: Addresses,
+    from: IpAddr,
+}
+
+impl Addresses {
+    /// Counts a connection, unless the address has as many as it may.
+    fn take(&self, from: IpAddr, max: usize) -> Option<Share> {
+        let mut open = self.open();
+        let count = open.entry(from).or_default();
+        if *count >= max {
+            return None;
+        }
+        *count += 1;
+        Some(Share {
+            addresses: self.clone(),
+            from,
+        })
+    }
+
+    fn open(&self) -> MutexGuard<'_, HashMap<IpAddr, usize>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        let mut open = self.addresses.open();
+        if let Some(count) = open.get_mut(&self.from) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(&self.from);
+            }
+        }
+    }
+}
+
 /// What serves one connection after the other.
 struct Server<F> {
     router: Router,
--- a/crates/bulrushtrestled/src/operators.rs
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -85,6 +85,7 @@
         .with_state(app);
     let limits = Limits {
         connections_max: CONNECTIONS_MAX,
+        per_address_max: CONNECTIONS_MAX,
         header_bytes_max: HEADER_BYTES_MAX,
         header_timeout: HEADER_TIMEOUT,
         turned_away: Bytes::from_static(TURNED_AWAY),
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -56,6 +56,8 @@
     pub(crate) addresses_valid: Duration,
     /// Connections at a time. Default: 4096.
     pub(crate) connections_max: usize,
+    /// Connections from one address at a time. Default: 2048.
+    pub(crate) per_address_max: usize,
     /// Requests at a time, waiting and running. Default: 10000.
     pub(crate) requests_max: usize,
     /// Requests that may wait for the control thread. Default: 1024.
@@ -179,6 +181,7 @@
             advertise: s.address("advertise")?,
             addresses_valid: s.millis("addresses_valid_ms", 500..=600_000, 30_000)?,
             connections_max: s.int("connections_max", 1..=1_000_000, 4_096)?,
+            per_address_max: s.int("connections_per_address_max", 1..=1_000_000, 2_048)?,
             requests_max: s.int("requests_max", 1..=1_000_000, 10_000)?,
             handover_max: s.int("handover_max", 1..=65_536, 1_024)?,
             header_bytes_max: s.int("header_bytes_max", 8 * KIB..=MIB, 16 * KIB)?,
--- a/crates/bulrushtrestled/src/traffic/callers.rs
+++ b/crates/bulrushtrestled/src/traffic/callers.rs
@@ -248,8 +248,9 @@
         let options = Options::read(&head.headers)?;
         let open = Admission::open(traffic, &identity)?;
         let limit = traffic.settings.callers.body_bytes_max;
-        let expected = expected_bytes(&head.headers, limit)?;
-        let mut memory = Admission::body_memory(traffic, expected)?;
+        check_announced(&head.headers, limit)?;
+        // Only bytes that have arrived count, so that an announcement takes nothing from others.
+        let mut memory = Admission::body_memory(traffic, 0)?;
         let reading = read_body(traffic, body, limit, &mut memory);
         let body = timeout(traffic.settings.callers.body_timeout, reading)
             .await
@@ -265,10 +266,10 @@
     }
 }
 
-/// Returns the announced length of a body, or zero if it is not announced.
-fn expected_bytes(headers: &HeaderMap, limit: usize) -> Result<usize, Refusal> {
+/// Refuses a body that is announced to be too large before any of it is read.
+fn check_announced(headers: &HeaderMap, limit: usize) -> Result<(), Refusal> {
     let Some(length) = headers.get(CONTENT_LENGTH) else {
-        return Ok(0);
+        return Ok(());
     };
     let length: usize = length
         .to_str()
@@ -276,7 +277,7 @@
         .and_then(|text| text.parse().ok())
         .ok_or(malformed())?;
     match length <= limit {
-        true => Ok(length),
+        true => Ok(()),
         false => Err(Refusal::not_run(Reason::TooLarge, None)),
     }
 }
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -49,6 +49,7 @@
     let cfg = &traffic.settings.callers;
     let limits = Limits {
         connections_max: cfg.connections_max,
+        per_address_max: cfg.per_address_max,
         header_bytes_max: cfg.header_bytes_max,
         header_timeout: cfg.header_timeout,
         turned_away: refusal::raw(&TURNED_AWAY),
--- a/crates/bulrushtrestled/tests/answers.rs
+++ b/crates/bulrushtrestled/tests/answers.rs
@@ -135,7 +135,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_caller_that_reads_nothing_is_let_go() {
     let fleet = Fleet::start(Plan {
-        tune: |_, settings| settings["callers"]["unread_timeout_ms"] = json!(500),
+        tune: Box::new(|_, settings| settings["callers"]["unread_timeout_ms"] = json!(500)),
         ..Plan::default()
     })
     .await;
--- a/crates/bulrushtrestled/tests/process.rs
+++ b/crates/bulrushtrestled/tests/process.rs
@@ -150,7 +150,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_planned_stop_ends_by_its_deadline() {
     let mut fleet = Fleet::start(Plan {
-        tune: |_, settings| settings["stop_timeout_ms"] = json!(2_000),
+        tune: Box::new(|_, settings| settings["stop_timeout_ms"] = json!(2_000)),
         engine: engine::Config {
             token_ms: 50,
             ..engine::Config::default()
@@ -208,10 +208,10 @@
     const STRANGERS_MAX: usize = 4;
     let fleet = Fleet::start(Plan {
         routers: 2,
-        tune: |_, settings| {
+        tune: Box::new(|_, settings| {
             settings["peers"]["strangers_max"] = json!(STRANGERS_MAX);
             settings["peers"]["connect_timeout_ms"] = json!(1_000);
-        },
+        }),
         ..Plan::default()
     })
     .await;
--- a/crates/bulrushtrestled/tests/refusals.rs
+++ b/crates/bulrushtrestled/tests/refusals.rs
@@ -147,7 +147,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_requests_are_refused_with_reason_and_verdict() {
     let fleet = Fleet::start(Plan {
-        tune: small_bodies,
+        tune: Box::new(small_bodies),
         ..Plan::default()
     })
     .await;
@@ -176,7 +176,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slow_and_broken_callers_are_let_go() {
     let fleet = Fleet::start(Plan {
-        tune: small_bodies,
+        tune: Box::new(small_bodies),
         ..Plan::default()
     })
     .await;
@@ -354,7 +354,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_router_that_is_full_refuses_and_still_tells_addresses() {
     let fleet = Fleet::start(Plan {
-        tune: |_, settings| settings["callers"]["requests_max"] = json!(1),
+        tune: Box::new(|_, settings| settings["callers"]["requests_max"] = json!(1)),
         engine: engine::Config {
             token_ms: 50,
             ..engine::Config::default()
@@ -381,9 +381,15 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_over_the_limit_are_told_so() {
+    for key in ["connections_max", "connections_per_address_max"] {
+        connections_are_limited(key).await;
+    }
+}
+
+async fn connections_are_limited(key: &'static str) {
     const CONNECTIONS_MAX: usize = 4;
     let fleet = Fleet::start(Plan {
-        tune: |_, settings| settings["callers"]["connections_max"] = json!(CONNECTIONS_MAX),
+        tune: Box::new(move |_, settings| settings["callers"][key] = json!(CONNECTIONS_MAX)),
         ..Plan::default()
     })
     .await;
--- a/crates/bulrushtrestled/tests/support/client.rs
+++ b/crates/bulrushtrestled/tests/support/client.rs
@@ -36,6 +36,14 @@
         Self(client)
     }
 
+    /// Returns a caller that sends all requests over one connection of HTTP/2.
+    pub fn http_2() -> Self {
+        let client = legacy::Client::builder(TokioExecutor::new())
+            .http2_only(true)
+            .build_http();
+        Self(client)
+    }
+
     /// Sends a request and reads its answer to the end.
     pub async fn whole(&self, req: Request<Full<Bytes>>) -> Answer {
         timeout(PATIENCE, self.try_whole(req))
--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -33,6 +33,9 @@
 /// How long anything may take that a test waits for.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Changes the settings of a router, given its number.
+pub type Tune = Box<dyn Fn(u32, &mut Value) + Send>;
+
 /// What a fleet consists of.
 pub struct Plan {
     pub routers: u32,
@@ -40,7 +43,7 @@
     pub plain: plain::Config,
     pub limits: Limits,
     /// Changes the settings of a router, given its number.
-    pub tune: fn(u32, &mut Value),
+    pub tune: Tune,
     /// Slots of each target.
     pub slots: u32,
 }
@@ -52,7 +55,7 @@
             engine: engine::Config::default(),
             plain: plain::Config::default(),
             limits: Limits::default(),
-            tune: |_, _| {},
+            tune: Box::new(|_, _| {}),
             slots: 64,
         }
     }
--- a/crates/bulrushtrestled/tests/whole_path.rs
+++ b/crates/bulrushtrestled/tests/whole_path.rs
@@ -6,7 +6,7 @@
 
 use http::StatusCode;
 use serde_json::json;
-use support::{Fleet, Plan, chat_body};
+use support::{Fleet, Plan, as_organisation, chat_body};
 
 const TOKENS: u32 = 40;
 
@@ -59,6 +59,34 @@
     assert_eq!(fleet.runs().await.keys.get(&key), Some(&1));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_streams_share_one_connection_of_http_2() {
+    const STREAMS: usize = 20;
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    let client = support::client::Client::http_2();
+    let answers = (0..STREAMS).map(|_| {
+        let body = chat_body(TOKENS, true).to_string();
+        client.whole(as_organisation(
+            "POST",
+            router,
+            "/v1/chat/completions",
+            &[],
+            body,
+        ))
+    });
+    for answer in futures::future::join_all(answers).await {
+        assert!(answer.has_end_mark(), "{}", answer.text());
+        assert_eq!(answer.token_numbers().len(), TOKENS as usize);
+    }
+    assert_eq!(
+        fleet
+            .metric(router, "bulrushtrestle_caller_connections")
+            .await,
+        1.0
+    );
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn any_router_tells_addresses() {
     let fleet = Fleet::start(Plan {
