Warm targets up, and keep work from those that leave

Every target was given its full slots at once, from every router, whatever it had shown. Now its owner keeps one limit for the fleet: one for a target that is new, returned, restarted, silent or suddenly slow; at most doubled each second by answers that finish; halved by refusals, late starts and failures. Users tell the owner totals, so that repeated messages add nothing; the owner tells standbys, so that a successor starts with half and not with one. A router that has just started owns nothing until it has heard its peers: without that, a restart during a data centre's outage put 10 requests on a target of 8.

A broken connection allows one request at a time until a report shows whether the target was restarted. One silent connection costs nothing if the target answers on another.

A VM that leaves or vanishes gets no work, also when only one router's list shows it: that router tells the owner, and the owner the users. A list from which most targets vanish at once is not believed.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -26,5 +26,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::rendezvous::{owner, ranking};
+pub use self::rendezvous::{best, owner, ranking};
 pub use self::state::{Config, Members, Peer};
--- a/crates/core/src/membership/rendezvous.rs
+++ b/crates/core/src/membership/rendezvous.rs
@@ -22,6 +22,21 @@
         .max_by_key(|&router| (score(key, router), router))
 }
 
+/// Returns the `count` routers that `key` prefers, the best first, without sorting all others.
+pub fn best(key: u64, routers: impl IntoIterator<Item = RouterId>, count: usize) -> Vec<RouterId> {
+    let mut best: Vec<(u64, RouterId)> = Vec::with_capacity(count + 1);
+    for router in routers {
+        let scored = (score(key, router), router);
+        if best.len() == count && best.last().is_some_and(|last| *last > scored) {
+            continue;
+        }
+        let place = best.partition_point(|other| *other > scored);
+        best.insert(place, scored);
+        best.truncate(count);
+    }
+    best.into_iter().map(|(_, router)| router).collect()
+}
+
 fn score(key: u64, router: RouterId) -> u64 {
     xxh3_64_with_seed(&router.0.to_le_bytes(), key)
 }
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -311,6 +311,11 @@
         self.partners.union(&self.expected).count()
     }
 
+    /// Returns the silence after which a peer counts as dead.
+    pub const fn timeout(&self) -> Duration {
+        self.cfg.timeout
+    }
+
     /// Returns the time between two heartbeats to a partner.
     pub const fn period(&self) -> Duration {
         self.cfg.period
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -1,10 +1,11 @@
 //! What happens to a request at a target.
 
-use crate::input::{AttemptEvent, Failure};
+use crate::input::{AttemptEvent, Failure, FailureKind};
 use crate::node::Node;
 use crate::node::request::Stage;
 use crate::prelude::*;
 use crate::queue::Waiting;
+use crate::target::Sign;
 
 /// A request at a target.
 #[derive(Debug)]
@@ -13,14 +14,32 @@
     pub(super) target: TargetId,
     /// Tokens that were counted as service.
     pub(super) counted: u64,
+    /// When it was sent.
+    pub(super) sent: Time,
+    pub(super) flow: Flow,
+}
+
+/// How far the answer of an attempt has come, as far as the target's health is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Flow {
+    /// Nothing has arrived.
+    Pending,
+    /// Nothing has arrived, and that was counted against the target.
+    Late,
+    /// The answer started then.
+    Started(Time),
+    /// It started then, and has flowed for long enough to count for the target.
+    Flowing(Time),
 }
 
 impl Attempt {
-    pub(super) const fn new(request: RequestId, target: TargetId) -> Self {
+    pub(super) const fn new(request: RequestId, target: TargetId, sent: Time) -> Self {
         Self {
             request,
             target,
             counted: 0,
+            sent,
+            flow: Flow::Pending,
         }
     }
 }
@@ -31,6 +50,7 @@
             self.cx.count(Counter::StaleAttempt);
             return;
         }
+        self.learn(attempt, event);
         match event {
             AttemptEvent::Started => {}
             AttemptEvent::Progress { tokens } => self.count_tokens(attempt, tokens),
@@ -40,6 +60,54 @@
         }
     }
 
+    /// Counts answers that have not started in time against their targets.
+    pub(super) fn note_late_starts(&mut self) {
+        let now = self.cx.now;
+        let start_max = self.cfg.target.start_max;
+        for attempt in self.attempts.values_mut() {
+            if attempt.flow == Flow::Pending && now.since(attempt.sent) >= start_max {
+                attempt.flow = Flow::Late;
+                self.targets
+                    .on_sign(&mut self.cx, attempt.target, Sign::Late);
+            }
+        }
+    }
+
+    /// Lets the health of the target follow what an attempt shows.
+    fn learn(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        let now = self.cx.now;
+        let stream = self.cfg.target.stream;
+        let Some(attempt) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        let target = attempt.target;
+        let unstarted = matches!(attempt.flow, Flow::Pending | Flow::Late);
+        if unstarted && starts(event) {
+            attempt.flow = Flow::Started(now);
+            let after = now.since(attempt.sent);
+            self.targets
+                .on_sign(&mut self.cx, target, Sign::Started { after });
+        }
+        let sign = match (event, attempt.flow) {
+            (AttemptEvent::Started, _) => None,
+            (AttemptEvent::Progress { .. }, Flow::Started(at)) if now.since(at) >= stream => {
+                attempt.flow = Flow::Flowing(at);
+                Some(Sign::Flowing)
+            }
+            (AttemptEvent::Progress { .. }, _) => None,
+            (AttemptEvent::Finished { tokens }, Flow::Started(at) | Flow::Flowing(at)) => {
+                let took = now.since(at);
+                Some(Sign::Finished { took, tokens })
+            }
+            (AttemptEvent::Finished { .. }, _) => None,
+            (AttemptEvent::Declined, _) => Some(Sign::Declined),
+            (AttemptEvent::Failed(failure), _) => Some(failed(failure)),
+        };
+        if let Some(sign) = sign {
+            self.targets.on_sign(&mut self.cx, target, sign);
+        }
+    }
+
     /// Frees what an attempt holds and returns it.
     pub(super) fn end_attempt(&mut self, attempt: AttemptId) -> Option<Attempt> {
         let ended = self.attempts.remove(&attempt)?;
@@ -104,3 +172,21 @@
         }
     }
 }
+
+/// Says whether an event shows that the target has begun to answer.
+const fn starts(event: AttemptEvent) -> bool {
+    matches!(
+        event,
+        AttemptEvent::Started | AttemptEvent::Progress { .. } | AttemptEvent::Finished { .. }
+    )
+}
+
+/// Returns what a failure shows of the target.
+const fn failed(failure: Failure) -> Sign {
+    match failure.kind {
+        FailureKind::Connect | FailureKind::Silent => Sign::Unanswered,
+        FailureKind::Broken if failure.sent => Sign::Broken,
+        FailureKind::Broken => Sign::Unanswered,
+        FailureKind::Truncated | FailureKind::Error | FailureKind::Crossed => Sign::Failed,
+    }
+}
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, lease, membership};
+use crate::{address, lease, membership, target};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -27,6 +27,8 @@
     pub lease: lease::Config,
     /// Settings of the addresses that callers are given.
     pub address: address::Config,
+    /// Settings of the health and limits of targets.
+    pub target: target::Config,
 }
 
 /// Settings of reading the log.
@@ -64,6 +66,7 @@
             membership: membership::Config::default(),
             lease: lease::Config::default(),
             address: address::Config::default(),
+            target: target::Config::default(),
         }
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -19,4 +19,4 @@
 
 pub use self::config::{Config, LogConfig};
 pub use self::state::Node;
-pub use self::status::Status;
+pub use self::status::{Status, TargetStatus};
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -99,11 +99,8 @@
                 self.members.on_heartbeat(self.cx.now, from, heartbeat);
             }
             Part::Catalogue(part) => self.on_catalogue_part(from, part),
-            Part::Share(_)
-            | Part::Slots(_)
-            | Part::Target(_)
-            | Part::Version(_)
-            | Part::Quarantine(_) => {}
+            Part::Target(part) => self.targets.on_part(&mut self.cx, from, &part),
+            Part::Share(_) | Part::Slots(_) | Part::Version(_) | Part::Quarantine(_) => {}
         }
     }
 }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -1,11 +1,13 @@
 //! Matching requests that wait with slots that are free.
 
+use crate::catalogue::TargetView;
 use crate::node::Node;
 use crate::node::attempt::Attempt;
 use crate::node::request::Stage;
 use crate::output::{Dispatch, Output};
 use crate::prelude::*;
 use crate::queue::Waiting;
+use crate::route::{Candidate, Distance, choose};
 
 impl Node {
     /// Dispatches requests as long as there is a slot for the next one.
@@ -14,29 +16,54 @@
             return;
         }
         for pool in self.queues.pools() {
-            while let Some(target) = self.choose(pool) {
+            while self
+                .candidates(pool)
+                .any(|candidate| candidate.used < candidate.part)
+            {
                 let Some(waiting) = self.next(pool) else {
                     break;
                 };
+                let Some(target) = self.choose(pool, waiting.request) else {
+                    break;
+                };
                 self.dispatch(waiting, target);
             }
         }
     }
 
-    fn choose(&self, pool: PoolId) -> Option<TargetId> {
-        let routers = u32::try_from(self.members.live(self.cx.now).count()).unwrap_or(u32::MAX);
+    /// Returns the targets of a pool that may be given work at all.
+    fn candidates(&self, pool: PoolId) -> impl Iterator<Item = Candidate> {
         self.catalogue
             .targets_of(pool)
-            .filter(|target| !target.out)
-            .map(|target| {
-                (
-                    self.slots.free(target.id, target.entry.slots, routers),
-                    target.id,
-                )
+            .filter(|view| self.targets.usable(self.cx.now, view))
+            .map(|view| Candidate {
+                target: view.id,
+                used: self.slots.used(view.id),
+                part: self.targets.part(self.cx.now, view.id),
+                distance: self.distance(&view),
             })
-            .filter(|&(free, _)| free > 0)
-            .max()
-            .map(|(_, target)| target)
+    }
+
+    fn choose(&self, pool: PoolId, request: RequestId) -> Option<TargetId> {
+        let prefix = self.requests.get(&request)?.req.prefix;
+        let salt = request.0 ^ (u64::from(self.cx.me.0) << 32);
+        choose(self.candidates(pool), self.prefixes.holders(prefix), salt)
+    }
+
+    fn distance(&self, view: &TargetView<'_>) -> Distance {
+        let mine = &self.cfg.data_centre;
+        if view.entry.data_centre == *mine {
+            return Distance::Near;
+        }
+        let region = |name: &str| {
+            let (_, entry) = self.catalogue.data_centre_by_name(name)?;
+            Some(entry.region.as_str())
+        };
+        if region(mine) == region(&view.entry.data_centre) {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
     }
 
     fn next(&mut self, pool: PoolId) -> Option<Waiting> {
@@ -68,7 +95,11 @@
         let prompt = Cost::prompt(u64::from(active.req.prompt_tokens));
         self.ledger.charge(active.req.organisation, prompt);
         self.slots.take(target);
-        let state = Attempt::new(waiting.request, target);
+        self.targets.on_dispatch(self.cx.now, target);
+        if let Some(prefix) = active.req.prefix {
+            self.prefixes.store(target, prefix);
+        }
+        let state = Attempt::new(waiting.request, target, self.cx.now);
         self.attempts.insert(attempt, state);
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -18,8 +18,10 @@
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Queues;
+use crate::route::Prefixes;
 use crate::share::Ledger;
 use crate::slots::Slots;
+use crate::target::Targets;
 
 /// A router without its sockets: every decision, and nothing else.
 ///
@@ -54,6 +56,8 @@
     pub(super) ledger: Ledger,
     pub(super) queues: Queues,
     pub(super) slots: Slots,
+    pub(super) targets: Targets,
+    pub(super) prefixes: Prefixes,
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) next_attempt: u64,
@@ -87,6 +91,8 @@
             ledger: Ledger::new(),
             queues: Queues::new(),
             slots: Slots::new(),
+            targets: Targets::new(cfg.me, cfg.target.clone(), now),
+            prefixes: Prefixes::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             next_attempt: 0,
@@ -112,8 +118,15 @@
             Input::Attempt(attempt, event) => self.on_attempt(attempt, event),
             Input::Peer { from, bytes } => self.on_peer(from, &bytes),
             Input::Log(event) => self.on_log(event),
-            Input::Vms(vms) => self.members.on_vms(self.cx.now, &vms),
-            Input::Report(..) | Input::Cache(..) | Input::Ordered(..) => {}
+            Input::Vms(vms) => {
+                self.members.on_vms(self.cx.now, &vms);
+                self.targets.on_vms(&vms);
+            }
+            Input::Report(target, report) => {
+                self.targets.on_report(&mut self.cx, target, report);
+            }
+            Input::Cache(target, events) => self.prefixes.on_events(target, &events),
+            Input::Ordered(..) => {}
             Input::Timer => {}
             Input::Stop { deadline } => self.on_stop(deadline),
         }
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -3,8 +3,10 @@
 use serde::Serialize;
 
 use crate::address;
+use crate::catalogue::TargetView;
 use crate::node::Node;
 use crate::prelude::*;
+use crate::target::Condition;
 
 /// A snapshot of a node's state, for operators.
 #[derive(Debug, Clone, Serialize)]
@@ -25,6 +27,23 @@
     pub live: Vec<RouterId>,
     /// Requests that wait or run.
     pub requests: usize,
+    /// The targets, with what the fleet may have at each of them.
+    pub targets: Vec<TargetStatus>,
+}
+
+/// What operators see of a target.
+#[derive(Debug, Clone, Serialize)]
+pub struct TargetStatus {
+    /// The name.
+    pub name: String,
+    /// Requests that the whole fleet may have at it, as far as this router knows.
+    pub limit: u32,
+    /// Its slots when warm.
+    pub slots: u32,
+    /// Whether it may be given work.
+    pub condition: Condition,
+    /// The router that keeps the limit.
+    pub owner: Option<RouterId>,
 }
 
 impl Node {
@@ -39,9 +58,27 @@
             log_down: self.reader.down,
             live: self.members.live(now).collect(),
             requests: self.requests.len(),
+            targets: self.target_status(now),
         }
     }
 
+    /// Returns the targets whose reports and cache events the embedding should ask for. Polling is
+    /// thus bounded by the targets that a router owns or uses, not by all there are.
+    pub fn watched_targets(&self) -> impl Iterator<Item = TargetId> {
+        self.targets.watched(self.cx.now)
+    }
+
+    fn target_status(&self, now: Time) -> Vec<TargetStatus> {
+        let status = |view: TargetView<'_>| TargetStatus {
+            name: view.entry.name.clone(),
+            limit: self.targets.limit(view.id),
+            slots: view.entry.slots,
+            condition: self.targets.condition(now, &view),
+            owner: self.targets.owner(view.id),
+        };
+        self.catalogue.targets().map(status).collect()
+    }
+
     /// Returns the addresses that a caller of `organisation` should use, the best first.
     pub fn addresses(&self, organisation: OrganisationId) -> Vec<String> {
         address::answer(&self.members, self.cx.now, organisation)
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -18,9 +18,12 @@
             self.catch_up_if_behind();
             self.refresh_if_due();
             self.give_up_expired();
+            self.note_late_starts();
             self.finish_stop();
             self.cx.wake(self.next_tick);
         }
+        self.targets
+            .on_time(&mut self.cx, &self.catalogue, &self.members);
         if self.cx.now >= self.next_frame {
             self.next_frame = self.cx.now + self.members.period();
             self.send_heartbeats();
--- a/crates/core/src/slots/state.rs
+++ b/crates/core/src/slots/state.rs
@@ -16,11 +16,9 @@
         Self::default()
     }
 
-    /// Returns how many slots of a target this router may still use, if its limit is split evenly
-    /// between `routers`.
-    pub fn free(&self, target: TargetId, limit: u32, routers: u32) -> u32 {
-        let part = (limit / routers.max(1)).max(1);
-        part.saturating_sub(self.used.get(&target).copied().unwrap_or(0))
+    /// Returns how many slots of a target this router uses.
+    pub fn used(&self, target: TargetId) -> u32 {
+        self.used.get(&target).copied().unwrap_or(0)
     }
 
     /// Takes a slot.
--- /dev/null
+++ b/crates/core/src/target/tests.rs
@@ -0,0 +1,302 @@
+//! Tests of what one target is trusted with.
+
+use super::health::Health;
+use super::{Cause, Config, Sign};
+use crate::input::Report;
+use crate::prelude::*;
+
+/// What happens to a target of eight slots.
+#[derive(Clone, Copy)]
+enum Step {
+    /// So many answers finish at the usual pace.
+    Finish(u32),
+    /// So many answers finish at five times the usual time.
+    FinishSlowly(u32),
+    Sign(Sign),
+    Report {
+        uptime: u64,
+        running: u32,
+    },
+    /// Milliseconds pass.
+    Wait(u64),
+    Silence,
+    TakeOver(u32),
+}
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    limit: u32,
+    cause: Option<Cause>,
+}
+
+use Step::{Finish, FinishSlowly, Silence, TakeOver, Wait};
+
+const fn report(uptime: u64, running: u32) -> Step {
+    Step::Report { uptime, running }
+}
+
+const WARM: &[Step] = &[
+    report(100, 0),
+    Wait(1_000),
+    Finish(8),
+    Wait(1_000),
+    Finish(8),
+    Wait(1_000),
+    Finish(8),
+    report(103, 8),
+];
+
+const CASES: &[Case] = &[
+    Case {
+        name: "new",
+        steps: &[],
+        limit: 1,
+        cause: Some(Cause::New),
+    },
+    Case {
+        name: "many answers in less than a step",
+        steps: &[Wait(900), Finish(100)],
+        limit: 1,
+        cause: Some(Cause::New),
+    },
+    Case {
+        name: "time without answers",
+        steps: &[Wait(60_000)],
+        limit: 1,
+        cause: Some(Cause::New),
+    },
+    Case {
+        name: "two steps",
+        steps: &[Wait(1_000), Finish(1), Wait(1_000), Finish(2)],
+        limit: 4,
+        cause: Some(Cause::New),
+    },
+    Case {
+        name: "up for long and busy when this router starts",
+        steps: &[report(3_600, 6)],
+        limit: 6,
+        cause: Some(Cause::New),
+    },
+    Case {
+        name: "just up and busy when this router starts",
+        steps: &[report(2, 6)],
+        limit: 1,
+        cause: Some(Cause::New),
+    },
+    Case {
+        name: "taken over from an owner that granted eight",
+        steps: &[TakeOver(8)],
+        limit: 4,
+        cause: Some(Cause::New),
+    },
+];
+
+const CASES_WARM: &[Case] = &[
+    Case {
+        name: "warm",
+        steps: &[],
+        limit: 8,
+        cause: None,
+    },
+    Case {
+        name: "a silent restart",
+        steps: &[Wait(500), report(0, 0)],
+        limit: 1,
+        cause: Some(Cause::Restarted),
+    },
+    Case {
+        name: "a restart between two late reports",
+        steps: &[Wait(300_000), report(200, 8)],
+        limit: 1,
+        cause: Some(Cause::Restarted),
+    },
+    Case {
+        name: "a report that lags a little",
+        steps: &[Wait(3_000), report(104, 8)],
+        limit: 8,
+        cause: None,
+    },
+    Case {
+        name: "a refusal",
+        steps: &[Step::Sign(Sign::Declined)],
+        limit: 4,
+        cause: None,
+    },
+    Case {
+        name: "two refusals of one moment",
+        steps: &[Step::Sign(Sign::Declined), Step::Sign(Sign::Declined)],
+        limit: 4,
+        cause: None,
+    },
+    Case {
+        name: "growth by small steps after a refusal",
+        steps: &[Step::Sign(Sign::Declined), Wait(1_000), Finish(8)],
+        limit: 5,
+        cause: None,
+    },
+    Case {
+        name: "an answer that does not start",
+        steps: &[Step::Sign(Sign::Late)],
+        limit: 4,
+        cause: None,
+    },
+    Case {
+        name: "a start far above what was usual",
+        steps: &[Step::Sign(Sign::Started {
+            after: Duration::from_secs(2),
+        })],
+        limit: 4,
+        cause: None,
+    },
+    Case {
+        name: "a broken connection",
+        steps: &[Step::Sign(Sign::Broken), Wait(500), Finish(8)],
+        limit: 1,
+        cause: None,
+    },
+    Case {
+        name: "a broken connection, and the target was up all the time",
+        steps: &[Step::Sign(Sign::Broken), Wait(1_000), report(104, 7)],
+        limit: 4,
+        cause: None,
+    },
+    Case {
+        name: "a broken connection, and the target was restarted",
+        steps: &[Step::Sign(Sign::Broken), Wait(1_000), report(1, 0)],
+        limit: 1,
+        cause: Some(Cause::Restarted),
+    },
+    Case {
+        name: "one silent connection",
+        steps: &[Step::Sign(Sign::Unanswered), Finish(1)],
+        limit: 8,
+        cause: None,
+    },
+    Case {
+        name: "silent connections with answers on new ones between them",
+        steps: &[
+            Step::Sign(Sign::Unanswered),
+            Finish(1),
+            Step::Sign(Sign::Unanswered),
+            report(104, 8),
+            Step::Sign(Sign::Unanswered),
+        ],
+        limit: 8,
+        cause: None,
+    },
+    Case {
+        name: "silence on every connection",
+        steps: &[Step::Sign(Sign::Unanswered), Step::Sign(Sign::Unanswered)],
+        limit: 1,
+        cause: Some(Cause::Silent),
+    },
+    Case {
+        name: "no report and no answer",
+        steps: &[Wait(5_000), Silence],
+        limit: 1,
+        cause: Some(Cause::Silent),
+    },
+    Case {
+        name: "no report, but answers",
+        steps: &[Wait(5_000), Finish(1), Silence],
+        limit: 8,
+        cause: None,
+    },
+    Case {
+        name: "slow all of a sudden",
+        steps: &[FinishSlowly(3)],
+        limit: 1,
+        cause: Some(Cause::Slow),
+    },
+    Case {
+        name: "a slow answer now and then",
+        steps: &[FinishSlowly(1), Finish(2), FinishSlowly(2), Finish(1)],
+        limit: 8,
+        cause: None,
+    },
+];
+
+fn run(name: &str, steps: impl IntoIterator<Item = Step>) -> Health {
+    let cfg = Config::default();
+    let mut now = Time::from_millis(1_000_000);
+    let mut health = Health::new(now, 8);
+    for step in steps {
+        match step {
+            Finish(answers) => finish(&mut health, now, answers, 1),
+            FinishSlowly(answers) => finish(&mut health, now, answers, 5),
+            Step::Sign(sign) => {
+                health.on_sign(now, &cfg, sign);
+            }
+            Step::Report { uptime, running } => {
+                let report = Report {
+                    running,
+                    waiting: 0,
+                    uptime: Duration::from_secs(uptime),
+                };
+                health.on_report(now, report);
+            }
+            Wait(millis) => now = now + Duration::from_millis(millis),
+            Silence => {
+                health.on_silence(now, &cfg);
+            }
+            TakeOver(told) => health.take_over(now, Some(told)),
+        }
+        assert!((1..=8).contains(&health.limit), "{name}: out of range");
+    }
+    health
+}
+
+fn finish(health: &mut Health, now: Time, answers: u32, factor: u32) {
+    let cfg = Config::default();
+    for _ in 0..answers {
+        let after = Duration::from_millis(100);
+        health.on_sign(now, &cfg, Sign::Started { after });
+        let took = Duration::from_millis(200) * factor;
+        health.on_sign(now, &cfg, Sign::Finished { took, tokens: 10 });
+    }
+}
+
+#[test]
+fn a_limit_starts_at_one_and_follows_what_the_target_shows() {
+    for case in CASES {
+        let health = run(case.name, case.steps.iter().copied());
+        assert_eq!(
+            (health.limit, health.cause),
+            (case.limit, case.cause),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_warm_target_keeps_its_limit_until_it_shows_a_reason() {
+    for case in CASES_WARM {
+        let health = run(case.name, WARM.iter().chain(case.steps).copied());
+        assert_eq!(
+            (health.limit, health.cause),
+            (case.limit, case.cause),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_target_that_does_not_answer_is_held_back_for_longer_each_time() {
+    let cfg = Config::default();
+    let mut now = Time::from_millis(1_000_000);
+    let mut health = Health::new(now, 8);
+    for hold in [100, 200, 400, 800, 1_600, 3_200, 5_000, 5_000] {
+        health.on_sign(now, &cfg, Sign::Unanswered);
+        let end = now + Duration::from_millis(hold);
+        assert!(!health.is_free(end - Duration::from_millis(1)), "{hold}");
+        assert!(health.is_free(end), "{hold}");
+        now = end;
+    }
+    let after = Duration::from_millis(1);
+    health.on_sign(now, &cfg, Sign::Started { after });
+    health.on_sign(now, &cfg, Sign::Unanswered);
+    assert!(health.is_free(now + cfg.hold), "an answer ends the series");
+}
