Give the life of an attempt a duty of its own

Cause: the thin path said "not run" whenever a request expired in its queue, also when an earlier attempt had reached a target; it retried only what was never sent and had no budget.

Change: the duty `attempt` keeps what became of all attempts of a request. The verdict is the worst of all of them. A repeatable stream is resumed after the caller's last token, at the same target on a new connection first, then elsewhere; targets that failed are handed to the pump as a list to avoid. Each retry is paid from a token bucket of the organisation. Positions in events are those in the whole answer, as engines number tokens.

Ruled out: resuming a stream that may not be repeated at its own target. The interface carries no identity of the old stream, so an engine that restarted would run the request a second time.

Figures: 15 points of failure, each repeatable and not, in virtual time; 200 requests to a pool that always fails are bounded to 10 + 15 s + 200 / 10 retries.

Conclusion: the verdict no longer depends on which attempt happened to be the last.

--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -46,14 +46,14 @@
 pub enum AttemptEvent {
     /// The target admitted the request; the first byte of the answer is here.
     Started,
-    /// Further tokens arrived; the number is the total so far of this attempt.
+    /// Further tokens arrived.
     Progress {
-        /// Tokens received so far by this attempt.
+        /// The position in the whole answer, tokens from before a resume included.
         tokens: u64,
     },
     /// The answer arrived whole, end mark or length included.
     Finished {
-        /// Tokens received by this attempt in all.
+        /// The length of the whole answer, tokens from before a resume included.
         tokens: u64,
     },
     /// The target said that it did not start the request.
@@ -69,7 +69,7 @@
     pub kind: FailureKind,
     /// Whether a byte of the request may have reached the target.
     pub sent: bool,
-    /// Tokens that reached the caller before the failure.
+    /// Tokens that the caller has, those from before a resume included.
     pub tokens: u64,
 }
 
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -1,8 +1,10 @@
 //! What happens to a request at a target.
 
-use crate::input::{AttemptEvent, Failure};
+use crate::attempt::{Ending, Limits, Next};
+use crate::input::{AttemptEvent, FailureKind};
 use crate::node::Node;
 use crate::node::request::Stage;
+use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Waiting;
 
@@ -16,11 +18,11 @@
 }
 
 impl Attempt {
-    pub(super) const fn new(request: RequestId, target: TargetId) -> Self {
+    pub(super) const fn new(request: RequestId, target: TargetId, counted: u64) -> Self {
         Self {
             request,
             target,
-            counted: 0,
+            counted,
         }
     }
 }
@@ -35,8 +37,11 @@
             AttemptEvent::Started => {}
             AttemptEvent::Progress { tokens } => self.count_tokens(attempt, tokens),
             AttemptEvent::Finished { tokens } => self.on_finished(attempt, tokens),
-            AttemptEvent::Declined => self.again(attempt, Counter::RetryRefusedByTarget),
-            AttemptEvent::Failed(failure) => self.on_failed(attempt, failure),
+            AttemptEvent::Declined => self.on_ended(attempt, Ending::Declined),
+            AttemptEvent::Failed(failure) => {
+                self.count_tokens(attempt, failure.tokens);
+                self.on_ended(attempt, Ending::Failed(failure));
+            }
         }
     }
 
@@ -55,41 +60,50 @@
         }
     }
 
-    fn on_failed(&mut self, attempt: AttemptId, failure: Failure) {
-        if !failure.sent {
-            self.again(attempt, Counter::RetryNotSent);
-            return;
-        }
-        if let Some(ended) = self.end_attempt(attempt) {
-            self.refuse(
-                ended.request,
-                Refusal::may_have_run(Reason::TargetFailed, None),
-            );
-        }
-    }
-
-    /// Puts a request that certainly did not run back at the front of its queue.
-    fn again(&mut self, attempt: AttemptId, counter: Counter) {
+    fn on_ended(&mut self, attempt: AttemptId, ending: Ending) {
         let Some(ended) = self.end_attempt(attempt) else {
             return;
         };
+        if must_cancel(ending) {
+            self.cx.out.push(Output::Abort(attempt));
+        }
         let Some(active) = self.requests.get_mut(&ended.request) else {
             return;
         };
-        if active.attempts >= self.cfg.attempts_max {
-            let refusal = Refusal::not_run(Reason::NoTarget, Some(Duration::from_secs(1)));
-            self.refuse(ended.request, refusal);
-            return;
+        let limits = Limits {
+            now: self.cx.now,
+            deadline: active.deadline,
+            attempts_max: self.cfg.attempt.attempts_max,
+            organisation: active.req.organisation,
+            budgets: &mut self.budgets,
+        };
+        match active.life.end(ending, limits) {
+            Next::Refuse(refusal) => self.refuse(ended.request, refusal),
+            Next::Retry(counter) => {
+                self.cx.count(counter);
+                self.retry(ended.request);
+            }
         }
+    }
+
+    /// Puts a request back at the front of its queue.
+    fn retry(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
         active.stage = Stage::Waiting;
+        let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
+        let avoid = active.life.wish().avoid;
+        let mut usable = self.catalogue.targets_of(pool).filter(|t| !t.out);
+        if usable.all(|target| avoid.contains(&target.id)) {
+            active.life.forgive();
+        }
         let waiting = Waiting {
-            request: ended.request,
+            request,
             since: active.arrived,
             deadline: active.deadline,
         };
-        let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
         self.queues.push_front(pool, org, class, waiting);
-        self.cx.count(counter);
     }
 
     fn count_tokens(&mut self, attempt: AttemptId, tokens: u64) {
@@ -98,9 +112,20 @@
         };
         let new = tokens.saturating_sub(state.counted);
         state.counted += new;
-        if let Some(active) = self.requests.get(&state.request) {
+        if let Some(active) = self.requests.get_mut(&state.request) {
+            active.life.deliver(tokens);
             self.ledger
                 .charge(active.req.organisation, Cost::tokens(new));
         }
     }
 }
+
+/// Says whether the target may still be working for an attempt that is given up on.
+const fn must_cancel(ending: Ending) -> bool {
+    match ending {
+        Ending::Declined => false,
+        Ending::Failed(failure) => {
+            matches!(failure.kind, FailureKind::Silent | FailureKind::Crossed)
+        }
+    }
+}
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, lease, membership};
+use crate::{address, attempt, lease, membership};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -17,10 +17,10 @@
     pub caller_address: String,
     /// The most requests that this router holds at a time. Default: 10000.
     pub requests_max: usize,
-    /// How often one request is sent to a target at most. Default: 3.
-    pub attempts_max: u32,
     /// Settings of reading the log.
     pub log: LogConfig,
+    /// Settings of attempts and retries.
+    pub attempt: attempt::Config,
     /// Settings of membership.
     pub membership: membership::Config,
     /// Settings of leases.
@@ -59,8 +59,8 @@
             data_centre: String::new(),
             caller_address: String::new(),
             requests_max: 10_000,
-            attempts_max: 3,
             log: LogConfig::default(),
+            attempt: attempt::Config::default(),
             membership: membership::Config::default(),
             lease: lease::Config::default(),
             address: address::Config::default(),
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -1,5 +1,6 @@
 //! Requests that arrive and callers that leave.
 
+use crate::attempt::Life;
 use crate::node::Node;
 use crate::output::Output;
 use crate::prelude::*;
@@ -16,10 +17,7 @@
     pub(super) arrived: Time,
     pub(super) deadline: Time,
     pub(super) stage: Stage,
-    /// How often it was dispatched.
-    pub(super) attempts: u32,
-    /// Tokens that the caller has.
-    pub(super) delivered: u64,
+    pub(super) life: Life,
 }
 
 /// Where a request is on its way.
@@ -58,12 +56,17 @@
         self.cx.count(Counter::Refused(Reason::CallerLeft));
     }
 
-    /// Gives up a request that waits.
+    /// Gives up a request that waits, with the verdict of all its attempts.
     pub(super) fn give_up(&mut self, request: RequestId, reason: Reason) {
         if let Some(active) = self.requests.get(&request) {
+            let refusal = Refusal {
+                verdict: active.life.verdict(),
+                reason,
+                retry_after: Some(RETRY_AFTER),
+            };
             self.queues
                 .remove(active.req.pool, active.req.organisation, request);
-            self.refuse(request, Refusal::not_run(reason, Some(RETRY_AFTER)));
+            self.refuse(request, refusal);
         }
     }
 
@@ -98,6 +101,10 @@
         let now = self.cx.now;
         let patience = now + Duration::from_millis(u64::from(limits.wait_ms));
         let deadline = req.deadline.unwrap_or(Time::MAX).min(patience);
+        if deadline <= now {
+            return Err(busy(Reason::DeadlinePassed));
+        }
+        self.budgets.earn(now, req.organisation);
         let class = req.class.unwrap_or(organisation.class);
         let waiting = Waiting {
             request: req.id,
@@ -110,8 +117,7 @@
             arrived: now,
             deadline,
             stage: Stage::Waiting,
-            attempts: 0,
-            delivered: 0,
+            life: Life::new(req.repeat),
             req,
         };
         self.requests.insert(active.req.id, active);
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::attempt::Budgets;
 use crate::catalogue::Catalogue;
 use crate::input::Input;
 use crate::lease::Leases;
@@ -56,6 +57,7 @@
     pub(super) slots: Slots,
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) budgets: Budgets,
     pub(super) next_attempt: u64,
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
@@ -89,6 +91,7 @@
             slots: Slots::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            budgets: Budgets::new(cfg.attempt.clone()),
             next_attempt: 0,
             sequences: BTreeMap::new(),
             next_tick: now,
--- /dev/null
+++ b/crates/core/tests/attempt.rs
@@ -0,0 +1,288 @@
+//! Every point at which an attempt can break, as the caller sees it.
+
+mod fixture;
+
+use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry};
+use bulrushtrestle_core::input::FailureKind::{self, Broken, Crossed, Error, Silent, Truncated};
+use bulrushtrestle_core::input::{AttemptEvent, Input};
+use bulrushtrestle_core::prelude::*;
+
+use self::fixture::{Fault, Job, Point, Setup, request, setup};
+
+/// What the caller of a request gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Whole,
+    Refused(Verdict, Reason),
+}
+
+struct Case {
+    name: &'static str,
+    /// What goes wrong with the first attempts.
+    faults: Vec<Fault>,
+    repeatable: Outcome,
+    /// Where each attempt at a repeatable request resumes, and whether it goes to the first target.
+    attempts: &'static [(u64, bool)],
+    unkeyed: Outcome,
+}
+
+const ROUTER: RouterId = RouterId(1);
+const TOKENS: u64 = 20;
+const JOB: Job = Job {
+    tokens: TOKENS,
+    token_time: Duration::from_millis(10),
+    crashes: false,
+};
+
+fn fail(kind: FailureKind, point: Point) -> Fault {
+    Fault::Fail(kind, point)
+}
+
+const fn may_have_run(reason: Reason) -> Outcome {
+    Outcome::Refused(Verdict::MayHaveRun, reason)
+}
+
+const fn not_run(reason: Reason) -> Outcome {
+    Outcome::Refused(Verdict::NotRun, reason)
+}
+
+#[test]
+fn the_verdict_is_true_wherever_the_attempt_breaks() {
+    let cases = [
+        Case {
+            name: "no connection",
+            faults: vec![Fault::Connect],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, false)],
+            unkeyed: Outcome::Whole,
+        },
+        Case {
+            name: "no connection anywhere",
+            faults: vec![Fault::Connect; 3],
+            repeatable: not_run(Reason::NoTarget),
+            attempts: &[(0, true), (0, false), (0, false)],
+            unkeyed: not_run(Reason::NoTarget),
+        },
+        Case {
+            name: "declined",
+            faults: vec![Fault::Declined],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, false)],
+            unkeyed: Outcome::Whole,
+        },
+        Case {
+            name: "the write is cut after the first byte",
+            faults: vec![fail(Broken, Point::Write)],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, false)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+        Case {
+            name: "the answer is lost after the effect",
+            faults: vec![fail(Broken, Point::Answer)],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, false)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+        Case {
+            name: "silent from the start",
+            faults: vec![fail(Silent, Point::Answer)],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, true)],
+            unkeyed: may_have_run(Reason::TargetSilent),
+        },
+        Case {
+            name: "broken after the headers",
+            faults: vec![fail(Broken, Point::Headers)],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, false)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+        Case {
+            name: "an error in place of an answer",
+            faults: vec![fail(Error, Point::Headers)],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, false)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+        Case {
+            name: "the answer belongs to another request",
+            faults: vec![fail(Crossed, Point::Headers)],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (0, false)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+        Case {
+            name: "broken after the first token",
+            faults: vec![fail(Broken, Point::Tokens(1))],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (1, true)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+        Case {
+            name: "silent in the middle, and again on the new connection",
+            faults: vec![
+                fail(Silent, Point::Tokens(8)),
+                fail(Silent, Point::Tokens(4)),
+            ],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (8, true), (12, false)],
+            unkeyed: may_have_run(Reason::TargetSilent),
+        },
+        Case {
+            name: "the target dies in the middle and takes no connection",
+            faults: vec![fail(Broken, Point::Tokens(8)), Fault::Connect],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (8, true), (8, false)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+        Case {
+            name: "cut off before the end mark",
+            faults: vec![fail(Truncated, Point::Tokens(TOKENS))],
+            repeatable: Outcome::Whole,
+            attempts: &[(0, true), (TOKENS, true)],
+            unkeyed: may_have_run(Reason::AnswerIncomplete),
+        },
+        Case {
+            name: "cut off by every attempt",
+            faults: vec![fail(Truncated, Point::Tokens(2)); 3],
+            repeatable: may_have_run(Reason::AnswerIncomplete),
+            attempts: &[(0, true), (2, true), (4, false)],
+            unkeyed: may_have_run(Reason::AnswerIncomplete),
+        },
+        Case {
+            name: "declined after an attempt that may have run",
+            faults: vec![fail(Broken, Point::Write), Fault::Declined, Fault::Declined],
+            repeatable: may_have_run(Reason::NoTarget),
+            attempts: &[(0, true), (0, false), (0, false)],
+            unkeyed: may_have_run(Reason::TargetFailed),
+        },
+    ];
+    for case in &cases {
+        check(case, Repeat::Allowed, case.repeatable);
+        check(case, Repeat::Unkeyed, case.unkeyed);
+    }
+}
+
+fn check(case: &Case, repeat: Repeat, expected: Outcome) {
+    let Setup {
+        mut fleet,
+        pool,
+        organisations,
+        ..
+    } = setup(1, 3, 1, 1);
+    fleet.faults.extend(&case.faults);
+    let mut req = request(1, organisations[0], pool);
+    req.repeat = repeat;
+    fleet.submit(ROUTER, req, JOB);
+    fleet.run(Duration::from_secs(5));
+    let at = format!("{}, {repeat:?}", case.name);
+    let outcomes: Vec<Outcome> = fleet
+        .answers
+        .iter()
+        .map(|answer| match answer.refusal {
+            None => Outcome::Whole,
+            Some(refusal) => Outcome::Refused(refusal.verdict, refusal.reason),
+        })
+        .collect();
+    assert_eq!(outcomes, [expected], "{at}");
+    let runs = fleet.runs(ROUTER, RequestId(1));
+    match expected {
+        Outcome::Refused(Verdict::NotRun, _) => assert_eq!(runs, 0, "{at}"),
+        _ if repeat == Repeat::Unkeyed => assert!(runs <= 1, "{at}"),
+        _ => {}
+    }
+    if repeat == Repeat::Allowed {
+        let first = fleet.dispatches[0].2.target;
+        let attempts: Vec<(u64, bool)> = fleet
+            .dispatches
+            .iter()
+            .map(|(_, _, dispatch)| (dispatch.resume_from, dispatch.target == first))
+            .collect();
+        assert_eq!(attempts, case.attempts, "{at}");
+    }
+}
+
+#[test]
+fn events_of_an_attempt_that_is_over_are_dropped_and_counted() {
+    let late = [
+        AttemptEvent::Started,
+        AttemptEvent::Progress { tokens: 999 },
+        AttemptEvent::Finished { tokens: 999 },
+        AttemptEvent::Declined,
+    ];
+    for event in late {
+        let Setup {
+            mut fleet,
+            pool,
+            organisations,
+            ..
+        } = setup(1, 3, 1, 1);
+        fleet.faults.push_back(fail(Silent, Point::Tokens(8)));
+        fleet.submit(ROUTER, request(1, organisations[0], pool), JOB);
+        fleet.run(Duration::from_millis(50));
+        let first = fleet.dispatches[0].2.attempt;
+        for _ in 0..2 {
+            fleet.input(ROUTER, Input::Attempt(first, event));
+        }
+        assert_eq!(fleet.counters[&Counter::StaleAttempt], 2, "{event:?}");
+        assert!(fleet.answers.is_empty(), "{event:?}");
+        fleet.run(Duration::from_secs(5));
+        assert_eq!(fleet.answers.len(), 1, "{event:?}");
+        assert_eq!(fleet.service[&organisations[0]], TOKENS - 8, "{event:?}");
+    }
+}
+
+#[test]
+fn a_failing_pool_meets_no_more_retries_than_the_budget() {
+    let Setup {
+        mut fleet,
+        pool,
+        organisations,
+        targets,
+    } = setup(1, 3, 1, 1);
+    for target in &targets {
+        fleet.engines.get_mut(target).expect("it exists").failing = true;
+    }
+    let requests = 200;
+    for id in 0..requests {
+        fleet.submit(ROUTER, request(id, organisations[0], pool), JOB);
+        fleet.run(Duration::from_millis(50));
+    }
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(fleet.answers.len() as u64, requests);
+    let retries = fleet.dispatches.len() as u64 - requests;
+    let seconds = 15;
+    assert!(retries <= 10 + seconds + requests / 10, "{retries} retries");
+    assert!(fleet.counters[&Counter::Refused(Reason::RetryBudgetSpent)] > 0);
+}
+
+#[test]
+fn a_deadline_that_passes_between_two_attempts_keeps_the_verdict_of_the_first() {
+    let Setup {
+        mut fleet,
+        pool,
+        organisations,
+        ..
+    } = setup(1, 3, 1, 1);
+    let mut req = request(1, organisations[0], pool);
+    req.deadline = Some(fleet.now + Duration::from_secs(2));
+    fleet.submit(ROUTER, req, Job { tokens: 900, ..JOB });
+    fleet.run(Duration::from_millis(100));
+    for (offset, name) in ["a", "b", "c"].into_iter().enumerate() {
+        let entry = Entry::DataCentre(DataCentre {
+            name: name.to_owned(),
+            region: "r".to_owned(),
+            state: DataCentreState::Out,
+        });
+        fleet.publish(entry, Some(Offset(offset as u64)));
+    }
+    fleet.run(Duration::from_millis(500));
+    let target = fleet.dispatches[0].2.target;
+    fleet.crash(target);
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(fleet.dispatches.len(), 1, "no data centre may take it");
+    let refusal = fleet.answers[0].refusal.expect("it was refused");
+    assert_eq!(refusal.reason, Reason::DeadlinePassed);
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+}
