--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -339,8 +339,8 @@
     }
 
     /// Returns the silence after which a peer counts as dead.
-    pub const fn timeout(&self) -> Duration {
-        self.cfg.timeout
+    pub fn timeout(&self) -> Duration {
+        self.contact().timeout
     }
 
     /// Returns the time between two heartbeats to a partner.
--- a/crates/core/src/target/health.rs
+++ b/crates/core/src/target/health.rs
@@ -77,8 +77,11 @@
     Failed,
     /// A connection broke in the middle of an answer.
     Broken,
-    /// No connection could be made, or nothing arrived on one.
+    /// No connection could be made.
     Unanswered,
+    /// Nothing arrived any more on a connection. That alone says nothing of the target: a new
+    /// connection to it is tried before work is kept away.
+    Silent,
 }
 
 /// What one target can bear, as far as one router knows.
@@ -148,7 +151,16 @@
             }
             Sign::Late | Sign::Failed => self.halve(now, cfg),
             Sign::Broken => self.on_broken(now),
-            Sign::Unanswered => return self.on_unanswered(now, cfg),
+            Sign::Unanswered => {
+                self.hold(now, cfg);
+                return self.on_unanswered(now);
+            }
+            Sign::Silent => {
+                if self.unanswered > 0 {
+                    self.hold(now, cfg);
+                }
+                return self.on_unanswered(now);
+            }
         }
         None
     }
@@ -278,9 +290,8 @@
         self.cool(now, Cause::Slow)
     }
 
-    fn on_unanswered(&mut self, now: Time, cfg: &Config) -> Option<Cause> {
+    fn on_unanswered(&mut self, now: Time) -> Option<Cause> {
         self.unanswered += 1;
-        self.hold(now, cfg);
         if self.unanswered < UNANSWERED_RUN || self.cause == Some(Cause::Silent) {
             return None;
         }
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -46,6 +46,9 @@
     leaving_told: BTreeMap<TargetId, Time>,
     out: BTreeSet<String>,
     live: Vec<RouterId>,
+    /// The routers that may use targets: those on the VM list, silent ones included, because a silent
+    /// one may be on the other side of a partition.
+    users: Vec<RouterId>,
     /// When this router started, until it knows who owns what.
     unsettled: Option<Time>,
     next: Time,
@@ -90,6 +93,7 @@
             leaving_told: BTreeMap::new(),
             out: BTreeSet::new(),
             live: Vec::new(),
+            users: Vec::new(),
             unsettled: Some(now),
             next: Time(0),
         }
@@ -125,12 +129,16 @@
     /// even part of it, and what is left over goes to the routers in turn, so that none starves before
     /// a cold target. Nothing is started late in a turn, so that the next one finds the slot free.
     pub fn part(&self, now: Time, target: TargetId) -> u32 {
-        let routers = u32::try_from(self.live.len().max(1)).unwrap_or(u32::MAX);
+        let routers = u32::try_from(self.users.len().max(1)).unwrap_or(u32::MAX);
         let limit = self.limit(target);
         let even = limit / routers;
         let turn = now.as_millis() / TURN_MILLIS + u64::from(target.0);
         let first = u32::try_from(turn % u64::from(routers)).unwrap_or(0);
-        let place = self.live.iter().filter(|&&router| router < self.me).count();
+        let place = self
+            .users
+            .iter()
+            .filter(|&&router| router < self.me)
+            .count();
         let place = u32::try_from(place).unwrap_or(u32::MAX);
         let early = now.as_millis() % TURN_MILLIS < TURN_MILLIS / 4 * 3;
         let in_turn = (place + routers - first) % routers < limit % routers;
@@ -197,7 +205,7 @@
             Sign::Finished { .. } | Sign::Flowing => known.seen.finished += 1,
             Sign::Late | Sign::Declined | Sign::Failed => known.seen.bad += 1,
             Sign::Broken => known.seen.broken += 1,
-            Sign::Started { .. } | Sign::Unanswered => {}
+            Sign::Started { .. } | Sign::Unanswered | Sign::Silent => {}
         }
         let cause = known.health.on_sign(cx.now, &self.cfg, sign);
         known.distrust(cause.is_some() || sign == Sign::Broken);
@@ -352,6 +360,8 @@
     /// Ranks the routers for each target again if the set of live ones has changed.
     fn follow_members(&mut self, now: Time, members: &Members) {
         let live: Vec<RouterId> = members.live(now).collect();
+        let others = members.peers().map(|(id, _)| id);
+        self.users = others.chain([self.me]).collect();
         let listed = members.peers().filter(|(_, peer)| !peer.leaving).count() + 1;
         let lost = listed.saturating_sub(live.len());
         let waits = |since: Time| lost > 0 && now.since(since) < members.timeout();
