--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -5,6 +5,8 @@
 use crate::node::request::Stage;
 use crate::prelude::*;
 use crate::queue::Waiting;
+use crate::share::Bill;
+use crate::slots::Policy;
 
 /// A request at a target.
 #[derive(Debug)]
@@ -13,14 +15,23 @@
     pub(super) target: TargetId,
     /// Tokens that were counted as service.
     pub(super) counted: u64,
+    /// What it was charged.
+    pub(super) bill: Bill,
+    /// Until when its time was charged, for calls of plain services.
+    pub(super) charged_until: Time,
+    /// Where it counts as running.
+    pub(super) runs_as: (PoolId, OrganisationId, Class),
 }
 
 impl Attempt {
-    pub(super) const fn new(request: RequestId, target: TargetId) -> Self {
+    pub(super) fn new(request: RequestId, target: TargetId, now: Time, bill: Bill) -> Self {
         Self {
             request,
             target,
             counted: 0,
+            bill,
+            charged_until: now,
+            runs_as: <(PoolId, OrganisationId, Class)>::default(),
         }
     }
 }
@@ -42,8 +53,15 @@
 
     /// Frees what an attempt holds and returns it.
     pub(super) fn end_attempt(&mut self, attempt: AttemptId) -> Option<Attempt> {
+        self.charge_time(attempt);
         let ended = self.attempts.remove(&attempt)?;
-        self.slots.give_back(ended.target);
+        let (pool, organisation, class) = ended.runs_as;
+        self.ledger.refund(organisation, ended.bill.unused());
+        self.running.remove(pool, organisation, class);
+        self.slots.holder.give_back(ended.target);
+        if self.slots.cfg.policy == Policy::Forwarded {
+            self.slots.holder.return_slot(ended.target);
+        }
         Some(ended)
     }
 
@@ -89,6 +107,7 @@
         };
         let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
         self.queues.push_front(pool, org, class, waiting);
+        self.enter(pool, org);
         self.cx.count(counter);
     }
 
@@ -98,9 +117,6 @@
         };
         let new = tokens.saturating_sub(state.counted);
         state.counted += new;
-        if let Some(active) = self.requests.get(&state.request) {
-            self.ledger
-                .charge(active.req.organisation, Cost::tokens(new));
-        }
+        self.charge_attempt(attempt, Cost::tokens(new));
     }
 }
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, lease, membership};
+use crate::{address, lease, membership, queue, share, slots};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -27,6 +27,12 @@
     pub lease: lease::Config,
     /// Settings of the addresses that callers are given.
     pub address: address::Config,
+    /// Settings of the fairness ledger.
+    pub share: share::Config,
+    /// Settings of the queues.
+    pub queue: queue::Config,
+    /// Settings of slots.
+    pub slots: slots::Config,
 }
 
 /// Settings of reading the log.
@@ -64,6 +70,9 @@
             membership: membership::Config::default(),
             lease: lease::Config::default(),
             address: address::Config::default(),
+            share: share::Config::default(),
+            queue: queue::Config::default(),
+            slots: slots::Config::default(),
         }
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -10,6 +10,8 @@
 mod peer;
 mod pump;
 mod request;
+mod share;
+mod slots;
 mod state;
 mod status;
 mod stop;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -32,7 +32,7 @@
             self.send_heartbeat(from, Vec::new(), true);
         }
         for part in frame.parts {
-            self.on_part(from, part);
+            self.on_part(from, frame.incarnation, part);
         }
     }
 
@@ -72,7 +72,8 @@
 
     /// Sends a frame to every peer that something urgent is due to.
     pub(super) fn flush(&mut self) {
-        for (to, parts) in self.cx.take_due(false) {
+        let everything = core::mem::take(&mut self.flush_all);
+        for (to, parts) in self.cx.take_due(everything) {
             let sequence = self.sequences.entry(to).or_default();
             *sequence += 1;
             self.members.on_sent(self.cx.now, to, *sequence);
@@ -89,7 +90,7 @@
         }
     }
 
-    fn on_part(&mut self, from: RouterId, part: Part) {
+    fn on_part(&mut self, from: RouterId, run: Incarnation, part: Part) {
         match part {
             Part::Heartbeat(heartbeat) => {
                 if heartbeat.wants_rows {
@@ -99,11 +100,9 @@
                 self.members.on_heartbeat(self.cx.now, from, heartbeat);
             }
             Part::Catalogue(part) => self.on_catalogue_part(from, part),
-            Part::Share(_)
-            | Part::Slots(_)
-            | Part::Target(_)
-            | Part::Version(_)
-            | Part::Quarantine(_) => {}
+            Part::Share(part) => self.ledger.on_part(from, run, part),
+            Part::Slots(part) => self.on_slots_part(from, run, part),
+            Part::Target(_) | Part::Version(_) | Part::Quarantine(_) => {}
         }
     }
 }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -3,55 +3,147 @@
 use crate::node::Node;
 use crate::node::attempt::Attempt;
 use crate::node::request::Stage;
+use crate::node::slots::usable;
 use crate::output::{Dispatch, Output};
 use crate::prelude::*;
 use crate::queue::Waiting;
+use crate::slots::Policy;
+
+/// Whose request is next for a pool.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    organisation: OrganisationId,
+    /// The lowest virtual time of all that wait here for the pool.
+    lowest: u64,
+}
+
+/// An organisation that waits for a pool and may run another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Candidate {
+    pub(super) time: u64,
+    pub(super) organisation: OrganisationId,
+    pub(super) weight: u32,
+    pub(super) waiting: usize,
+    urgent: bool,
+}
 
 impl Node {
-    /// Dispatches requests as long as there is a slot for the next one.
+    /// Dispatches requests as long as there is a slot for the next one, and deals with owners about the
+    /// rest.
     pub(super) fn pump(&mut self) {
-        if !self.is_ready() {
-            return;
-        }
-        for pool in self.queues.pools() {
-            while let Some(target) = self.choose(pool) {
-                let Some(waiting) = self.next(pool) else {
-                    break;
-                };
-                self.dispatch(waiting, target);
+        loop {
+            if self.is_ready() {
+                for pool in self.queues.pools() {
+                    self.pump_pool(pool);
+                }
+            }
+            self.deal();
+            if !self.take_own_mail() {
+                break;
             }
         }
     }
 
-    fn choose(&self, pool: PoolId) -> Option<TargetId> {
+    fn pump_pool(&mut self, pool: PoolId) {
+        while let Some(turn) = self.next_turn(pool) {
+            let Some(target) = self.choose(pool, turn.lowest) else {
+                break;
+            };
+            let Some((class, waiting)) = self.queues.pop(self.cx.now, pool, turn.organisation)
+            else {
+                break;
+            };
+            self.dispatch(pool, class, waiting, target);
+        }
+    }
+
+    /// Returns the organisations that wait for a pool and may run another request, the lowest virtual
+    /// time first.
+    pub(super) fn candidates(&self, pool: PoolId) -> Vec<Candidate> {
+        let (now, ageing) = (self.cx.now, self.queues.cfg().ageing);
+        let lanes = self.queues.backlogged(pool);
+        let mut candidates: Vec<Candidate> = lanes
+            .filter_map(|(organisation, lane)| {
+                let entry = self.catalogue.organisation(organisation);
+                let (weight, most) = entry.map_or((1, 1), |e| (e.weight, e.limits.running));
+                let running = self.running.of(organisation);
+                let time = self.ledger.virtual_time(organisation, weight);
+                (running < most).then(|| Candidate {
+                    time: time.saturating_sub(lane.discount),
+                    organisation,
+                    weight,
+                    waiting: lane.len().min((most - running) as usize),
+                    urgent: lane.has_urgent(now, ageing),
+                })
+            })
+            .collect();
+        candidates.sort_unstable();
+        candidates
+    }
+
+    fn next_turn(&mut self, pool: PoolId) -> Option<Turn> {
+        let candidates = self.candidates(pool);
+        let first = *candidates.first()?;
+        self.keep_up(pool, first);
+        let lead = first.time.saturating_add(self.queues.cfg().lead.0);
+        let urgent = candidates
+            .iter()
+            .find(|candidate| candidate.urgent && candidate.time <= lead);
+        let next = match urgent {
+            Some(urgent) if self.running.urgent_is_short(pool, self.queues.cfg().share) => urgent,
+            _ => &first,
+        };
+        Some(Turn {
+            organisation: next.organisation,
+            lowest: first.time,
+        })
+    }
+
+    /// Raises the pool's system virtual time, and lifts an organisation that lags too far behind it.
+    fn keep_up(&mut self, pool: PoolId, first: Candidate) {
+        let floor = self.slots.holder.floor(pool);
+        let seen = floor.map_or(first.time, |floor| floor.min(first.time));
+        self.slots.raise_system(pool, seen);
+        let lowest = self
+            .slots
+            .system(pool)
+            .saturating_sub(self.ledger.cfg().catch_up.0);
+        if first.time < lowest {
+            let to = lowest.saturating_add(self.discount(pool, first.organisation));
+            self.ledger.lift(first.organisation, first.weight, to);
+        }
+    }
+
+    /// Returns the target of a pool that gets the next request, if one may.
+    fn choose(&self, pool: PoolId, lowest: u64) -> Option<TargetId> {
+        if self.slots.cfg.policy == Policy::FixedSplit {
+            return self.choose_of_split(pool);
+        }
+        self.slots
+            .holder
+            .open(self.cx.now, pool)
+            .filter(|&(target, _)| usable(&self.catalogue, target))
+            .filter(|&(target, _)| self.slots.holder.may_use(target, lowest))
+            .max_by_key(|&(target, idle)| (idle, target))
+            .map(|(target, _)| target)
+    }
+
+    fn choose_of_split(&self, pool: PoolId) -> Option<TargetId> {
         let routers = u32::try_from(self.members.live(self.cx.now).count()).unwrap_or(u32::MAX);
         self.catalogue
             .targets_of(pool)
             .filter(|target| !target.out)
             .map(|target| {
-                (
-                    self.slots.free(target.id, target.entry.slots, routers),
-                    target.id,
-                )
+                let part = (target.entry.slots / routers.max(1)).max(1);
+                let used = self.slots.holder.running(target.id);
+                (part.saturating_sub(used), target.id)
             })
             .filter(|&(free, _)| free > 0)
             .max()
             .map(|(_, target)| target)
     }
 
-    fn next(&mut self, pool: PoolId) -> Option<Waiting> {
-        let turn = |org: &OrganisationId| {
-            let weight = self
-                .catalogue
-                .organisation(*org)
-                .map_or(1, |entry| entry.weight);
-            (self.ledger.virtual_time(*org, weight), *org)
-        };
-        let org = self.queues.backlogged(pool).min_by_key(turn)?;
-        self.queues.pop(pool, org)
-    }
-
-    fn dispatch(&mut self, waiting: Waiting, target: TargetId) {
+    fn dispatch(&mut self, pool: PoolId, class: Class, waiting: Waiting, target: TargetId) {
         let Some(active) = self.requests.get_mut(&waiting.request) else {
             return;
         };
@@ -65,10 +157,13 @@
             target,
             resume_from: active.delivered,
         };
-        let prompt = Cost::prompt(u64::from(active.req.prompt_tokens));
-        self.ledger.charge(active.req.organisation, prompt);
-        self.slots.take(target);
-        let state = Attempt::new(waiting.request, target);
+        let (organisation, prompt) = (active.req.organisation, active.req.prompt_tokens);
+        let bill = self.open_bill(organisation, prompt);
+        let owner = self.slots.owners.of(target).map_or(self.cx.me, |(_, o)| o);
+        self.slots.holder.take(target, pool, owner);
+        self.running.add(pool, organisation, class);
+        let mut state = Attempt::new(waiting.request, target, self.cx.now, bill);
+        state.runs_as = (pool, organisation, class);
         self.attempts.insert(attempt, state);
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 use crate::queue::Waiting;
 
-/// The longest wait that is proposed to a caller that is refused for want of capacity.
+/// The wait that is proposed to a caller that is refused for a reason of the router's own.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request from its arrival to its final answer.
@@ -61,9 +61,14 @@
     /// Gives up a request that waits.
     pub(super) fn give_up(&mut self, request: RequestId, reason: Reason) {
         if let Some(active) = self.requests.get(&request) {
-            self.queues
-                .remove(active.req.pool, active.req.organisation, request);
-            self.refuse(request, Refusal::not_run(reason, Some(RETRY_AFTER)));
+            let (pool, organisation) = (active.req.pool, active.req.organisation);
+            let wait = self.queues.retry_after(self.cx.now, organisation);
+            self.queues.remove(pool, organisation, request);
+            let wait = match reason {
+                Reason::DeadlinePassed => wait,
+                _ => Some(RETRY_AFTER),
+            };
+            self.refuse(request, Refusal::not_run(reason, wait));
         }
     }
 
@@ -93,7 +98,8 @@
         }
         let limits = organisation.limits;
         if self.queues.waiting(req.organisation) >= limits.waiting as usize {
-            return Err(busy(Reason::QueueFull));
+            let wait = self.queues.retry_after(self.cx.now, req.organisation);
+            return Err(Refusal::not_run(Reason::QueueFull, wait));
         }
         let now = self.cx.now;
         let patience = now + Duration::from_millis(u64::from(limits.wait_ms));
@@ -104,7 +110,15 @@
             since: now,
             deadline,
         };
-        self.queues.push(req.pool, req.organisation, class, waiting);
+        let (pool, organisation) = (req.pool, req.organisation);
+        let enters = self.queues.lane_mut(pool, organisation).is_none();
+        self.queues.push(pool, organisation, class, waiting);
+        if enters {
+            self.enter(pool, organisation);
+        }
+        if self.queues.next_deadline() == Some(deadline) {
+            self.cx.wake(deadline);
+        }
         let active = Active {
             class,
             arrived: now,
--- /dev/null
+++ b/crates/core/src/node/share.rs
@@ -0,0 +1,96 @@
+//! Counting service as it happens, and telling the fleet.
+
+use crate::catalogue::entry::Service;
+use crate::node::Node;
+use crate::prelude::*;
+use crate::share::Bill;
+use crate::slots::Policy;
+
+impl Node {
+    /// Charges the start of a request.
+    pub(super) fn open_bill(&mut self, organisation: OrganisationId, prompt_tokens: u32) -> Bill {
+        let prompt = Cost::prompt(u64::from(prompt_tokens));
+        let (bill, due) = Bill::open(prompt, self.ledger.cfg().start_charge);
+        self.ledger.charge(organisation, due);
+        bill
+    }
+
+    /// Charges what an attempt used since the last time.
+    pub(super) fn charge_attempt(&mut self, attempt: AttemptId, cost: Cost) {
+        if let Some(state) = self.attempts.get_mut(&attempt) {
+            let (_, organisation, _) = state.runs_as;
+            let due = state.bill.add(cost);
+            self.ledger.charge(organisation, due);
+        }
+    }
+
+    /// Charges the time that calls of plain services have taken so far.
+    pub(super) fn charge_elapsed(&mut self) {
+        let plain = self.attempts.iter().filter(|(_, state)| {
+            let pool = self.catalogue.pool(state.runs_as.0);
+            pool.is_some_and(|pool| pool.service == Service::Plain)
+        });
+        let plain: Vec<AttemptId> = plain.map(|(&attempt, _)| attempt).collect();
+        for attempt in plain {
+            self.charge_time(attempt);
+        }
+    }
+
+    /// Charges the time of one call, if it is of a plain service.
+    pub(super) fn charge_time(&mut self, attempt: AttemptId) {
+        let now = self.cx.now;
+        let Some(state) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        let pool = self.catalogue.pool(state.runs_as.0);
+        if pool.is_some_and(|pool| pool.service == Service::Plain) {
+            let elapsed = now.since(state.charged_until);
+            state.charged_until = now;
+            self.charge_attempt(attempt, Cost::elapsed(elapsed));
+        }
+    }
+
+    /// Notes that an organisation begins to wait for a pool: idle time is not banked, and what it used
+    /// elsewhere does not shut it out.
+    pub(super) fn enter(&mut self, pool: PoolId, organisation: OrganisationId) {
+        let entry = self.catalogue.organisation(organisation);
+        let weight = entry.map_or(1, |entry| entry.weight);
+        let system = self.slots.system(pool);
+        if self.ledger.is_idle(organisation) {
+            self.ledger.lift(organisation, weight, system);
+        }
+        self.ledger.touch(organisation);
+        let highest = system.saturating_add(self.ledger.cfg().ahead.0);
+        let time = self.ledger.virtual_time(organisation, weight);
+        if let Some(lane) = self.queues.lane_mut(pool, organisation) {
+            lane.discount = time.saturating_sub(highest);
+        }
+    }
+
+    /// Returns what is taken off an organisation's virtual time in a pool.
+    pub(super) fn discount(&mut self, pool: PoolId, organisation: OrganisationId) -> u64 {
+        let lane = self.queues.lane_mut(pool, organisation);
+        lane.map_or(0, |lane| lane.discount)
+    }
+
+    /// Tells accountants what changed, and reporters what others counted.
+    pub(super) fn report_service(&mut self) {
+        self.charge_elapsed();
+        for pool in self.queues.pools() {
+            for (organisation, _) in self.queues.backlogged(pool) {
+                self.ledger.touch(organisation);
+            }
+        }
+        let local = matches!(
+            self.slots.cfg.policy,
+            Policy::LocalLedger | Policy::FixedSplit
+        );
+        self.ledger
+            .on_live(self.members.live(self.cx.now).collect());
+        for (to, part) in self.ledger.report() {
+            if !local {
+                self.cx.send(to, Part::Share(part), Urgency::Now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/slots.rs
@@ -0,0 +1,246 @@
+//! Dealing with owners of targets and with those who ask this router for slots.
+
+use std::collections::BTreeSet;
+
+use crate::catalogue::Catalogue;
+use crate::input::Report;
+use crate::node::Node;
+use crate::node::pump::Candidate;
+use crate::prelude::*;
+use crate::slots::Policy;
+use crate::slots::message::{Demand, SlotsPart};
+
+/// Returns how many requests the fleet may have at a target now.
+pub(super) fn limit(catalogue: &Catalogue, target: TargetId) -> u32 {
+    match catalogue.target(target) {
+        Some(view) if usable(catalogue, target) => view.entry.slots,
+        _ => 0,
+    }
+}
+
+/// Says whether a target may be given new work.
+pub(super) fn usable(catalogue: &Catalogue, target: TargetId) -> bool {
+    catalogue.target(target).is_some_and(|view| !view.out)
+}
+
+impl Node {
+    /// Takes over what a peer tells about slots.
+    pub(super) fn on_slots_part(&mut self, from: RouterId, run: Incarnation, part: SlotsPart) {
+        let now = self.cx.now;
+        match part {
+            SlotsPart::Ask(ask) => {
+                let me = self.cx.incarnation;
+                self.slots.owner.on_ask(now, (from, run), ask, me);
+            }
+            SlotsPart::Grants(grants) => {
+                for floor in &grants.floors {
+                    self.slots.raise_system(floor.pool, floor.system);
+                }
+                if !grants.levels.is_empty() {
+                    self.cx.count(Counter::GrantReceived);
+                }
+                let owners = &self.slots.owners;
+                self.slots
+                    .holder
+                    .on_grants((from, run), &grants, |target| owners.of(target));
+            }
+        }
+    }
+
+    /// Takes over a target's report of its load.
+    pub(super) fn on_report(&mut self, target: TargetId, report: Report) {
+        let total = report.running + report.waiting;
+        self.slots.owner.on_report(self.cx.now, target, total);
+    }
+
+    /// Takes over which routers are alive and which targets there are.
+    pub(super) fn watch_owners(&mut self) {
+        let now = self.cx.now;
+        let live: Vec<RouterId> = self.members.live(now).collect();
+        let listed: BTreeSet<RouterId> = self
+            .members
+            .peers()
+            .filter(|(_, peer)| peer.listed)
+            .map(|(id, _)| id)
+            .chain([self.cx.me])
+            .collect();
+        let seen = live.iter().filter(|id| listed.contains(id)).count();
+        self.slots.owner.on_seen(now, seen, listed.len());
+        if self
+            .slots
+            .owners
+            .update(live, self.reader.known, &self.catalogue)
+        {
+            let owned = self.slots.owners.owned_by(self.cx.me);
+            self.slots.owner.on_owned(now, &owned);
+            let owners = &self.slots.owners;
+            self.slots
+                .holder
+                .on_owners(|target| owners.of(target).map(|(_, owner)| owner));
+        }
+    }
+
+    /// Tells every owner how things stand, so that terms go on and lost messages do no harm.
+    pub(super) fn renew_slots(&mut self) {
+        self.slots.owner.lose_silent(self.cx.now);
+        if self.slots.cfg.policy == Policy::FixedSplit {
+            return;
+        }
+        for pool in self.queues.pools() {
+            let asked: Vec<RouterId> = self.slots.holder.asked(pool).map(|(o, _)| o).collect();
+            if let Some(demand) = self.demand(pool) {
+                for owner in asked {
+                    self.slots.holder.want(owner, demand);
+                }
+            }
+        }
+        for owner in self.slots.holder.dealings() {
+            self.send_ask(owner);
+        }
+    }
+
+    /// Returns slots, asks for slots and hands out slots, as far as there is a reason to.
+    pub(super) fn deal(&mut self) {
+        if self.slots.cfg.policy == Policy::FixedSplit {
+            return;
+        }
+        let keep = self.slots.cfg.policy != Policy::Forwarded;
+        self.slots.holder.settle(self.cx.now, keep);
+        if self.is_ready() {
+            self.ask_for_slots();
+        }
+        for owner in self.slots.holder.take_dirty() {
+            self.send_ask(owner);
+        }
+        self.answer_holders();
+    }
+
+    /// Takes in what this router has told itself, and says whether there was anything.
+    pub(super) fn take_own_mail(&mut self) -> bool {
+        let mut any = false;
+        while let Some(part) = self.slots.mail.pop_front() {
+            let (me, run) = (self.cx.me, self.cx.incarnation);
+            self.on_slots_part(me, run, part);
+            any = true;
+        }
+        any
+    }
+
+    fn answer_holders(&mut self) {
+        if !self.slots.owner.has_work() {
+            return;
+        }
+        let (now, catalogue) = (self.cx.now, &self.catalogue);
+        let limit = |target| limit(catalogue, target);
+        self.slots.owner.hand_out(now, limit);
+        for (to, grants, urgency) in self.slots.owner.take_answers(now, limit) {
+            self.send_slots(to, SlotsPart::Grants(grants), urgency);
+        }
+    }
+
+    fn ask_for_slots(&mut self) {
+        let waiting = self.queues.pools();
+        for pool in self.slots.holder.asked_pools() {
+            if !waiting.contains(&pool) {
+                self.slots.holder.want_nothing(pool);
+                self.slots.widen.remove(&pool);
+            }
+        }
+        for pool in waiting {
+            match self.demand(pool) {
+                Some(demand) => self.ask_for(demand),
+                None => self.slots.holder.want_nothing(pool),
+            }
+        }
+    }
+
+    /// Asks more owners, or the same ones again, if what they know is not enough.
+    fn ask_for(&mut self, demand: Demand) {
+        let (now, pool) = (self.cx.now, demand.pool);
+        let asked: Vec<(RouterId, Demand)> = self
+            .slots
+            .holder
+            .asked(pool)
+            .map(|(owner, told)| (owner, *told))
+            .collect();
+        let told: u32 = asked.iter().map(|(_, told)| told.want).sum();
+        let lowest = asked.iter().map(|(_, told)| told.lowest).min();
+        let lower = lowest.is_some_and(|told| demand.lowest + self.slots.cfg.slack.0 < told);
+        let fan = self
+            .slots
+            .owners
+            .of_pool(pool)
+            .len()
+            .min(self.slots.cfg.fan);
+        let due = self.slots.widen.get(&pool).is_some_and(|&at| at <= now);
+        let widen = due && asked.len() < fan;
+        if told >= demand.want && !lower && !widen {
+            return;
+        }
+        let count = if widen {
+            fan
+        } else {
+            let wanted = (demand.want as usize).max(self.slots.cfg.probes);
+            wanted.max(asked.len()).min(fan)
+        };
+        self.slots.widen.remove(&pool);
+        if count < fan {
+            let at = now + self.slots.cfg.probe_wait;
+            self.slots.widen.insert(pool, at);
+            self.cx.wake(at);
+        }
+        for owner in self.pick_owners(pool, asked.iter().map(|(owner, _)| *owner), count) {
+            self.slots.holder.want(owner, demand);
+            self.send_ask(owner);
+        }
+    }
+
+    /// Returns those that were asked before and further owners of the pool, at random.
+    fn pick_owners(
+        &mut self,
+        pool: PoolId,
+        asked: impl Iterator<Item = RouterId>,
+        count: usize,
+    ) -> Vec<RouterId> {
+        let all = self.slots.owners.of_pool(pool);
+        let mut picked: Vec<RouterId> = asked.filter(|owner| all.contains(owner)).collect();
+        let mut others: Vec<RouterId> = all
+            .iter()
+            .copied()
+            .filter(|owner| !picked.contains(owner))
+            .collect();
+        while picked.len() < count && !others.is_empty() {
+            let at = rand::RngExt::random_range(&mut self.cx.rng, 0..others.len());
+            picked.push(others.swap_remove(at));
+        }
+        picked
+    }
+
+    /// Returns what this router wants of a pool, or `None` if nothing that waits may run.
+    fn demand(&self, pool: PoolId) -> Option<Demand> {
+        let candidates = self.candidates(pool);
+        let first: &Candidate = candidates.first()?;
+        let waiting: usize = candidates.iter().map(|candidate| candidate.waiting).sum();
+        let most = self.slots.cfg.want;
+        Some(Demand {
+            pool,
+            want: u32::try_from(waiting).unwrap_or(most).min(most),
+            lowest: first.time,
+            step: self.ledger.cfg().start_charge.0 / u64::from(first.weight.max(1)),
+            system: self.slots.system(pool),
+        })
+    }
+
+    fn send_ask(&mut self, owner: RouterId) {
+        let ask = self.slots.holder.ask(self.cx.now, owner);
+        self.send_slots(owner, SlotsPart::Ask(ask), Urgency::Now);
+    }
+
+    fn send_slots(&mut self, to: RouterId, part: SlotsPart, urgency: Urgency) {
+        if to == self.cx.me {
+            self.slots.mail.push_back(part);
+        } else {
+            self.cx.send(to, Part::Slots(part), urgency);
+        }
+    }
+}
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -17,7 +17,7 @@
 use crate::node::stop::Stopping;
 use crate::output::Output;
 use crate::prelude::*;
-use crate::queue::Queues;
+use crate::queue::{Queues, Running};
 use crate::share::Ledger;
 use crate::slots::Slots;
 
@@ -54,12 +54,14 @@
     pub(super) ledger: Ledger,
     pub(super) queues: Queues,
     pub(super) slots: Slots,
+    pub(super) running: Running,
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) next_attempt: u64,
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
     pub(super) next_frame: Time,
+    pub(super) flush_all: bool,
     pub(super) was_ready: bool,
     pub(super) stopping: Option<Stopping>,
     pub(super) stopped: bool,
@@ -84,15 +86,21 @@
                 cfg.membership.clone(),
             ),
             leases: Leases::new(cfg.lease.clone()),
-            ledger: Ledger::new(),
-            queues: Queues::new(),
-            slots: Slots::new(),
+            ledger: Ledger::new(cfg.me, cfg.incarnation, cfg.share.clone()),
+            queues: Queues::new(cfg.queue.clone()),
+            slots: Slots::new(
+                cfg.incarnation,
+                cfg.slots.clone(),
+                cfg.membership.timeout + cfg.slots.term,
+            ),
+            running: Running::default(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             next_attempt: 0,
             sequences: BTreeMap::new(),
             next_tick: now,
             next_frame: now,
+            flush_all: false,
             was_ready: false,
             stopping: None,
             stopped: false,
@@ -113,7 +121,8 @@
             Input::Peer { from, bytes } => self.on_peer(from, &bytes),
             Input::Log(event) => self.on_log(event),
             Input::Vms(vms) => self.members.on_vms(self.cx.now, &vms),
-            Input::Report(..) | Input::Cache(..) | Input::Ordered(..) => {}
+            Input::Report(target, report) => self.on_report(target, report),
+            Input::Cache(..) | Input::Ordered(..) => {}
             Input::Timer => {}
             Input::Stop { deadline } => self.on_stop(deadline),
         }
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -11,19 +11,23 @@
     /// on a busy router.
     pub(super) fn on_time(&mut self) {
         self.read_if_due();
+        self.give_up_expired();
         if self.cx.now >= self.next_tick {
             self.next_tick = self.cx.now + TICK;
             self.find_silent_peers();
+            self.watch_owners();
             self.watch_currency();
             self.catch_up_if_behind();
             self.refresh_if_due();
-            self.give_up_expired();
             self.finish_stop();
             self.cx.wake(self.next_tick);
         }
         if self.cx.now >= self.next_frame {
             self.next_frame = self.cx.now + self.members.period();
             self.send_heartbeats();
+            self.report_service();
+            self.renew_slots();
+            self.flush_all = true;
         }
     }
 
--- /dev/null
+++ b/crates/core/src/slots/config.rs
@@ -0,0 +1,55 @@
+//! The settings of this duty.
+
+use crate::prelude::*;
+
+/// How slots are handed out.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The way in which slots are shared. Default: [`Policy::Leased`].
+    pub policy: Policy,
+    /// For how long a grant may be used without being renewed. Default: 1.5 s.
+    pub term: Duration,
+    /// The oldest figures in a target's report. Default: 1 s.
+    pub report_lag: Duration,
+    /// For how long a slot that nobody waits for is kept for the next request. Default: 250 ms.
+    pub idle: Duration,
+    /// How far above the floor a slot is still reused. Default: 100 generated tokens.
+    pub slack: Cost,
+    /// The most slots that are asked for at once. Default: 64.
+    pub want: u32,
+    /// How many owners are asked first. Default: 2.
+    pub probes: usize,
+    /// The wait before more owners are asked. Default: 2 ms.
+    pub probe_wait: Duration,
+    /// The most owners that are asked. Default: 16.
+    pub fan: usize,
+}
+
+/// The ways of sharing slots. All but the first serve to be measured against.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Owners hand out slots for a term, ordered by the ledger of the fleet.
+    Leased,
+    /// Every router has an equal part of each target, at least one slot.
+    FixedSplit,
+    /// Owners hand out slots, but each router counts only the service that it gives itself.
+    LocalLedger,
+    /// Every request asks for a slot of its own, which is given back when the request ends.
+    Forwarded,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Leased,
+            term: Duration::from_millis(1_500),
+            report_lag: Duration::from_secs(1),
+            idle: Duration::from_millis(250),
+            slack: Cost::tokens(100),
+            want: 64,
+            probes: 2,
+            probe_wait: Duration::from_millis(2),
+            fan: 16,
+        }
+    }
+}
--- a/crates/core/src/slots/state.rs
+++ b/crates/core/src/slots/state.rs
@@ -1,37 +1,54 @@
-//! The slots that are in use.
+//! Both sides of this duty in one router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::prelude::*;
+use crate::slots::message::SlotsPart;
+use crate::slots::{Config, Holder, Owner, Owners};
 
-/// The slots that this router uses at each target.
-#[derive(Debug, Default)]
+/// What this router holds, owns and asks for.
+#[derive(Debug)]
 pub struct Slots {
-    used: BTreeMap<TargetId, u32>,
+    /// The settings.
+    pub cfg: Config,
+    /// What this router may use.
+    pub holder: Holder,
+    /// What this router hands out.
+    pub owner: Owner,
+    /// Who owns which target.
+    pub owners: Owners,
+    /// What this router tells itself.
+    pub mail: VecDeque<SlotsPart>,
+    /// When more owners are to be asked for a pool.
+    pub widen: BTreeMap<PoolId, Time>,
+    /// The system virtual time of each pool.
+    systems: BTreeMap<PoolId, u64>,
 }
 
 impl Slots {
-    /// Returns slots of which none is used.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Returns how many slots of a target this router may still use, if its limit is split evenly
-    /// between `routers`.
-    pub fn free(&self, target: TargetId, limit: u32, routers: u32) -> u32 {
-        let part = (limit / routers.max(1)).max(1);
-        part.saturating_sub(self.used.get(&target).copied().unwrap_or(0))
+    /// Returns slots of which none is held. `settle` is how long a better sight of the fleet has to
+    /// last before it counts.
+    pub fn new(me: Incarnation, cfg: Config, settle: Duration) -> Self {
+        Self {
+            holder: Holder::new(me, cfg.clone()),
+            owner: Owner::new(cfg.clone(), settle),
+            owners: Owners::default(),
+            mail: VecDeque::new(),
+            widen: BTreeMap::new(),
+            systems: BTreeMap::new(),
+            cfg,
+        }
     }
 
-    /// Takes a slot.
-    pub fn take(&mut self, target: TargetId) {
-        *self.used.entry(target).or_default() += 1;
+    /// Returns the system virtual time of a pool; see [`share`](crate::share).
+    pub fn system(&self, pool: PoolId) -> u64 {
+        let own = self.systems.get(&pool).copied().unwrap_or(0);
+        own.max(self.owner.system(pool))
     }
 
-    /// Gives a slot back.
-    pub fn give_back(&mut self, target: TargetId) {
-        if let Some(used) = self.used.get_mut(&target) {
-            *used = used.saturating_sub(1);
-        }
+    /// Raises the system virtual time of a pool.
+    pub fn raise_system(&mut self, pool: PoolId, to: u64) {
+        let system = self.systems.entry(pool).or_default();
+        *system = to.max(*system);
     }
 }
--- /dev/null
+++ b/crates/core/src/slots/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of this duty.
