Take in the ledger, the queues and slots by grants, joined with warm-up and attempts

Change: the pump asks grants for open targets, the target's health for the limit, the route for the choice and the attempt for what to avoid.

--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -1,12 +1,15 @@
 //! What happens to a request at a target.
 
 use crate::attempt::{Ending, Limits, Next};
+use crate::catalogue::TargetView;
 use crate::input::{AttemptEvent, Failure, FailureKind};
 use crate::node::Node;
 use crate::node::request::Stage;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Waiting;
+use crate::share::Bill;
+use crate::slots::Policy;
 use crate::target::Sign;
 
 /// A request at a target.
@@ -19,6 +22,12 @@
     /// When it was sent.
     pub(super) sent: Time,
     pub(super) flow: Flow,
+    /// What it was charged.
+    pub(super) bill: Bill,
+    /// Until when its time was charged, for calls of plain services.
+    pub(super) charged_until: Time,
+    /// Where it counts as running.
+    pub(super) runs_as: (PoolId, OrganisationId, Class),
 }
 
 /// How far the answer of an attempt has come, as far as the target's health is concerned.
@@ -35,18 +44,16 @@
 }
 
 impl Attempt {
-    pub(super) const fn new(
-        request: RequestId,
-        target: TargetId,
-        counted: u64,
-        sent: Time,
-    ) -> Self {
+    pub(super) fn new(request: RequestId, target: TargetId, now: Time, bill: Bill) -> Self {
         Self {
             request,
             target,
-            counted,
-            sent,
+            counted: 0,
+            sent: now,
             flow: Flow::Pending,
+            bill,
+            charged_until: now,
+            runs_as: <(PoolId, OrganisationId, Class)>::default(),
         }
     }
 }
@@ -120,8 +127,15 @@
 
     /// Frees what an attempt holds and returns it.
     pub(super) fn end_attempt(&mut self, attempt: AttemptId) -> Option<Attempt> {
+        self.charge_time(attempt);
         let ended = self.attempts.remove(&attempt)?;
-        self.slots.give_back(ended.target);
+        let (pool, organisation, class) = ended.runs_as;
+        self.ledger.refund(organisation, ended.bill.unused());
+        self.running.remove(pool, organisation, class);
+        self.slots.holder.give_back(ended.target);
+        if self.slots.cfg.policy == Policy::Forwarded {
+            self.slots.holder.return_slot(ended.target);
+        }
         Some(ended)
     }
 
@@ -140,6 +154,12 @@
         if must_cancel(ending) {
             self.cx.out.push(Output::Abort(attempt));
         }
+        if let Ending::Failed(failure) = ending
+            && failed(failure) == Sign::Broken
+        {
+            let keep = u32::from(self.targets.owner(ended.target) == Some(self.cx.me));
+            self.slots.holder.shrink(ended.target, keep);
+        }
         let Some(active) = self.requests.get_mut(&ended.request) else {
             return;
         };
@@ -166,17 +186,18 @@
         };
         active.stage = Stage::Waiting;
         let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
-        let avoid = active.life.wish().avoid;
-        let mut usable = self.catalogue.targets_of(pool).filter(|t| !t.out);
-        if usable.all(|target| avoid.contains(&target.id)) {
-            active.life.forgive();
-        }
         let waiting = Waiting {
             request,
             since: active.arrived,
             deadline: active.deadline,
         };
+        let avoid = active.life.wish().avoid;
+        let tried = |target: TargetView<'_>| target.out || avoid.contains(&target.id);
+        if self.catalogue.targets_of(pool).all(tried) {
+            active.life.forgive();
+        }
         self.queues.push_front(pool, org, class, waiting);
+        self.enter(pool, org);
     }
 
     fn count_tokens(&mut self, attempt: AttemptId, tokens: u64) {
@@ -187,9 +208,8 @@
         state.counted += new;
         if let Some(active) = self.requests.get_mut(&state.request) {
             active.life.deliver(tokens);
-            self.ledger
-                .charge(active.req.organisation, Cost::tokens(new));
         }
+        self.charge_attempt(attempt, Cost::tokens(new));
     }
 }
 
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, attempt, lease, membership, target};
+use crate::{address, attempt, lease, membership, queue, share, slots, target};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -29,6 +29,12 @@
     pub address: address::Config,
     /// Settings of the health and limits of targets.
     pub target: target::Config,
+    /// Settings of the fairness ledger.
+    pub share: share::Config,
+    /// Settings of the queues.
+    pub queue: queue::Config,
+    /// Settings of slots.
+    pub slots: slots::Config,
 }
 
 /// Settings of reading the log.
@@ -67,6 +73,9 @@
             lease: lease::Config::default(),
             address: address::Config::default(),
             target: target::Config::default(),
+            share: share::Config::default(),
+            queue: queue::Config::default(),
+            slots: slots::Config::default(),
         }
     }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -18,7 +18,7 @@
 use crate::node::stop::Stopping;
 use crate::output::Output;
 use crate::prelude::*;
-use crate::queue::Queues;
+use crate::queue::{Queues, Running};
 use crate::route::Prefixes;
 use crate::share::Ledger;
 use crate::slots::Slots;
@@ -59,6 +59,7 @@
     pub(super) slots: Slots,
     pub(super) targets: Targets,
     pub(super) prefixes: Prefixes,
+    pub(super) running: Running,
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) budgets: Budgets,
@@ -66,6 +67,7 @@
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
     pub(super) next_frame: Time,
+    pub(super) flush_all: bool,
     pub(super) was_ready: bool,
     pub(super) stopping: Option<Stopping>,
     pub(super) stopped: bool,
@@ -90,9 +92,14 @@
                 cfg.membership.clone(),
             ),
             leases: Leases::new(cfg.lease.clone()),
-            ledger: Ledger::new(),
-            queues: Queues::new(),
-            slots: Slots::new(),
+            ledger: Ledger::new(cfg.me, cfg.incarnation, cfg.share.clone()),
+            queues: Queues::new(cfg.queue.clone()),
+            slots: Slots::new(
+                cfg.incarnation,
+                cfg.slots.clone(),
+                cfg.membership.sparse.timeout + cfg.slots.term,
+            ),
+            running: Running::default(),
             targets: Targets::new(cfg.me, cfg.target.clone(), now),
             prefixes: Prefixes::new(),
             requests: BTreeMap::new(),
@@ -102,6 +109,7 @@
             sequences: BTreeMap::new(),
             next_tick: now,
             next_frame: now,
+            flush_all: false,
             was_ready: false,
             stopping: None,
             stopped: false,
@@ -127,6 +135,7 @@
             }
             Input::Report(target, report) => {
                 self.targets.on_report(&mut self.cx, target, report);
+                self.on_report(target, report);
             }
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
--- a/crates/core/src/target/health.rs
+++ b/crates/core/src/target/health.rs
@@ -166,7 +166,7 @@
     }
 
     /// Takes in a report, and says why the target is cold now if it was not before.
-    pub(super) fn on_report(&mut self, now: Time, report: Report) -> Option<Cause> {
+    pub(super) fn on_report(&mut self, now: Time, cfg: &Config, report: Report) -> Option<Cause> {
         let before = self.report.replace((now, report));
         self.unanswered = 0;
         match before {
@@ -177,6 +177,7 @@
             _ => {}
         }
         self.settle_broken(now);
+        self.grow_by_others(now, cfg, report);
         None
     }
 
@@ -314,6 +315,16 @@
         }
     }
 
+    /// Grows with the work of routers out of sight. Without it the owner on one side of a partition would
+    /// find its whole limit used by the other side, and would never see a request finish.
+    fn grow_by_others(&mut self, now: Time, cfg: &Config, report: Report) {
+        let settled = report.uptime >= SETTLED && report.waiting == 0;
+        if settled && report.running >= self.limit {
+            self.finished = self.finished.max(self.limit);
+            self.grow(now, cfg, 0);
+        }
+    }
+
     /// Returns to half of the former limit once a report after a broken connection shows that the
     /// target was up all the time.
     fn settle_broken(&mut self, now: Time) {
@@ -326,6 +337,8 @@
         self.broken = None;
         self.threshold = (before / 2).max(2);
         self.limit = (before / 2).clamp(1, self.slots);
+        self.finished = 0;
+        self.stepped = now;
     }
 }
 
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -209,6 +209,9 @@
         }
         let cause = known.health.on_sign(cx.now, &self.cfg, sign);
         known.distrust(cause.is_some() || sign == Sign::Broken);
+        if sign == Sign::Broken && known.owner() != Some(self.me) {
+            known.tell_owner(cx);
+        }
         report_cold(cx, target, cause);
     }
 
@@ -217,7 +220,7 @@
         let Some(known) = self.known.get_mut(&target) else {
             return;
         };
-        let cause = known.health.on_report(cx.now, report);
+        let cause = known.health.on_report(cx.now, &self.cfg, report);
         known.distrust(cause.is_some());
         report_cold(cx, target, cause);
     }
@@ -460,6 +463,17 @@
         self.rank.first().copied()
     }
 
+    /// Tells the owner at once, because others may still send to a target that was restarted.
+    fn tell_owner(&mut self, cx: &mut Context) {
+        if let Some((owner, seen)) = self.unsent() {
+            let part = TargetPart {
+                seen: vec![seen],
+                ..TargetPart::default()
+            };
+            cx.send(owner, Part::Target(part), Urgency::Now);
+        }
+    }
+
     /// Forgets a limit that the owner told before this router saw the target become cold.
     fn distrust(&mut self, cold: bool) {
         if cold && self.told.is_some() {
--- a/crates/core/src/target/tests.rs
+++ b/crates/core/src/target/tests.rs
@@ -234,7 +234,7 @@
                     waiting: 0,
                     uptime: Duration::from_secs(uptime),
                 };
-                health.on_report(now, report);
+                health.on_report(now, &cfg, report);
             }
             Wait(millis) => now = now + Duration::from_millis(millis),
             Silence => {
