--- a/crates/core/src/node/slots.rs
+++ b/crates/core/src/node/slots.rs
@@ -86,14 +86,6 @@
         if self.slots.cfg.policy == Policy::FixedSplit {
             return;
         }
-        for pool in self.queues.pools() {
-            let asked: Vec<RouterId> = self.slots.holder.asked(pool).map(|(o, _)| o).collect();
-            if let Some(demand) = self.demand(pool) {
-                for owner in asked {
-                    self.slots.holder.want(owner, demand);
-                }
-            }
-        }
         for owner in self.slots.holder.dealings() {
             self.send_ask(owner);
         }
@@ -231,7 +223,14 @@
         })
     }
 
+    /// Tells an owner how things stand. What is wanted goes along as it is now, so that a slot that was
+    /// given back is not granted again by figures of before.
     fn send_ask(&mut self, owner: RouterId) {
+        for pool in self.slots.holder.asked_of(owner) {
+            if let Some(demand) = self.demand(pool) {
+                self.slots.holder.want(owner, demand);
+            }
+        }
         let ask = self.slots.holder.ask(self.cx.now, owner);
         self.send_slots(owner, SlotsPart::Ask(ask), Urgency::Now);
     }
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -42,6 +42,15 @@
         }
     }
 
+    /// Returns the service and the virtual time of an organisation in the whole fleet, as far as this
+    /// router knows.
+    pub fn service(&self, organisation: OrganisationId) -> (Cost, u64) {
+        let entry = self.catalogue.organisation(organisation);
+        let weight = entry.map_or(1, |entry| entry.weight);
+        let time = self.ledger.virtual_time(organisation, weight);
+        (self.ledger.total(organisation), time)
+    }
+
     /// Returns the addresses that a caller of `organisation` should use, the best first.
     pub fn addresses(&self, organisation: OrganisationId) -> Vec<String> {
         address::answer(&self.members, self.cx.now, organisation)
--- a/crates/core/src/slots/holder.rs
+++ b/crates/core/src/slots/holder.rs
@@ -199,6 +199,14 @@
         demands.copied().collect()
     }
 
+    /// Returns the pools for which an owner was asked.
+    pub fn asked_of(&self, owner: RouterId) -> Vec<PoolId> {
+        let dealing = self.owners.get(&owner).into_iter();
+        dealing
+            .flat_map(|dealing| dealing.demands.keys().copied())
+            .collect()
+    }
+
     /// Returns the owners that are to be told of a change at once.
     pub fn take_dirty(&mut self) -> BTreeSet<RouterId> {
         core::mem::take(&mut self.dirty)
--- a/crates/core/tests/fairness.rs
+++ b/crates/core/tests/fairness.rs
@@ -18,18 +18,22 @@
         load.mark();
         let (m, b) = (load.fleet().messages, load.fleet().bytes);
         let d = load.fleet().dispatches.len();
-        load.run(Duration::from_secs(60));
+        load.run(Duration::from_secs(100));
         let (m2, b2) = (load.fleet().messages, load.fleet().bytes);
         println!(
             "uneven {uneven}: worst {:?} util {:.4} overload {} msg/s/router {} B/s/router {} dispatches {} refusals {}",
             load.worst,
             load.utilisation(),
             load.setup.fleet.overload(),
-            (m2 - m) / 8 / 60,
-            (b2 - b) / 8 / 60,
+            (m2 - m) / 8 / 100,
+            (b2 - b) / 8 / 100,
             load.setup.fleet.dispatches.len() - d,
             load.refusals
         );
+        for &o in &load.setup.organisations { 
+            let v: Vec<_> = load.setup.fleet.hosts.values().map(|h| { let (c, t) = h.node.service(o); (c.0/1000, (t-c.0)/1000) }).collect();
+            println!("{o} {} {v:?}", load.setup.fleet.service[&o]);
+        }
         println!(
             "{:?}",
             load.gaps.iter().map(|g| *g as u64).collect::<Vec<_>>()
