--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -242,9 +242,17 @@
 }
 
 /// Returns an address of loopback on which nobody listens now.
+///
+/// It lies below the ports that the system gives to outgoing connections, so that it is still free when
+/// a daemon that was killed starts again.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+    const PORTS: std::ops::Range<u16> = 10_000..30_000;
+    loop {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Appends entries to the log.
@@ -272,24 +280,6 @@
     limits: &Limits,
     slots: u32,
 ) -> Vec<Entry> {
-    let target = |name: &str, pool: &str, address: SocketAddr| {
-        Entry::Target(Target {
-            name: name.to_owned(),
-            vm: 100,
-            address: address.to_string(),
-            data_centre: "a".to_owned(),
-            pool: pool.to_owned(),
-            version: "v1".to_owned(),
-            slots,
-            checks_fence: true,
-        })
-    };
-    let pool = |name: &str, service| {
-        Entry::Pool(Pool {
-            name: name.to_owned(),
-            service,
-        })
-    };
     vec![
         Entry::DataCentre(DataCentre {
             name: "a".to_owned(),
@@ -298,9 +288,8 @@
         }),
         pool("m", Service::Model),
         pool("booking", Service::Plain),
-        pool("empty", Service::Model),
-        target("engine", "m", engine.address()),
-        target("desk", "booking", plain.address()),
+        target("engine", "m", engine.address(), slots),
+        target("desk", "booking", plain.address(), slots),
         Entry::Organisation(Organisation {
             name: "club".to_owned(),
             owner: "the club's board".to_owned(),
@@ -312,20 +301,48 @@
     ]
 }
 
+/// Returns the entries of a further plain service.
+pub fn service(name: &str, address: SocketAddr, slots: u32) -> Vec<Entry> {
+    vec![
+        pool(name, Service::Plain),
+        target(&format!("{name}-1"), name, address, slots),
+    ]
+}
+
+fn pool(name: &str, service: Service) -> Entry {
+    Entry::Pool(Pool {
+        name: name.to_owned(),
+        service,
+    })
+}
+
+fn target(name: &str, pool: &str, address: SocketAddr, slots: u32) -> Entry {
+    Entry::Target(Target {
+        name: name.to_owned(),
+        vm: 100,
+        address: address.to_string(),
+        data_centre: "a".to_owned(),
+        pool: pool.to_owned(),
+        version: "v1".to_owned(),
+        slots,
+        checks_fence: true,
+    })
+}
+
 /// Returns the settings of a router.
 pub fn settings(id: u32, log: SocketAddr, vms: SocketAddr) -> Value {
     json!({
         "router": id,
         "data_centre": "a",
         "stop_timeout_ms": 20_000,
-        "callers": { "listen": free_address().to_string() },
+        "callers": { "listen": free_address().to_string(), "addresses_valid_ms": 1_000 },
         "peers": { "listen": free_address().to_string(), "fleet_key": FLEET_KEY },
         "operators": {
             "listen": free_address().to_string(),
             "tokens_sha256": [hex(&Sha256::digest(OPERATOR_TOKEN))],
         },
         "platform": { "log": log.to_string(), "vms": vms.to_string(), "vms_every_ms": 100 },
-        "targets": { "gap_timeout_ms": 1_000 },
+        "targets": { "gap_timeout_ms": 1_000, "first_timeout_ms": 3_000 },
     })
 }
 
