--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -71,7 +71,8 @@
     up_since: Instant,
     cold_since: Instant,
     steps: u64,
-    /// It is going down and takes nothing in until it is up again.
+    /// It is going down and does nothing until it is up again. What it holds stays until its
+    /// connections are closed, so that no stream ends in order.
     down: bool,
     arrived: Arc<Notify>,
     pub(super) stats: Stats,
@@ -137,9 +138,6 @@
     }
 
     pub(super) fn push(&mut self, sequence: Sequence) {
-        if self.down {
-            return;
-        }
         self.waiting.push_back(sequence);
         self.stats.admitted += 1;
         self.record();
@@ -181,12 +179,12 @@
         while self.running.len() < cfg.slots as usize
             && let Some(sequence) = self.waiting.pop_front()
         {
-            if sequence.crashes {
-                return self.go_down();
-            }
             prompt_tokens += self.take_in(&sequence);
             self.running.push(sequence);
         }
+        if self.running.iter().any(|sequence| sequence.crashes) {
+            return self.go_down();
+        }
         self.record();
         if self.running.is_empty() {
             return Step::Idle;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -250,13 +250,13 @@
     }
 }
 
-/// Serves until the next crash. The connections end with the set that is dropped at the end.
+/// Serves until the next crash, and closes every connection.
 async fn accept_until_crash(listener: &TcpListener, app: &Router, control: &Control) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             biased;
-            () = control.0.crashed.notified() => return,
+            () = control.0.crashed.notified() => break,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
@@ -265,6 +265,7 @@
             }
         }
     }
+    connections.shutdown().await;
 }
 
 async fn rebind(address: SocketAddr) -> TcpListener {
