--- a/crates/standin/examples/standin.rs
+++ b/crates/standin/examples/standin.rs
@@ -47,13 +47,16 @@
     faults: Option<String>,
 }
 
-/// The VM list; PUT /v1/vms sets it.
+/// The VM list; PUT /v1/vms replaces it.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "vms")]
 struct Vms {
     /// where it listens (127.0.0.1:0)
     #[argh(option, default = "loopback()")]
     listen: SocketAddr,
+    /// what it shows at first as JSON, as for PUT /v1/vms (nothing)
+    #[argh(option)]
+    vms: Option<String>,
     /// its faults as JSON, as for PUT /v1/faults
     #[argh(option)]
     faults: Option<String>,
@@ -167,10 +170,18 @@
 
 /// Reads faults as `PUT /v1/faults` does.
 fn parse<F: Default + DeserializeOwned>(faults: Option<&str>) -> Result<F, String> {
-    let Some(text) = faults else {
-        return Ok(F::default());
+    parse_option("--faults", faults)
+}
+
+/// Reads the JSON text of an option, or takes the default.
+fn parse_option<T>(option: &str, text: Option<&str>) -> Result<T, String>
+where
+    T: Default + DeserializeOwned,
+{
+    let Some(text) = text else {
+        return Ok(T::default());
     };
-    serde_json::from_str(text).map_err(|err| format!("--faults: {err}"))
+    serde_json::from_str(text).map_err(|err| format!("{option}: {err}"))
 }
 
 async fn serve<F: Clone>(started: Result<Handle<F>, impl Display>) -> Result<(), String> {
@@ -194,8 +205,8 @@
 async fn run_vms(args: Vms) -> Result<(), String> {
     let cfg = vms::Config {
         listen: args.listen,
+        vms: parse_option::<vms::List>("--vms", args.vms.as_deref())?.vms,
         faults: parse(args.faults.as_deref())?,
-        ..vms::Config::default()
     };
     serve(vms::spawn(cfg).await).await
 }
