Follow a version move as routers show it

The status of a router will show what is known of a move (finished, or taken back by whom and why) and the share of the new version. watch reads that form in place of one of its own.

Lists of objects in a status are shown as tables.

--- a/crates/bulrushctl/src/args/mod.rs
+++ b/crates/bulrushctl/src/args/mod.rs
@@ -90,6 +90,9 @@
     /// the pool whose version moves
     #[argh(positional)]
     pub(crate) pool: String,
+    /// the version that it moves to, to tell a new move from one that ended before (any)
+    #[argh(option)]
+    pub(crate) to: Option<String>,
     /// how long to follow it before giving up (until it ends)
     #[argh(option)]
     pub(crate) within: Option<Span>,
--- a/crates/bulrushctl/src/command.rs
+++ b/crates/bulrushctl/src/command.rs
@@ -31,7 +31,7 @@
     match &args.command {
         Command::Get(get) => show(&args, get, out).await,
         Command::Status(_) => status::run(&router(&args)?, out).await,
-        Command::Watch(watch) => watch::run(&router(&args)?, watch, out).await,
+        Command::Watch(watch) => watch::run(&router(&args)?, watch, args.timeout.0, out).await,
         Command::Check(check) => check::run(&check.file, out),
         Command::Load(args) => load::run(args, out).await,
         _ => edit(args, out).await,
--- a/crates/bulrushctl/src/error.rs
+++ b/crates/bulrushctl/src/error.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Says whether it may be gone by itself in a moment.
+    pub(crate) const fn is_passing(&self) -> bool {
+        matches!(self.0, ErrorKind::Unavailable { .. })
+    }
+
     /// Returns the entry that won, if the error is a conflict.
     pub(crate) const fn winner(&self) -> Option<&Winner> {
         match &self.0 {
--- a/crates/bulrushctl/src/output.rs
+++ b/crates/bulrushctl/src/output.rs
@@ -119,64 +119,80 @@
 
 /// Returns rows as lines with aligned columns.
 pub(crate) fn table<const N: usize>(rows: &[[String; N]]) -> String {
+    let rows: Vec<&[String]> = rows.iter().map(<[String; N]>::as_slice).collect();
+    aligned(&rows, "")
+}
+
+fn aligned(rows: &[&[String]], indent: &str) -> String {
+    let columns = rows.first().map_or(0, |row| row.len());
     let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max();
-    let widths: [usize; N] = std::array::from_fn(|column| width(column).unwrap_or(0));
+    let widths: Vec<usize> = (0..columns)
+        .map(|column| width(column).unwrap_or(0))
+        .collect();
     let mut text = String::new();
     for row in rows {
         let cells = row
             .iter()
-            .zip(widths)
-            .map(|(cell, width)| format!("{cell:width$}"));
+            .zip(&widths)
+            .map(|(cell, &width)| format!("{cell:width$}"));
         let line = cells.collect::<Vec<_>>().join("  ");
-        text.push_str(line.trim_end());
-        text.push('\n');
+        text.push_str(&format!("{indent}{}\n", line.trim_end()));
     }
     text
 }
 
-/// Returns any JSON value as indented lines of names and values.
+/// Returns any JSON value as lines of names and values; a list of objects becomes a table.
 pub(crate) fn outline(value: &Value) -> String {
     let mut text = String::new();
-    outline_into(value, 0, &mut text);
+    outline_into(value, "", &mut text);
     text
 }
 
-fn outline_into(value: &Value, depth: usize, text: &mut String) {
-    let indent = "  ".repeat(depth);
-    match value {
-        Value::Object(fields) => {
-            for (name, value) in fields {
-                outline_field(name, value, depth, text);
+fn outline_into(value: &Value, indent: &str, text: &mut String) {
+    let Value::Object(fields) = value else {
+        text.push_str(&format!("{indent}{}\n", plain(value)));
+        return;
+    };
+    let deeper = format!("{indent}  ");
+    for (name, value) in fields {
+        match value {
+            Value::Array(items) if items.first().is_some_and(Value::is_object) => {
+                text.push_str(&format!(
+                    "{indent}{name}:\n{}",
+                    object_table(items, &deeper)
+                ));
             }
-        }
-        Value::Array(items) => {
-            for item in items {
-                text.push_str(&format!("{indent}-\n"));
-                outline_into(item, depth + 1, text);
+            Value::Array(items) => {
+                let items: Vec<String> = items.iter().map(plain).collect();
+                text.push_str(&format!("{indent}{name}: {}\n", items.join(", ")));
             }
+            Value::Object(_) => {
+                text.push_str(&format!("{indent}{name}:\n"));
+                outline_into(value, &deeper, text);
+            }
+            scalar => text.push_str(&format!("{indent}{name}: {}\n", plain(scalar))),
         }
-        scalar => text.push_str(&format!("{indent}{}\n", plain(scalar))),
     }
 }
 
-fn outline_field(name: &str, value: &Value, depth: usize, text: &mut String) {
-    let indent = "  ".repeat(depth);
-    let is_flat = |items: &[Value]| {
-        items
+/// Returns objects as a table with the fields of the first.
+fn object_table(items: &[Value], indent: &str) -> String {
+    let first = items.first().and_then(Value::as_object);
+    let names: Vec<String> = first
+        .into_iter()
+        .flat_map(|item| item.keys().cloned())
+        .collect();
+    let row = |item: &Value| {
+        names
             .iter()
-            .all(|item| !item.is_object() && !item.is_array())
+            .map(|name| plain(&item[name.as_str()]))
+            .collect()
     };
-    match value {
-        Value::Array(items) if is_flat(items) => {
-            let items: Vec<String> = items.iter().map(plain).collect();
-            text.push_str(&format!("{indent}{name}: {}\n", items.join(", ")));
-        }
-        Value::Object(_) | Value::Array(_) => {
-            text.push_str(&format!("{indent}{name}:\n"));
-            outline_into(value, depth + 1, text);
-        }
-        scalar => text.push_str(&format!("{indent}{name}: {}\n", plain(scalar))),
-    }
+    let cells: Vec<Vec<String>> = items.iter().map(row).collect();
+    let rows: Vec<&[String]> = std::iter::once(names.as_slice())
+        .chain(cells.iter().map(Vec::as_slice))
+        .collect();
+    aligned(&rows, indent)
 }
 
 fn plain(value: &Value) -> String {
--- a/crates/bulrushctl/tests/ctl/command.rs
+++ b/crates/bulrushctl/tests/ctl/command.rs
@@ -1,10 +1,12 @@
 //! Running the command as operators do.
 
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 
 use serde_json::Value;
 use tokio::process::Command;
+use uuid::Uuid;
 
 /// The longest time that one command may take; far more than any needs.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(60);
@@ -47,3 +49,36 @@
         stderr: String::from_utf8(output.stderr).expect("the complaints are text"),
     }
 }
+
+/// A file that is removed in the end.
+pub(crate) struct Temporary(PathBuf);
+
+impl Temporary {
+    /// Returns the name of a file that does not exist yet.
+    pub(crate) fn new() -> Self {
+        Self(std::env::temp_dir().join(format!("bulrushctl-{}", Uuid::now_v7())))
+    }
+
+    /// Returns a file with this content.
+    pub(crate) fn with(content: &str) -> Self {
+        let file = Self::new();
+        std::fs::write(&file.0, content).expect("the temporary directory can be written");
+        file
+    }
+
+    pub(crate) fn path(&self) -> String {
+        self.0.display().to_string()
+    }
+
+    /// Returns what a command has written.
+    pub(crate) fn text(&self) -> String {
+        std::fs::read_to_string(&self.0).expect("the command has written the file")
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        // A file that was never written need not be removed.
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
