Keep the rule for outages of stand-ins in one place

The log, the VM list and the weight store each had the same match over the kind of outage, after the same delay. It stands once now, beside the type; the handlers ask whether a request passes.

--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -3,11 +3,14 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::server::{Connection, hang};
+
 /// Faults that can be changed at run time, and since when they hold.
 #[derive(Debug)]
 pub struct Dial<F>(Arc<Mutex<Setting<F>>>);
@@ -101,3 +104,24 @@
     /// It closes the connection without an answer.
     Close,
 }
+
+impl Outage {
+    /// Lets a request through after a delay, or treats it as the outage says.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the status of the answer if the request is refused.
+    pub(crate) async fn pass(
+        self,
+        connection: &Connection,
+        slow_ms: u64,
+    ) -> Result<(), StatusCode> {
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+        match self {
+            Self::None => Ok(()),
+            Self::Unavailable => Err(StatusCode::SERVICE_UNAVAILABLE),
+            Self::Hang => hang().await,
+            Self::Close => connection.close().await,
+        }
+    }
+}
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 
 use crate::fault::{Dial, Outage, take};
-use crate::server::{Connection, Control, Handle, Server, hang};
+use crate::server::{Connection, Control, Handle, Server};
 
 /// The most records that one read returns.
 const READ_MAX: usize = 10_000;
@@ -164,12 +164,8 @@
     next: axum::middleware::Next,
 ) -> Response {
     let faults = log.faults.get();
-    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
-    match faults.outage {
-        Outage::None => {}
-        Outage::Unavailable => return StatusCode::SERVICE_UNAVAILABLE.into_response(),
-        Outage::Hang => hang().await,
-        Outage::Close => connection.close().await,
+    if let Err(status) = faults.outage.pass(&connection, faults.slow_ms).await {
+        return status.into_response();
     }
     if let Some(token) = &log.cfg.token {
         let given = req
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fault::{Dial, Outage};
-use crate::server::{Connection, Control, Handle, Server, hang};
+use crate::server::{Connection, Control, Handle, Server};
 
 /// The settings of a VM list.
 #[derive(Debug, Clone)]
@@ -109,13 +109,11 @@
     Extension(connection): Extension<Connection>,
 ) -> Response {
     let faults = vms.faults.get();
-    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
-    match faults.outage {
-        Outage::None => Json(vms.shown(Duration::from_millis(faults.lag_ms))).into_response(),
-        Outage::Unavailable => StatusCode::SERVICE_UNAVAILABLE.into_response(),
-        Outage::Hang => hang().await,
-        Outage::Close => connection.close().await,
+    if let Err(status) = faults.outage.pass(&connection, faults.slow_ms).await {
+        return status.into_response();
     }
+    let lag = Duration::from_millis(faults.lag_ms);
+    Json(vms.shown(lag)).into_response()
 }
 
 async fn replace(State(vms): State<Arc<Vms>>, Json(list): Json<List>) -> StatusCode {
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fault::{Dial, Outage};
-use crate::server::{Connection, Control, Handle, Server, hang};
+use crate::server::{Connection, Control, Handle, Server};
 
 /// The window of the rate limit.
 const WINDOW: Duration = Duration::from_secs(60);
@@ -94,12 +94,8 @@
     Path((model, version)): Path<(String, String)>,
 ) -> Response {
     let faults = store.faults.get();
-    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
-    match faults.outage {
-        Outage::None => {}
-        Outage::Unavailable => return StatusCode::SERVICE_UNAVAILABLE.into_response(),
-        Outage::Hang => hang().await,
-        Outage::Close => connection.close().await,
+    if let Err(status) = faults.outage.pass(&connection, faults.slow_ms).await {
+        return status.into_response();
     }
     match store.wait_before_read() {
         None => Json(Weights { model, version }).into_response(),
