Write the operators' page of bulrushctl, with examples that are run

A page whose examples have rotted is worse than none, so a test takes every command of the page in order, against the log stand-in and a router of the tests' own, and wants exit code 0 and a change. The example files of entries and of an experiment are the ones that it runs.

--- a/crates/bulrushctl/tests/ctl/command.rs
+++ b/crates/bulrushctl/tests/ctl/command.rs
@@ -1,6 +1,6 @@
 //! Running the command as operators do.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 
@@ -31,11 +31,18 @@
 
 /// Runs the command to its end.
 pub(crate) async fn bulrushctl(args: &[&str]) -> Ran {
+    bulrushctl_in(&std::env::temp_dir(), &[], args).await
+}
+
+/// Runs the command to its end in a directory and with variables of the environment.
+pub(crate) async fn bulrushctl_in(dir: &Path, variables: &[(&str, String)], args: &[&str]) -> Ran {
     let output = Command::new(env!("CARGO_BIN_EXE_bulrushctl"))
         .args(args)
+        .current_dir(dir)
         .env_remove("BULRUSHCTL_LOG")
         .env_remove("BULRUSHCTL_ROUTER")
         .env("USER", "ann")
+        .envs(variables.iter().map(|(name, value)| (name, value)))
         .stdin(Stdio::null())
         .kill_on_drop(true)
         .output();
--- a/crates/bulrushctl/tests/ctl/main.rs
+++ b/crates/bulrushctl/tests/ctl/main.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod command;
+mod docs;
 mod edit;
 mod fake;
 mod load;
