--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -338,6 +338,11 @@
         self.partners.len()
     }
 
+    /// Returns the silence after which a peer counts as dead.
+    pub fn timeout(&self) -> Duration {
+        self.contact().timeout
+    }
+
     /// Returns the time between two heartbeats to a partner.
     pub fn period(&self) -> Duration {
         self.contact().period
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -5,6 +5,7 @@
 use bulrushtrestle_core::catalogue::entry::{
     DataCentre, DataCentreState, Entry, Kind, Pool, Service,
 };
+use bulrushtrestle_core::input::Vm;
 use bulrushtrestle_core::prelude::*;
 
 use self::fixture::{Fleet, Job, Setup, request, setup, setup_with};
@@ -395,6 +396,9 @@
                 fleet.submit(router, request(self.sent, organisation, pool), job);
             }
             fleet.run(Duration::from_millis(100));
+            let hosts = &fleet.hosts;
+            let ended = |vm: &Vm| hosts.get(&RouterId(vm.id)).is_some_and(|host| !host.up);
+            fleet.vms.retain(|vm| !ended(vm));
         }
     }
 }
