Resume streams, cancel lost attempts by name, ask watched targets only

Progress and ends of attempts now tell the position in the whole answer, as the node expects. An attempt that fell silent or crossed is cancelled by its name at an engine, since closing its connection need not get through; to a plain service the same path would be a call, so it is not sent there. Reports are read of the targets that the node watches. Streams cut after ten tokens now reach the caller whole, each token once; the tests ask for that instead of an honest refusal.

--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -86,7 +86,7 @@
         self.note(Note::Attempt(attempt, event));
     }
 
-    /// Tells how many tokens attempts have received.
+    /// Tells how far the answers of attempts have come.
     pub(crate) fn progress(&self, tokens: Vec<(AttemptId, u64)>) {
         self.note(Note::Progress(tokens));
     }
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -5,7 +5,7 @@
 
 use bulrushtrestle_core::catalogue::entry::{Limits, Service};
 use bulrushtrestle_core::input::AttemptEvent;
-use bulrushtrestle_core::key::{AttemptId, Fingerprint, OrganisationId, RequestId};
+use bulrushtrestle_core::key::{AttemptId, Fingerprint, Incarnation, OrganisationId, RequestId};
 use bulrushtrestle_core::request::{Class, Repeat};
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::Refusal;
@@ -92,6 +92,22 @@
     pub(crate) prefix: Option<Fingerprint>,
 }
 
+/// The names by which targets know attempts, distinct in the whole fleet.
+#[derive(Debug, Clone)]
+pub(crate) struct AttemptNames(String);
+
+impl AttemptNames {
+    /// Returns the names of a router's run.
+    pub(crate) fn new(router: u32, incarnation: Incarnation) -> Self {
+        Self(format!("{router}-{:x}", incarnation.0))
+    }
+
+    /// Returns the name of an attempt.
+    pub(crate) fn name(&self, attempt: AttemptId) -> String {
+        format!("{}-{}", self.0, attempt.0)
+    }
+}
+
 /// What is decided about a request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Decision {
@@ -115,7 +131,7 @@
     Cancelled(RequestId),
     /// Something was learnt about an attempt.
     Attempt(AttemptId, AttemptEvent),
-    /// Tokens received by attempts so far.
+    /// How far the answers of attempts have come.
     Progress(Vec<(AttemptId, u64)>),
     /// The process was asked to stop.
     Stop,
--- a/crates/bulrushtrestled/src/control/mod.rs
+++ b/crates/bulrushtrestled/src/control/mod.rs
@@ -17,5 +17,5 @@
 mod watch;
 
 pub(crate) use self::handle::Handle;
-pub(crate) use self::message::{Arrival, Decision, Identity};
+pub(crate) use self::message::{Arrival, AttemptNames, Decision, Identity};
 pub(crate) use self::run::{Control, Receivers, channels};
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -1,23 +1,22 @@
 //! Carrying out what the node asks for.
 
+use std::net::SocketAddr;
+
+use bulrushtrestle_core::catalogue::entry::Service;
 use bulrushtrestle_core::input::{AttemptEvent, Failure, FailureKind, Input};
-use bulrushtrestle_core::key::{Fence, RequestId, TargetId};
+use bulrushtrestle_core::key::{AttemptId, Fence, RequestId, TargetId};
 use bulrushtrestle_core::output::{Dispatch, Order, Output};
 use bulrushtrestle_core::verdict::Refusal;
 
 use crate::control::message::Decision;
-use crate::control::run::Control;
-use crate::platform::HttpTarget;
+use crate::control::run::{Attempt, Control};
+use crate::platform::{HttpTarget, Target};
 
 impl Control {
     pub(super) fn carry_out(&mut self, output: Output) {
         match output {
             Output::Dispatch(dispatch) => self.dispatch(dispatch),
-            Output::Abort(attempt) => {
-                if let Some(request) = self.attempts.remove(&attempt) {
-                    self.decide(request, Decision::Abort(attempt));
-                }
-            }
+            Output::Abort(attempt) => self.abort(attempt),
             Output::Refuse(request, refusal) => self.refuse(request, refusal),
             Output::Peer { to, bytes } => self.peers.send(to, bytes),
             Output::Append { id, bytes } => self.log.append(id, bytes),
@@ -39,9 +38,7 @@
     }
 
     fn dispatch(&mut self, dispatch: Dispatch) {
-        let target = self.node.catalogue().target(dispatch.target);
-        let address = target.and_then(|target| target.entry.address.parse().ok());
-        let Some(address) = address else {
+        let Some((address, service)) = self.address(dispatch.target) else {
             let failed = AttemptEvent::Failed(Failure {
                 kind: FailureKind::Connect,
                 sent: false,
@@ -51,7 +48,13 @@
                 .push_back(Input::Attempt(dispatch.attempt, failed));
             return;
         };
-        self.attempts.insert(dispatch.attempt, dispatch.request);
+        let attempt = Attempt {
+            request: dispatch.request,
+            address,
+            service,
+            has_failed: false,
+        };
+        self.attempts.insert(dispatch.attempt, attempt);
         let decision = Decision::Dispatch {
             attempt: dispatch.attempt,
             address,
@@ -65,6 +68,34 @@
         }
     }
 
+    /// Returns where a target is and what it is.
+    fn address(&self, id: TargetId) -> Option<(SocketAddr, Service)> {
+        let catalogue = self.node.catalogue();
+        let target = catalogue.target(id)?;
+        let (_, pool) = catalogue.pool_by_name(&target.entry.pool)?;
+        Some((target.entry.address.parse().ok()?, pool.service))
+    }
+
+    /// Stops an attempt. Closing its connection cancels it at the target; one that has failed already
+    /// may run on behind a connection that leads nowhere, so it is cancelled by name.
+    fn abort(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        self.decide(attempt.request, Decision::Abort(id));
+        // To a plain service the same path would be a call like any other.
+        if !attempt.has_failed || attempt.service != Service::Model {
+            return;
+        }
+        let target = HttpTarget {
+            http: self.http.clone(),
+            address: attempt.address,
+        };
+        let name = self.names.name(id);
+        // A target that does not answer has been given up on anyway.
+        tokio::task::spawn_local(async move { target.cancel(&name).await });
+    }
+
     fn refuse(&mut self, request: RequestId, refusal: Refusal) {
         self.decide(request, Decision::Refuse(refusal));
         self.decisions.remove(&request);
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -1,6 +1,7 @@
 //! The loop of the control thread.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,7 +22,7 @@
 use crate::clock::Clock;
 use crate::control::handle::Handle;
 use crate::control::log::LogPump;
-use crate::control::message::{Addresses, Arrival, Ask, Decision, Identity, Note};
+use crate::control::message::{Addresses, Arrival, Ask, AttemptNames, Decision, Identity, Note};
 use crate::control::orders::Orders;
 use crate::control::peers::{self, Peers};
 use crate::control::watch::{Reports, Watched, watch_vms};
@@ -54,6 +55,17 @@
     (Handle::new(asks, notes), receivers)
 }
 
+/// An attempt under way.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Attempt {
+    pub(super) request: RequestId,
+    pub(super) address: SocketAddr,
+    /// What the target is.
+    pub(super) service: Service,
+    /// Whether it failed and the node is just deciding what follows.
+    pub(super) has_failed: bool,
+}
+
 /// Everything that the control thread holds.
 #[derive(Debug)]
 pub(crate) struct Control {
@@ -63,8 +75,9 @@
     pub(super) journal: Journal,
     /// Where decisions about a request go, from its arrival to its final answer.
     pub(super) decisions: HashMap<RequestId, mpsc::UnboundedSender<Decision>>,
-    /// The request of each attempt under way.
-    pub(super) attempts: HashMap<AttemptId, RequestId>,
+    /// The attempts under way.
+    pub(super) attempts: HashMap<AttemptId, Attempt>,
+    pub(super) names: AttemptNames,
     pub(super) wakes: BTreeSet<Time>,
     /// Inputs that follow from carrying out outputs.
     pub(super) follow_ups: VecDeque<Input>,
@@ -90,6 +103,7 @@
         clock: Clock,
         metrics: &Arc<Metrics>,
         listener: TcpListener,
+        names: AttemptNames,
         stopped: watch::Sender<bool>,
     ) -> Self {
         let (sender, inputs) = mpsc::unbounded_channel();
@@ -132,6 +146,7 @@
             journal: Journal::new(),
             decisions: HashMap::new(),
             attempts: HashMap::new(),
+            names,
             wakes: BTreeSet::new(),
             follow_ups: VecDeque::new(),
             log: LogPump::start(log, sender.clone(), Arc::clone(metrics)),
@@ -239,18 +254,21 @@
     }
 
     fn on_attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        if let (AttemptEvent::Failed(_), Some(failed)) = (event, self.attempts.get_mut(&attempt)) {
+            failed.has_failed = true;
+        }
+        self.handle(Input::Attempt(attempt, event));
         match event {
             AttemptEvent::Started | AttemptEvent::Progress { .. } => {}
             AttemptEvent::Finished { .. } => {
-                if let Some(request) = self.attempts.remove(&attempt) {
-                    self.decisions.remove(&request);
+                if let Some(finished) = self.attempts.remove(&attempt) {
+                    self.decisions.remove(&finished.request);
                 }
             }
             AttemptEvent::Declined | AttemptEvent::Failed(_) => {
                 self.attempts.remove(&attempt);
             }
         }
-        self.handle(Input::Attempt(attempt, event));
     }
 
     /// Answers a traffic thread. Who asked may have left meanwhile; then nobody takes the answer.
@@ -328,7 +346,8 @@
     /// Returns the targets whose reports are read.
     fn watched(&self) -> Vec<Watched> {
         let catalogue = self.node.catalogue();
-        let targets = catalogue.targets().filter_map(|target| {
+        let targets = self.node.watched_targets().filter_map(|id| {
+            let target = catalogue.target(id)?;
             let (_, pool) = catalogue.pool_by_name(&target.entry.pool)?;
             Some(Watched {
                 id: target.id,
--- a/crates/bulrushtrestled/src/platform/mod.rs
+++ b/crates/bulrushtrestled/src/platform/mod.rs
@@ -50,6 +50,9 @@
     /// Returns changes of the prefix cache since a number, and the number to go on from.
     async fn cache_events(&self, from: u64) -> Result<(Vec<CacheEvent>, u64), Unanswered>;
 
+    /// Cancels an attempt by its name, if the target still runs it.
+    async fn cancel(&self, attempt: &str);
+
     /// Gives an order. A target that does not check fencing numbers is read back.
     async fn order(&self, order: &Order, fence: Fence, checks_fence: bool) -> OrderEvent;
 }
--- a/crates/bulrushtrestled/src/platform/target.rs
+++ b/crates/bulrushtrestled/src/platform/target.rs
@@ -47,6 +47,11 @@
     evicted: Option<String>,
 }
 
+#[derive(Serialize)]
+struct CancelRequest<'a> {
+    attempt: &'a str,
+}
+
 #[derive(Serialize)]
 struct OrderRequest<'a> {
     fence: u64,
@@ -83,6 +88,15 @@
         Ok((changes(from, &answer), answer.next))
     }
 
+    async fn cancel(&self, attempt: &str) {
+        let content = CancelRequest { attempt };
+        let sent = self
+            .http
+            .post(self.address, "/v1/cancel", &content, POLL_TIMEOUT);
+        // Plain services know no cancelling, and there is no further way to stop a call.
+        drop(sent.await);
+    }
+
     async fn order(&self, order: &Order, fence: Fence, checks_fence: bool) -> OrderEvent {
         let content = OrderRequest {
             fence: fence.0,
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::clock::Clock;
-use crate::control::{self, Control};
+use crate::control::{self, AttemptNames, Control};
 use crate::logging::Journal;
 use crate::metrics::Metrics;
 use crate::operators;
@@ -86,6 +86,7 @@
     Journal::new().line("listening", &listeners.describe()?);
 
     let (handle, receivers) = control::channels(settings.callers.handover_max);
+    let names = AttemptNames::new(settings.router, incarnation);
     let (stopped, mut has_stopped) = watch::channel(false);
     let (ended, has_ended) = oneshot::channel::<()>();
     let control = ControlThread {
@@ -94,6 +95,7 @@
         clock,
         config: node_config(&settings, incarnation, callers_address),
         listener: listeners.peers,
+        names: names.clone(),
         stopped,
         receivers,
     };
@@ -110,7 +112,7 @@
         handle.clone(),
         Arc::clone(&metrics),
         clock,
-        incarnation,
+        names,
     ));
     tokio::spawn(traffic::serve(
         listeners.callers,
@@ -212,6 +214,7 @@
     clock: Clock,
     config: Config,
     listener: std::net::TcpListener,
+    names: AttemptNames,
     stopped: watch::Sender<bool>,
     receivers: control::Receivers,
 }
@@ -232,6 +235,7 @@
                 self.clock,
                 &self.metrics,
                 listener,
+                self.names,
                 self.stopped,
             );
             control.run(self.receivers).await;
--- a/crates/bulrushtrestled/src/traffic/chat.rs
+++ b/crates/bulrushtrestled/src/traffic/chat.rs
@@ -151,10 +151,7 @@
             }
             if self.delivered > begun {
                 limit = attempt.gap_timeout();
-                attempt
-                    .traffic
-                    .progress
-                    .note(attempt.id, self.delivered - begun);
+                attempt.traffic.progress.note(attempt.id, self.delivered);
             }
         }
     }
--- a/crates/bulrushtrestled/src/traffic/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/drive.rs
@@ -146,7 +146,6 @@
             id,
             address,
         };
-        let before = self.chat.delivered();
         let answer = async {
             match self.call.service {
                 Service::Model => self.chat.take(&attempt, &mut self.reply).await,
@@ -162,15 +161,15 @@
             ended = answer => ended,
         };
         self.traffic.progress.forget(id);
-        self.settle(&attempt, ended, before)
+        self.settle(&attempt, ended)
     }
 
     /// Tells the node how an attempt ended.
-    fn settle(&self, attempt: &Attempt<'_>, ended: Ended, before: u64) -> Step {
+    fn settle(&self, attempt: &Attempt<'_>, ended: Ended) -> Step {
         let control = &self.traffic.control;
         match ended {
             Ended::Whole => {
-                let tokens = self.chat.delivered() - before;
+                let tokens = self.chat.delivered();
                 control.attempt(attempt.id, AttemptEvent::Finished { tokens });
                 Step::End(End::Answered)
             }
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -25,7 +25,6 @@
 use std::sync::Arc;
 
 use bulrushtrestle_core::counter::Counter;
-use bulrushtrestle_core::key::Incarnation;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -34,7 +33,7 @@
 use self::pool::Pools;
 use self::progress::Progress;
 use crate::clock::Clock;
-use crate::control::Handle;
+use crate::control::{AttemptNames, Handle};
 use crate::listener::{self, Event, Limits};
 use crate::metrics::{Edge, Metrics};
 use crate::settings::Settings;
@@ -72,8 +71,7 @@
     admission: Admission,
     pools: Pools,
     progress: Progress,
-    /// What makes the fleet's attempts distinct: the router and this run of it.
-    attempt_prefix: String,
+    names: AttemptNames,
 }
 
 impl Traffic {
@@ -83,13 +81,13 @@
         control: Handle,
         metrics: Arc<Metrics>,
         clock: Clock,
-        incarnation: Incarnation,
+        names: AttemptNames,
     ) -> Self {
         Self {
             admission: Admission::new(&settings.callers, Arc::clone(&metrics)),
             pools: Pools::new(settings.targets.clone()),
             progress: Progress::default(),
-            attempt_prefix: format!("{}-{:x}", settings.router, incarnation.0),
+            names,
             settings,
             control,
             metrics,
--- a/crates/bulrushtrestled/src/traffic/progress.rs
+++ b/crates/bulrushtrestled/src/traffic/progress.rs
@@ -16,14 +16,14 @@
 /// Maps that threads fill at the same time.
 const SHARDS: usize = 8;
 
-/// Tokens received by attempts since the last message.
+/// Positions in the answers of attempts that moved since the last message.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
     shards: [Mutex<HashMap<AttemptId, u64>>; SHARDS],
 }
 
 impl Progress {
-    /// Notes how many tokens an attempt has received in all.
+    /// Notes how far the answer of an attempt has come, tokens from before a resume included.
     pub(super) fn note(&self, attempt: AttemptId, tokens: u64) {
         self.shard(attempt).insert(attempt, tokens);
     }
