Ask the new owner when the owner of a target has died

Cause: a router counted what it had asked of a dead owner as asked, so it never asked the one that took over; with one target nobody was served any more. Ruled out: the waiting time of the new owner (8.5 s at most), its sight of the fleet (2 of 3 hand out everything of a limit of one), lost slots. Change: what was wanted of former owners is forgotten when owners change. Also the process tests' routers listen on IP numbers of their own, since one start in eight runs of the file failed when ports were drawn from one range. Conclusion: mended.

--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -9,7 +9,8 @@
 pub mod client;
 pub mod daemon;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry, Limits};
@@ -241,18 +242,17 @@
         .unwrap_or_else(|_| panic!("in {PATIENCE:?} it did not come true that {what}"));
 }
 
-/// Returns an address of loopback on which nobody listens now.
+/// Returns an address of loopback that no other test uses.
 ///
-/// It lies below the ports that the system gives to outgoing connections, so that it is still free when
-/// a daemon that was killed starts again.
+/// Each one has an IP number of its own, made of the process and a count. A port that was only looked at
+/// could be taken by another test before the daemon listens on it.
 pub fn free_address() -> SocketAddr {
-    const PORTS: std::ops::Range<u16> = 10_000..30_000;
-    loop {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    const PORT: u16 = 9_000;
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = NEXT.fetch_add(1, Ordering::Relaxed);
+    // 127.0.0.0/16 is left to everyone else.
+    SocketAddr::from(([127, high | 0x80, low, host], PORT))
 }
 
 /// Appends entries to the log.
--- a/crates/core/src/node/slots.rs
+++ b/crates/core/src/node/slots.rs
@@ -63,6 +63,9 @@
             self.slots
                 .holder
                 .on_owners(|target| owners.of(target).map(|(_, owner)| owner));
+            self.slots
+                .holder
+                .forget_former(|owner, pool| owners.of_pool(pool).contains(&owner));
         }
     }
 
--- a/crates/core/src/slots/holder.rs
+++ b/crates/core/src/slots/holder.rs
@@ -191,6 +191,13 @@
         }
     }
 
+    /// Forgets what was wanted of routers that are no longer owners in the pool, so that others are asked.
+    pub fn forget_former(&mut self, is_owner: impl Fn(RouterId, PoolId) -> bool) {
+        for (&owner, dealing) in &mut self.owners {
+            dealing.demands.retain(|&pool, _| is_owner(owner, pool));
+        }
+    }
+
     /// Returns the owners that were asked for a pool, with what they were asked for.
     pub fn asked(&self, pool: PoolId) -> impl Iterator<Item = (RouterId, &Demand)> {
         self.owners.iter().filter_map(move |(&owner, dealing)| {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -30,3 +30,33 @@
     assert!(fleet.answers.iter().all(|answer| answer.refusal.is_none()));
     assert_eq!(fleet.overload(), 0);
 }
+
+/// Within this time the slots of a router that died are in use again; the users' "few seconds", twice: to
+/// notice the death and to wait out what it granted.
+const RECOVERED: Duration = Duration::from_secs(10);
+
+#[test]
+fn the_slots_of_a_dead_router_are_in_use_again_in_time() {
+    let job = Job {
+        tokens: 20,
+        token_time: Duration::from_millis(10),
+        crashes: false,
+    };
+    for dead in 1..=3 {
+        let Setup {
+            mut fleet,
+            pool,
+            organisations,
+            ..
+        } = setup(3, 1, 1, 1);
+        fleet.kill(RouterId(dead));
+        let alive: Vec<u32> = (1..=3).filter(|&router| router != dead).collect();
+        for &router in &alive {
+            let req = request(u64::from(router), organisations[0], pool);
+            fleet.submit(RouterId(router), req, job);
+        }
+        fleet.run(RECOVERED);
+        let served = fleet.answers.iter().filter(|a| a.refusal.is_none()).count();
+        assert_eq!(served, alive.len(), "{dead} is dead");
+    }
+}
