--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -25,7 +25,6 @@
 use std::sync::Arc;
 
 use bulrushtrestle_core::counter::Counter;
-use bulrushtrestle_core::key::Incarnation;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -34,7 +33,7 @@
 use self::pool::Pools;
 use self::progress::Progress;
 use crate::clock::Clock;
-use crate::control::Handle;
+use crate::control::{AttemptNames, Handle};
 use crate::listener::{self, Event, Limits};
 use crate::metrics::{Edge, Metrics};
 use crate::settings::Settings;
@@ -49,6 +48,7 @@
     let cfg = &traffic.settings.callers;
     let limits = Limits {
         connections_max: cfg.connections_max,
+        per_address_max: cfg.per_address_max,
         header_bytes_max: cfg.header_bytes_max,
         header_timeout: cfg.header_timeout,
         turned_away: refusal::raw(&TURNED_AWAY),
@@ -71,8 +71,7 @@
     admission: Admission,
     pools: Pools,
     progress: Progress,
-    /// What makes the fleet's attempts distinct: the router and this run of it.
-    attempt_prefix: String,
+    names: AttemptNames,
 }
 
 impl Traffic {
@@ -82,13 +81,13 @@
         control: Handle,
         metrics: Arc<Metrics>,
         clock: Clock,
-        incarnation: Incarnation,
+        names: AttemptNames,
     ) -> Self {
         Self {
             admission: Admission::new(&settings.callers, Arc::clone(&metrics)),
             pools: Pools::new(settings.targets.clone()),
             progress: Progress::default(),
-            attempt_prefix: format!("{}-{:x}", settings.router, incarnation.0),
+            names,
             settings,
             control,
             metrics,
