Tell answers of other requests apart in load experiments

That a caller receives the answer to its own request was not measured: numbers in order and an end mark say nothing about whose tokens they are. With echo set, each request carries a mark, the stand-ins show it in every token, and an answer with another mark counts as crossed. A hash computed alike on both sides was ruled out, because it would tie the tool to the stand-in's hasher.

Prompts of an organisation can now begin alike (prefix_bytes), as system prompts do; until now each differed from its first byte, so that no prefix was ever cached. An inline token, a pool or a path that cannot be sent is refused with its field; a line break in a token ended the tool with a panic before.

--- a/crates/bulrushctl/src/load/caller.rs
+++ b/crates/bulrushctl/src/load/caller.rs
@@ -1,21 +1,20 @@
 //! Sending one request and following its answer to the end.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, header};
+use http::{Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
-use serde_json::json;
 use uuid::Uuid;
 
 use super::address::Addresses;
 use super::experiment::{Experiment, Kind, Organisation, Stream};
+use super::request::{Body, request};
 use super::sse::{Event, Reader};
 use super::tally::{Call, Failure, Outcome, Refusal};
 use crate::error::Error;
@@ -29,9 +28,6 @@
 /// The largest refusal or plain answer that is read, in bytes.
 const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
 
-/// The header that names the class of a request.
-const CLASS: &str = "x-class";
-
 /// The callers of all organisations.
 #[derive(Debug)]
 pub(super) struct Caller {
@@ -83,7 +79,8 @@
         stream: &Stream,
         call: &Call,
     ) -> Outcome {
-        let res = match self.send(index, organisation, stream).await {
+        let body = Body::new(organisation, stream);
+        let res = match self.send(index, organisation, stream, &body).await {
             Ok(res) => res,
             Err(failure) => return Outcome::Failed(failure),
         };
@@ -91,8 +88,8 @@
             return refused(res).await;
         }
         match stream.kind {
-            Kind::Chat => follow(res, call).await,
-            Kind::Plain => whole(res, call).await,
+            Kind::Chat => follow(res, call, body.mark()).await,
+            Kind::Plain => whole(res, call, body.mark()).await,
         }
     }
 
@@ -102,13 +99,14 @@
         index: usize,
         organisation: &Organisation,
         stream: &Stream,
+        body: &Body,
     ) -> Result<Response<Incoming>, Failure> {
         let key = stream.once.then(Uuid::now_v7);
         for _ in 0..ROUTERS_MAX {
             let Some(&router) = self.addresses[index].get().await.first() else {
                 return Err(Failure::Connect);
             };
-            let req = request(router, organisation, stream, key);
+            let req = request(router, organisation, stream, key, body);
             match self.client.request(req).await {
                 Ok(res) => return Ok(res),
                 Err(err) if err.is_connect() => self.addresses[index].forget(router).await,
@@ -119,57 +117,6 @@
     }
 }
 
-fn request(
-    router: SocketAddr,
-    organisation: &Organisation,
-    stream: &Stream,
-    key: Option<Uuid>,
-) -> Request<Full<Bytes>> {
-    let (path, body) = match stream.kind {
-        Kind::Chat => ("/v1/chat/completions".to_owned(), chat_body(stream)),
-        Kind::Plain => {
-            let path = format!("/v1/services/{}{}", stream.pool, stream.path);
-            (path, filler(stream.body_bytes))
-        }
-    };
-    let token = organisation.token.as_deref().unwrap_or_default();
-    let mut req = Request::post(format!("http://{router}{path}"))
-        .header(header::AUTHORIZATION, format!("Bearer {token}"))
-        .header(header::CONTENT_TYPE, "application/json");
-    if let Some(class) = stream.class {
-        req = req.header(CLASS, class.as_str());
-    }
-    if let Some(key) = key {
-        req = req.header("idempotency-key", key.to_string());
-    }
-    req.body(Full::new(body.into()))
-        .expect("tokens and paths were checked")
-}
-
-fn chat_body(stream: &Stream) -> String {
-    // A number of its own makes each prompt differ, as those of real callers do.
-    let mut content = format!("{} ", Uuid::now_v7());
-    if let Some(tokens) = stream.answer_tokens {
-        content.push_str(&format!("[tokens={tokens}] "));
-    }
-    content.push_str(&filler(stream.body_bytes));
-    json!({
-        "model": stream.pool,
-        "messages": [{ "role": "user", "content": content }],
-        "stream": true,
-        "max_tokens": stream.max_tokens,
-    })
-    .to_string()
-}
-
-fn filler(bytes: u64) -> String {
-    "clock "
-        .chars()
-        .cycle()
-        .take(usize::try_from(bytes).unwrap_or(usize::MAX))
-        .collect()
-}
-
 /// Reads why a request was refused.
 async fn refused(res: Response<Incoming>) -> Outcome {
     let status = res.status();
@@ -189,7 +136,7 @@
 }
 
 /// Follows a stream of tokens to its end mark.
-async fn follow(res: Response<Incoming>, call: &Call) -> Outcome {
+async fn follow(res: Response<Incoming>, call: &Call, mark: Option<&str>) -> Outcome {
     let mut body = res.into_body();
     let mut reader = Reader::default();
     let mut progress = Progress::default();
@@ -200,7 +147,7 @@
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        reader.take(&bytes, |event| progress.take(event, call));
+        reader.take(&bytes, |event| progress.take(&event, call, mark));
     }
     progress.outcome()
 }
@@ -212,13 +159,15 @@
     ended: bool,
     problem: bool,
     out_of_order: bool,
+    crossed: bool,
 }
 
 impl Progress {
-    fn take(&mut self, event: Event, call: &Call) {
+    fn take(&mut self, event: &Event, call: &Call, mark: Option<&str>) {
         match event {
-            Event::Token(number) => {
+            Event::Token { number, data } => {
                 self.tokens += 1;
+                self.crossed |= mark.is_some_and(|mark| !data.contains(mark));
                 self.out_of_order |= number.is_some_and(|number| number != self.tokens);
                 call.token();
             }
@@ -229,6 +178,7 @@
 
     const fn outcome(&self) -> Outcome {
         match self {
+            Self { crossed: true, .. } => Outcome::Failed(Failure::Crossed),
             Self { problem: true, .. } => Outcome::Failed(Failure::Problem),
             Self {
                 out_of_order: true, ..
@@ -240,13 +190,18 @@
 }
 
 /// Reads the whole answer of a plain service.
-async fn whole(res: Response<Incoming>, call: &Call) -> Outcome {
+async fn whole(res: Response<Incoming>, call: &Call, mark: Option<&str>) -> Outcome {
     call.begun();
-    match Limited::new(res.into_body(), BODY_BYTES_MAX)
+    let body = Limited::new(res.into_body(), BODY_BYTES_MAX)
         .collect()
-        .await
-    {
-        Ok(_) => Outcome::Finished,
-        Err(_) => Outcome::Failed(Failure::Truncated),
+        .await;
+    let Ok(body) = body else {
+        return Outcome::Failed(Failure::Truncated);
+    };
+    let bytes = body.to_bytes();
+    let text = String::from_utf8_lossy(&bytes);
+    match mark {
+        Some(mark) if !text.contains(mark) => Outcome::Failed(Failure::Crossed),
+        _ => Outcome::Finished,
     }
 }
--- a/crates/bulrushctl/src/load/experiment.rs
+++ b/crates/bulrushctl/src/load/experiment.rs
@@ -4,6 +4,8 @@
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
+use bulrushtrestle_core::catalogue;
+use bulrushtrestle_core::catalogue::entry::{Entry, Pool, Service};
 use bulrushtrestle_core::request::Class;
 use serde::{Deserialize, Serialize};
 
@@ -104,6 +106,13 @@
     /// The size of the prompt or the body, in bytes. Default: 200.
     #[serde(default = "default_body")]
     pub(crate) body_bytes: u64,
+    /// How many bytes the prompts of the organisation have in common at their beginning. Default: 0.
+    #[serde(default)]
+    pub(crate) prefix_bytes: u64,
+    /// Whether the targets are stand-ins that echo a mark of the request, so that an answer that
+    /// belongs to another request is told apart. Default: false.
+    #[serde(default)]
+    pub(crate) echo: bool,
     /// How many tokens of an answer are accepted. Default: 64.
     #[serde(default = "default_tokens")]
     pub(crate) max_tokens: u64,
@@ -192,6 +201,10 @@
             let field = format!("{at}.token");
             return Err(Error::field(field, "must be given, or else token_file"));
         }
+        if self.token.as_deref().is_some_and(|token| !is_token(token)) {
+            let field = format!("{at}.token");
+            return Err(Error::field(field, "must be visible ASCII characters"));
+        }
         within(&format!("{at}.weight"), self.weight, WEIGHTS)?;
         if self.streams.is_empty() {
             return Err(Error::field(
@@ -220,9 +233,16 @@
         if let Some(tokens) = self.answer_tokens {
             within(&field("answer_tokens"), tokens, TOKENS)?;
         }
-        if !self.path.starts_with('/') {
-            return Err(Error::field(field("path"), "must begin with a slash"));
+        let is_path = self.path.starts_with('/') && self.path.parse::<http::Uri>().is_ok();
+        if !is_path {
+            let problem = "must be a path such as /book?day=3";
+            return Err(Error::field(field("path"), problem));
+        }
+        if !is_name(&self.pool) {
+            let problem = "must be 1 to 100 bytes of lower-case letters, digits, '-', '_' and '.'";
+            return Err(Error::field(field("pool"), problem));
         }
+        within(&field("prefix_bytes"), self.prefix_bytes, BODY_BYTES)?;
         Ok(())
     }
 
@@ -233,6 +253,18 @@
     }
 }
 
+fn is_token(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn is_name(text: &str) -> bool {
+    let pool = Pool {
+        name: text.to_owned(),
+        service: Service::Model,
+    };
+    catalogue::check(&Entry::Pool(pool)).is_ok()
+}
+
 /// Refuses an address that is not of this machine.
 ///
 /// # Errors
--- a/crates/bulrushctl/src/load/mod.rs
+++ b/crates/bulrushctl/src/load/mod.rs
@@ -15,6 +15,7 @@
 mod gap;
 mod plot;
 mod report;
+mod request;
 mod run;
 mod schedule;
 mod sse;
--- a/crates/bulrushctl/src/load/run.rs
+++ b/crates/bulrushctl/src/load/run.rs
@@ -181,7 +181,7 @@
 fn charge(stream: &Stream) -> Charge {
     match stream.kind {
         Kind::Chat => Charge {
-            at_first: Cost::prompt(stream.body_bytes / BYTES_PER_TOKEN),
+            at_first: Cost::prompt((stream.prefix_bytes + stream.body_bytes) / BYTES_PER_TOKEN),
             at_end: Cost::ZERO,
         },
         Kind::Plain => Charge {
--- a/crates/bulrushctl/src/load/sse.rs
+++ b/crates/bulrushctl/src/load/sse.rs
@@ -4,10 +4,15 @@
 const END_MARK: &str = "[DONE]";
 
 /// What an event means.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Event {
-    /// A token, with its number if the event has one.
-    Token(Option<u64>),
+    /// A token.
+    Token {
+        /// Its number, if the event has one.
+        number: Option<u64>,
+        /// Its chunk.
+        data: String,
+    },
     /// The end mark.
     End,
     /// A problem that the router reports in the middle of an answer.
@@ -59,7 +64,7 @@
         let data = data?;
         Some(match event.as_deref() {
             None | Some("message") if data == END_MARK => Event::End,
-            None | Some("message") => Event::Token(id),
+            None | Some("message") => Event::Token { number: id, data },
             Some(_) => Event::Problem,
         })
     }
--- a/crates/bulrushctl/src/load/tally.rs
+++ b/crates/bulrushctl/src/load/tally.rs
@@ -44,6 +44,8 @@
     Truncated,
     /// The router reported a problem in the middle of the answer.
     Problem,
+    /// The answer, or a part of it, belongs to another request.
+    Crossed,
     /// Tokens were missing, doubled or out of order.
     OutOfOrder,
     /// An error that is no refusal.
@@ -59,6 +61,7 @@
             Self::Broken => "broken".to_owned(),
             Self::Truncated => "truncated".to_owned(),
             Self::Problem => "problem".to_owned(),
+            Self::Crossed => "crossed".to_owned(),
             Self::OutOfOrder => "out_of_order".to_owned(),
             Self::Status(status) => format!("status_{status}"),
             Self::Unfinished => "unfinished".to_owned(),
--- a/crates/bulrushctl/src/load/tests.rs
+++ b/crates/bulrushctl/src/load/tests.rs
@@ -83,6 +83,22 @@
             value: Value::Null,
             error: "organisations[0].token: must be given, or else token_file",
         },
+        Case {
+            pointer: "/organisations/0/token",
+            value: json!("a\nb"),
+            error: "organisations[0].token: must be visible ASCII characters",
+        },
+        Case {
+            pointer: "/organisations/0/streams/0/pool",
+            value: json!("a b"),
+            error: "organisations[0].streams[0].pool: must be 1 to 100 bytes of lower-case letters, \
+                    digits, '-', '_' and '.'",
+        },
+        Case {
+            pointer: "/organisations/0/streams/1/path",
+            value: json!("/a b"),
+            error: "organisations[0].streams[1].path: must be a path such as /book?day=3",
+        },
         Case {
             pointer: "/organisations/0/weight",
             value: json!(1_001),
@@ -96,7 +112,7 @@
         Case {
             pointer: "/organisations/0/streams/1/path",
             value: json!("book"),
-            error: "organisations[0].streams[1].path: must begin with a slash",
+            error: "organisations[0].streams[1].path: must be a path such as /book?day=3",
         },
     ];
     for Case {
@@ -237,28 +253,32 @@
     struct Case {
         name: &'static str,
         text: &'static str,
-        events: &'static [Event],
+        events: Vec<Event>,
     }
+    let token = |number, data: &str| Event::Token {
+        number,
+        data: data.to_owned(),
+    };
     let cases = [
         Case {
             name: "tokens and the end mark",
             text: "id: 1\ndata: {}\n\nid: 2\ndata: {}\n\ndata: [DONE]\n\n",
-            events: &[Event::Token(Some(1)), Event::Token(Some(2)), Event::End],
+            events: vec![token(Some(1), "{}"), token(Some(2), "{}"), Event::End],
         },
         Case {
             name: "carriage returns, comments, no space",
             text: ": hello\r\n\r\ndata:{}\r\n\r\n",
-            events: &[Event::Token(None)],
+            events: vec![token(None, "{}")],
         },
         Case {
             name: "a problem in the middle",
             text: "event: error\ndata: {}\n\n",
-            events: &[Event::Problem],
+            events: vec![Event::Problem],
         },
         Case {
             name: "cut off within an event",
             text: "id: 1\ndata: {}\n",
-            events: &[],
+            events: Vec::new(),
         },
     ];
     for Case { name, text, events } in cases {
--- a/crates/bulrushctl/tests/ctl/fake.rs
+++ b/crates/bulrushctl/tests/ctl/fake.rs
@@ -22,6 +22,8 @@
     Whole { tokens: u64, after: Duration },
     /// This many tokens and no end mark.
     Truncated { tokens: u64 },
+    /// This many tokens that carry the mark of the request, the last one that of another request.
+    Crossed { tokens: u64 },
     /// Tokens with a number left out, and the end mark.
     Gap,
     /// A refusal.
@@ -130,21 +132,26 @@
     body
 }
 
-async fn chat(State(app): State<Arc<App>>) -> Response {
+async fn chat(State(app): State<Arc<App>>, body: String) -> Response {
     let numbers: Vec<u64> = match app.cfg.answer {
         Answer::Whole { tokens, after } => {
             tokio::time::sleep(after).await;
             (1..=tokens).collect()
         }
-        Answer::Truncated { tokens } => (1..=tokens).collect(),
+        Answer::Truncated { tokens } | Answer::Crossed { tokens } => (1..=tokens).collect(),
         Answer::Gap => vec![1, 3],
         Answer::Refused => return refusal(),
         Answer::Silent => std::future::pending().await,
     };
-    let mut text: String = numbers
-        .iter()
-        .map(|number| format!("id: {number}\ndata: {{}}\n\n"))
-        .collect();
+    let last = numbers.last().copied();
+    let mut text = String::new();
+    for number in numbers {
+        let crossed = matches!(app.cfg.answer, Answer::Crossed { .. }) && Some(number) == last;
+        let mark = if crossed { "another" } else { mark(&body) };
+        text.push_str(&format!(
+            "id: {number}\ndata: {{\"content\":\"{mark}\"}}\n\n"
+        ));
+    }
     if !matches!(app.cfg.answer, Answer::Truncated { .. }) {
         text.push_str("data: [DONE]\n\n");
     }
@@ -159,3 +166,9 @@
     let problem = json!({ "verdict": "not_run", "reason": "queue_full" });
     (StatusCode::TOO_MANY_REQUESTS, headers, problem.to_string()).into_response()
 }
+
+/// Returns the mark of a request.
+fn mark(body: &str) -> &str {
+    let (_, rest) = body.split_once("[echo=").unwrap_or_default();
+    rest.split_once(']').unwrap_or_default().0
+}
--- a/crates/bulrushctl/tests/ctl/load.rs
+++ b/crates/bulrushctl/tests/ctl/load.rs
@@ -16,7 +16,7 @@
         "organisations": [{
             "name": "lyceum",
             "token": "secret",
-            "streams": [{ "kind": "chat", "pool": "m", "per_second": 100.0 }],
+            "streams": [{ "kind": "chat", "pool": "m", "per_second": 100.0, "echo": true }],
         }],
     })
 }
@@ -60,6 +60,12 @@
             ends: "/failed/out_of_order",
             tokens_each: 2,
         },
+        Case {
+            name: "answers with a token of another request",
+            answer: Answer::Crossed { tokens: 3 },
+            ends: "/failed/crossed",
+            tokens_each: 3,
+        },
         Case {
             name: "refusals",
             answer: Answer::Refused,
@@ -275,7 +281,8 @@
 async fn report_and_plot_are_written() {
     let router = fake::spawn(Config::default()).await;
     let mut experiment = experiment(&router.address.to_string());
-    let plain = json!({ "kind": "plain", "pool": "desk", "per_second": 50.0, "once": true });
+    let plain =
+        json!({ "kind": "plain", "pool": "desk", "per_second": 50.0, "once": true, "echo": true });
     let other = json!({ "name": "guild", "token": "secret", "weight": 2, "streams": [plain] });
     experiment["organisations"]
         .as_array_mut()
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -29,6 +29,9 @@
 /// The mark in a body that says how many tokens the answer has.
 const TOKENS_MARK: &str = "[tokens=";
 
+/// The mark in a body that says what each token of the answer carries.
+const ECHO_MARK: &str = "[echo=";
+
 #[derive(Debug, Deserialize)]
 struct Chat {
     model: String,
@@ -169,7 +172,7 @@
 struct Started {
     model: String,
     stream: bool,
-    prompt: String,
+    label: String,
     tokens: mpsc::UnboundedReceiver<u64>,
     made: u64,
     last: u64,
@@ -259,7 +262,7 @@
         Ok(Started {
             model: chat.model,
             stream: chat.stream,
-            prompt: prompt_hash(body),
+            label: label(&text),
             tokens: rx,
             made,
             last,
@@ -332,22 +335,31 @@
     }
 
     fn token(&self, number: u64) -> String {
-        format!("{}-{number} ", self.prompt)
+        format!("{}-{number} ", self.label)
     }
 }
 
-/// Returns a short hash of a body, by which a caller recognises its own answer.
-fn prompt_hash(body: &[u8]) -> String {
+/// Returns what each token carries, by which a caller recognises its own answer: the mark that the
+/// body asks for, or a short hash of the body.
+fn label(text: &str) -> String {
+    if let Some(mark) = marked(text, ECHO_MARK) {
+        return mark.to_owned();
+    }
     let mut hasher = DefaultHasher::new();
-    body.hash(&mut hasher);
+    text.hash(&mut hasher);
     format!("{:04x}", hasher.finish() & 0xffff)
 }
 
 /// Returns the number of tokens that the mark in a body asks for.
 fn answer_tokens(text: &str) -> Option<u64> {
-    let (_, rest) = text.split_once(TOKENS_MARK)?;
-    let (digits, _) = rest.split_once(']')?;
-    digits.parse().ok()
+    marked(text, TOKENS_MARK)?.parse().ok()
+}
+
+/// Returns what stands between the beginning of a mark and its closing bracket.
+fn marked<'a>(text: &'a str, mark: &str) -> Option<&'a str> {
+    let (_, rest) = text.split_once(mark)?;
+    let (value, _) = rest.split_once(']')?;
+    Some(value)
 }
 
 fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -5,8 +5,9 @@
 //! longer for all. So a long prompt holds up the streams of others, as it does in a real engine.
 //!
 //! The number of tokens of an answer is that of the mark `[tokens=N]` in the body, or
-//! [`Config::tokens`], but no more than `max_tokens`. Each token carries a hash of the prompt and its
-//! number, such as `1f0c-3 `, so that a caller can prove that a whole answer is its own.
+//! [`Config::tokens`], but no more than `max_tokens`. Each token carries its number after a hash of
+//! the body, such as `1f0c-3 `, or after the text of the mark `[echo=TEXT]` in the body, so that a
+//! caller can prove that a whole answer is its own.
 
 mod batch;
 mod cache;
--- a/crates/standin/tests/standin/engine/stream.rs
+++ b/crates/standin/tests/standin/engine/stream.rs
@@ -143,6 +143,8 @@
     let other = client.post(CHAT, chat("umbrellas", 1)).await;
     assert_eq!(content(&one), content(&same));
     assert_ne!(content(&one), content(&other));
+    let marked = client.post(CHAT, chat("[echo=mine]", 1)).await;
+    assert_eq!(content(&marked), "mine-1 ");
     let whole = client
         .post(CHAT, json!({ "model": "m", "max_tokens": 3 }))
         .await
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -169,16 +169,17 @@
   "seconds": $seconds,
   "organisations": [
     { "name": "federation", "token": "demo-federation", "streams": [
-      { "kind": "chat", "pool": "drafts", "per_second": 12, "answer_tokens": 40 }
+      { "kind": "chat", "pool": "drafts", "per_second": 12, "answer_tokens": 40, "echo": true }
     ] },
     { "name": "club", "token": "demo-club", "streams": [
-      { "kind": "chat", "pool": "drafts", "per_second": 6, "answer_tokens": 40 },
-      { "kind": "plain", "pool": "desk", "path": "/stock", "per_second": 5, "call_ms": 50 }
+      { "kind": "chat", "pool": "drafts", "per_second": 6, "answer_tokens": 40, "echo": true },
+      { "kind": "plain", "pool": "desk", "path": "/stock", "per_second": 5, "call_ms": 50,
+        "echo": true }
     ] },
     { "name": "school", "token": "demo-school", "streams": [
-      { "kind": "chat", "pool": "drafts", "per_second": 2, "answer_tokens": 10 },
+      { "kind": "chat", "pool": "drafts", "per_second": 2, "answer_tokens": 10, "echo": true },
       { "kind": "plain", "pool": "desk", "path": "/book", "per_second": 2, "call_ms": 50,
-        "once": true }
+        "once": true, "echo": true }
     ] }
   ]
 }
