--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -10,6 +10,8 @@
 mod peer;
 mod pump;
 mod request;
+mod share;
+mod slots;
 mod state;
 mod status;
 mod stop;
@@ -19,4 +21,4 @@
 
 pub use self::config::{Config, LogConfig};
 pub use self::state::Node;
-pub use self::status::Status;
+pub use self::status::{Status, TargetStatus};
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -1,11 +1,12 @@
 //! Requests that arrive and callers that leave.
 
+use crate::attempt::Life;
 use crate::node::Node;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Waiting;
 
-/// The longest wait that is proposed to a caller that is refused for want of capacity.
+/// The wait that is proposed to a caller that is refused for a reason of the router's own.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request from its arrival to its final answer.
@@ -16,10 +17,7 @@
     pub(super) arrived: Time,
     pub(super) deadline: Time,
     pub(super) stage: Stage,
-    /// How often it was dispatched.
-    pub(super) attempts: u32,
-    /// Tokens that the caller has.
-    pub(super) delivered: u64,
+    pub(super) life: Life,
 }
 
 /// Where a request is on its way.
@@ -58,12 +56,23 @@
         self.cx.count(Counter::Refused(Reason::CallerLeft));
     }
 
-    /// Gives up a request that waits.
+    /// Gives up a request that waits, with the verdict of all its attempts.
     pub(super) fn give_up(&mut self, request: RequestId, reason: Reason) {
         if let Some(active) = self.requests.get(&request) {
-            self.queues
-                .remove(active.req.pool, active.req.organisation, request);
-            self.refuse(request, Refusal::not_run(reason, Some(RETRY_AFTER)));
+            let (pool, organisation) = (active.req.pool, active.req.organisation);
+            let verdict = active.life.verdict();
+            let wait = self.queues.retry_after(self.cx.now, organisation);
+            self.queues.remove(pool, organisation, request);
+            let retry_after = match reason {
+                Reason::DeadlinePassed => wait,
+                _ => Some(RETRY_AFTER),
+            };
+            let refusal = Refusal {
+                verdict,
+                reason,
+                retry_after,
+            };
+            self.refuse(request, refusal);
         }
     }
 
@@ -93,25 +102,37 @@
         }
         let limits = organisation.limits;
         if self.queues.waiting(req.organisation) >= limits.waiting as usize {
-            return Err(busy(Reason::QueueFull));
+            let wait = self.queues.retry_after(self.cx.now, req.organisation);
+            return Err(Refusal::not_run(Reason::QueueFull, wait));
         }
         let now = self.cx.now;
         let patience = now + Duration::from_millis(u64::from(limits.wait_ms));
         let deadline = req.deadline.unwrap_or(Time::MAX).min(patience);
+        if deadline <= now {
+            return Err(busy(Reason::DeadlinePassed));
+        }
+        self.budgets.earn(now, req.organisation);
         let class = req.class.unwrap_or(organisation.class);
         let waiting = Waiting {
             request: req.id,
             since: now,
             deadline,
         };
-        self.queues.push(req.pool, req.organisation, class, waiting);
+        let (pool, organisation) = (req.pool, req.organisation);
+        let enters = self.queues.lane_mut(pool, organisation).is_none();
+        self.queues.push(pool, organisation, class, waiting);
+        if enters {
+            self.enter(pool, organisation);
+        }
+        if self.queues.next_deadline() == Some(deadline) {
+            self.cx.wake(deadline);
+        }
         let active = Active {
             class,
             arrived: now,
             deadline,
             stage: Stage::Waiting,
-            attempts: 0,
-            delivered: 0,
+            life: Life::new(req.repeat),
             req,
         };
         self.requests.insert(active.req.id, active);
