Let the demonstration's routers stop soon

A planned stop now lasts at least as long as callers keep an answer about addresses, and the daemon refuses settings that say otherwise; the script's stop of one second was refused. Callers keep answers for one second there now, so that the demonstration ends as soon as before.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -72,7 +72,7 @@
   "router": $1,
   "data_centre": "$2",
   "stop_timeout_ms": 1000,
-  "callers": { "listen": "$(callers "$1")" },
+  "callers": { "listen": "$(callers "$1")", "addresses_valid_ms": 1000 },
   "peers": { "listen": "$(peers "$1")", "fleet_key": "$fleet_key" },
   "operators": {
     "listen": "$(operators "$1")",
