Report what an interrupted load experiment found out

An experiment may last ten minutes, and an interrupt threw away all that it had measured. The first interrupt now ends the arrivals, the second the wait for requests under way, and the report says that it was interrupted.

--- a/crates/bulrushctl/src/load/report.rs
+++ b/crates/bulrushctl/src/load/report.rs
@@ -17,6 +17,8 @@
 pub(super) struct Report {
     /// For how long requests arrived.
     pub(super) seconds: f64,
+    /// Whether it was interrupted before all requests had arrived and ended.
+    pub(super) interrupted: bool,
     /// The seed of the arrivals.
     pub(super) seed: u64,
     /// Since when a waiting request makes its organisation backlogged.
@@ -98,22 +100,19 @@
 }
 
 impl Report {
-    pub(super) fn new(
-        experiment: &Experiment,
-        counts: &[Counts],
-        samples: Vec<Sample>,
-        fairness_gap: f64,
-    ) -> Self {
+    /// Returns a report without samples.
+    pub(super) fn new(experiment: &Experiment, counts: &[Counts]) -> Self {
         let organisations = experiment.organisations.iter().zip(counts);
         Self {
             seconds: experiment.seconds,
+            interrupted: false,
             seed: experiment.seed,
             backlog_ms: experiment.backlog_ms,
-            fairness_gap,
+            fairness_gap: 0.0,
             organisations: organisations
                 .map(|(entry, counts)| Share::new(&entry.name, entry.weight, counts))
                 .collect(),
-            samples,
+            samples: Vec::new(),
         }
     }
 }
@@ -190,6 +189,9 @@
     ];
     rows.extend(report.organisations.iter().map(row));
     let mut text = table(&rows);
+    if report.interrupted {
+        text.push_str("\nInterrupted before the end.\n");
+    }
     text.push_str("\nService in tokens, times in ms from the intended start.\n");
     text.push_str(&format!(
         "Widest gap in weighted service between two backlogged organisations: {:.0} tokens.\n",
--- a/crates/bulrushctl/src/load/run.rs
+++ b/crates/bulrushctl/src/load/run.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushtrestle_core::cost::Cost;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinSet;
 use tokio::time::{self, MissedTickBehavior};
 
@@ -32,7 +33,9 @@
     let experiment = Experiment::load(&args.file)?;
     let caller = Caller::new(&experiment);
     caller.reach().await?;
-    let report = Run::new(experiment, caller).finish().await;
+    let interrupts = signal(SignalKind::interrupt())
+        .map_err(|err| Error::failed(format!("interrupts cannot be caught: {err}")))?;
+    let report = Run::new(experiment, caller, interrupts).finish().await;
     if let Some(file) = &args.report {
         let json = serde_json::to_vec_pretty(&report).expect("reports have string keys");
         std::fs::write(file, json).map_err(|err| cannot_write(file, &err.to_string()))?;
@@ -58,10 +61,13 @@
     gap: Gap,
     samples: Vec<Sample>,
     start: Instant,
+    /// The first ends the arrivals, the second the wait for requests under way.
+    interrupts: Signal,
+    interrupted: bool,
 }
 
 impl Run {
-    fn new(experiment: Experiment, caller: Caller) -> Self {
+    fn new(experiment: Experiment, caller: Caller, interrupts: Signal) -> Self {
         Self {
             tally: Arc::new(Tally::new(experiment.organisations.len())),
             experiment: Arc::new(experiment),
@@ -71,6 +77,8 @@
             gap: Gap::default(),
             samples: Vec::new(),
             start: Instant::now(),
+            interrupts,
+            interrupted: false,
         }
     }
 
@@ -88,6 +96,10 @@
                     self.send(*arrival);
                     due.next();
                 }
+                _ = self.interrupts.recv() => {
+                    self.interrupted = true;
+                    break;
+                }
                 _ = ticks.tick() => self.sample(),
                 Some(_) = self.calls.join_next() => {}
             }
@@ -97,12 +109,12 @@
         if std::io::stderr().is_terminal() {
             eprintln!();
         }
-        Report::new(
-            &self.experiment,
-            &self.tally.counts(),
-            self.samples,
-            self.gap.max(),
-        )
+        Report {
+            interrupted: self.interrupted,
+            samples: self.samples,
+            fairness_gap: self.gap.max(),
+            ..Report::new(&self.experiment, &self.tally.counts())
+        }
     }
 
     fn send(&mut self, arrival: Arrival) {
@@ -135,6 +147,10 @@
             tokio::select! {
                 biased;
                 () = time::sleep_until(until.into()) => break,
+                _ = self.interrupts.recv() => {
+                    self.interrupted = true;
+                    break;
+                }
                 _ = ticks.tick() => self.sample(),
                 Some(_) = self.calls.join_next() => {}
             }
--- a/crates/bulrushctl/tests/ctl/command.rs
+++ b/crates/bulrushctl/tests/ctl/command.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use tokio::process::Command;
+use tokio::process::{Child, Command};
 use uuid::Uuid;
 
 /// The longest time that one command may take; far more than any needs.
@@ -31,25 +31,28 @@
 
 /// Runs the command to its end.
 pub(crate) async fn bulrushctl(args: &[&str]) -> Ran {
-    bulrushctl_in(&std::env::temp_dir(), &[], args).await
+    end(start(args)).await
 }
 
 /// Runs the command to its end in a directory and with variables of the environment.
 pub(crate) async fn bulrushctl_in(dir: &Path, variables: &[(&str, String)], args: &[&str]) -> Ran {
-    let output = Command::new(env!("CARGO_BIN_EXE_bulrushctl"))
-        .args(args)
-        .current_dir(dir)
-        .env_remove("BULRUSHCTL_LOG")
-        .env_remove("BULRUSHCTL_ROUTER")
-        .env("USER", "ann")
-        .envs(variables.iter().map(|(name, value)| (name, value)))
-        .stdin(Stdio::null())
-        .kill_on_drop(true)
-        .output();
-    let output = tokio::time::timeout(COMMAND_TIMEOUT, output)
+    let mut command = command(args);
+    command.current_dir(dir);
+    command.envs(variables.iter().map(|(name, value)| (name, value)));
+    end(command.spawn().expect("the command can be run")).await
+}
+
+/// Starts the command.
+pub(crate) fn start(args: &[&str]) -> Child {
+    command(args).spawn().expect("the command can be run")
+}
+
+/// Waits for the end of the command.
+pub(crate) async fn end(child: Child) -> Ran {
+    let output = tokio::time::timeout(COMMAND_TIMEOUT, child.wait_with_output())
         .await
         .expect("the command ends in time")
-        .expect("the command can be run");
+        .expect("the command can be waited for");
     Ran {
         code: output.status.code().expect("the command was not killed"),
         stdout: String::from_utf8(output.stdout).expect("the output is text"),
@@ -57,6 +60,20 @@
     }
 }
 
+fn command(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushctl"));
+    command
+        .args(args)
+        .env_remove("BULRUSHCTL_LOG")
+        .env_remove("BULRUSHCTL_ROUTER")
+        .env("USER", "ann")
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true);
+    command
+}
+
 /// A file that is removed in the end.
 pub(crate) struct Temporary(PathBuf);
 
--- a/crates/bulrushctl/tests/ctl/fake.rs
+++ b/crates/bulrushctl/tests/ctl/fake.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+/// The longest time that a test waits for a request; far more than any needs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// How a router answers a chat request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Answer {
@@ -57,12 +60,25 @@
 }
 
 /// A running router.
-#[derive(Debug)]
 pub(crate) struct Handle {
     pub(crate) address: SocketAddr,
+    app: Arc<App>,
     task: JoinHandle<()>,
 }
 
+impl Handle {
+    /// Waits until this many chat requests have arrived.
+    pub(crate) async fn requests_reach(&self, requests: u64) {
+        let reached = async {
+            while self.app.requests.load(Ordering::SeqCst) < requests {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let reached = tokio::time::timeout(PATIENCE, reached).await;
+        reached.expect("the requests arrive in time");
+    }
+}
+
 impl Drop for Handle {
     fn drop(&mut self) {
         self.task.abort();
@@ -73,6 +89,7 @@
     cfg: Config,
     address: SocketAddr,
     looks: AtomicU64,
+    requests: AtomicU64,
 }
 
 /// Starts a router that knows the token `secret`.
@@ -85,6 +102,7 @@
         cfg,
         address,
         looks: AtomicU64::new(0),
+        requests: AtomicU64::new(0),
     });
     let routes = Router::new()
         .route("/v1/addresses", get(addresses))
@@ -92,13 +110,13 @@
         .route("/v1/services/{*path}", any(plain))
         .route("/status", get(status))
         .layer(axum::middleware::from_fn(authorise))
-        .with_state(app);
+        .with_state(Arc::clone(&app));
     let task = tokio::spawn(async move {
         axum::serve(listener, routes)
             .await
             .expect("the listener stays open");
     });
-    Handle { address, task }
+    Handle { address, app, task }
 }
 
 async fn authorise(
@@ -133,6 +151,7 @@
 }
 
 async fn chat(State(app): State<Arc<App>>, body: String) -> Response {
+    app.requests.fetch_add(1, Ordering::SeqCst);
     let numbers: Vec<u64> = match app.cfg.answer {
         Answer::Whole { tokens, after } => {
             tokio::time::sleep(after).await;
--- a/crates/bulrushctl/tests/ctl/load.rs
+++ b/crates/bulrushctl/tests/ctl/load.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use crate::command::{Ran, Temporary, bulrushctl};
+use crate::command::{Ran, Temporary, bulrushctl, end, start};
 use crate::fake::{self, Answer, Config};
 
 fn experiment(seed: &str) -> Value {
@@ -315,3 +315,33 @@
         assert!(plot.contains(name), "{name} is not in the plot");
     }
 }
+
+#[tokio::test]
+async fn an_interrupted_experiment_still_reports() {
+    let answer = Answer::Whole {
+        tokens: 1,
+        after: Duration::ZERO,
+    };
+    let router = fake::spawn(Config {
+        answer,
+        ..Config::default()
+    })
+    .await;
+    let mut experiment = experiment(&router.address.to_string());
+    experiment["seconds"] = json!(600.0);
+    let file = Temporary::with(&experiment.to_string());
+    let child = start(&["--json", "load", &file.path()]);
+    router.requests_reach(1).await;
+    let pid = child.id().expect("the command is running").to_string();
+    let kill = std::process::Command::new("kill")
+        .args(["-s", "INT", &pid])
+        .status();
+    assert!(kill.expect("the command runs").success());
+    let ran = end(child).await;
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let report = ran.json();
+    assert_eq!(report["interrupted"], true);
+    let share = &report["organisations"][0];
+    assert!(share["finished"].as_u64() > Some(0), "{share}");
+    assert_eq!(share["finished"], share["sent"], "{share}");
+}
