Let load experiments and the demonstration fail when answers do

The demonstration ended with success whatever the callers got, so it could not serve as a check.

Calls that have ended are now removed while arrivals are overdue, as they would else count as under way, and samples come before arrivals. Results are printed before files are written, so that a wrong path loses nothing.

--- a/crates/bulrushctl/src/args/mod.rs
+++ b/crates/bulrushctl/src/args/mod.rs
@@ -117,6 +117,9 @@
     /// where to write the report as JSON
     #[argh(option)]
     pub(crate) report: Option<PathBuf>,
+    /// fail if a request ends without a whole answer and without a refusal, or if none is answered
+    #[argh(switch)]
+    pub(crate) strict: bool,
     /// where to write the plot as SVG
     #[argh(option)]
     pub(crate) plot: Option<PathBuf>,
--- a/crates/bulrushctl/src/load/run.rs
+++ b/crates/bulrushctl/src/load/run.rs
@@ -36,6 +36,7 @@
     let interrupts = signal(SignalKind::interrupt())
         .map_err(|err| Error::failed(format!("interrupts cannot be caught: {err}")))?;
     let report = Run::new(experiment, caller, interrupts).finish().await;
+    out.result(&report, || report::text(&report));
     if let Some(file) = &args.report {
         let json = serde_json::to_vec_pretty(&report).expect("reports have string keys");
         std::fs::write(file, json).map_err(|err| cannot_write(file, &err.to_string()))?;
@@ -43,10 +44,32 @@
     if let Some(file) = &args.plot {
         plot::write(&report, file).map_err(|err| cannot_write(file, &err))?;
     }
-    out.result(&report, || report::text(&report));
+    if args.strict {
+        strict(&report)?;
+    }
     Ok(())
 }
 
+/// Fails if a request ended in a way that no caller should see, or if none was answered.
+fn strict(report: &Report) -> Result<(), Error> {
+    let shares = &report.organisations;
+    let failed: u64 = shares.iter().flat_map(|share| share.failed.values()).sum();
+    if failed > 0 {
+        let problem = format!("{failed} requests have neither a whole answer nor a refusal");
+        return Err(Error::failed(problem));
+    }
+    match shares
+        .iter()
+        .find(|share| share.sent > 0 && share.finished == 0)
+    {
+        Some(share) => Err(Error::failed(format!(
+            "no request of {} was answered",
+            share.name
+        ))),
+        None => Ok(()),
+    }
+}
+
 fn cannot_write(file: &Path, problem: &str) -> Error {
     Error::failed(format!("{} cannot be written: {problem}", file.display()))
 }
@@ -92,15 +115,15 @@
         while let Some(&arrival) = due.peek() {
             tokio::select! {
                 biased;
-                () = time::sleep_until((self.start + arrival.at).into()) => {
-                    self.send(*arrival);
-                    due.next();
-                }
                 _ = self.interrupts.recv() => {
                     self.interrupted = true;
                     break;
                 }
                 _ = ticks.tick() => self.sample(),
+                () = time::sleep_until((self.start + arrival.at).into()) => {
+                    self.send(*arrival);
+                    due.next();
+                }
                 Some(_) = self.calls.join_next() => {}
             }
         }
@@ -123,6 +146,8 @@
             organisation,
             stream,
         } = arrival;
+        // While arrivals are overdue, nothing else removes the calls that have ended.
+        while self.calls.try_join_next().is_some() {}
         if self.calls.len() as u64 >= self.experiment.in_flight_max {
             self.tally.not_sent(organisation);
             return;
--- a/crates/bulrushctl/tests/ctl/load.rs
+++ b/crates/bulrushctl/tests/ctl/load.rs
@@ -37,6 +37,8 @@
         /// The single way in which all requests end, as a path into the organisation's report.
         ends: &'static str,
         tokens_each: u64,
+        /// The exit code with `--strict`.
+        strict: i32,
     }
     let cases = [
         Case {
@@ -47,36 +49,42 @@
             },
             ends: "/finished",
             tokens_each: 4,
+            strict: 0,
         },
         Case {
             name: "answers without their end mark",
             answer: Answer::Truncated { tokens: 2 },
             ends: "/failed/truncated",
             tokens_each: 2,
+            strict: 1,
         },
         Case {
             name: "answers with a token missing",
             answer: Answer::Gap,
             ends: "/failed/out_of_order",
             tokens_each: 2,
+            strict: 1,
         },
         Case {
             name: "answers with a token of another request",
             answer: Answer::Crossed { tokens: 3 },
             ends: "/failed/crossed",
             tokens_each: 3,
+            strict: 1,
         },
         Case {
             name: "refusals",
             answer: Answer::Refused,
             ends: "/refused/0/count",
             tokens_each: 0,
+            strict: 1,
         },
         Case {
             name: "silence",
             answer: Answer::Silent,
             ends: "/failed/unfinished",
             tokens_each: 0,
+            strict: 1,
         },
     ];
     for Case {
@@ -84,6 +92,7 @@
         answer,
         ends,
         tokens_each,
+        strict,
     } in cases
     {
         let router = fake::spawn(Config {
@@ -91,9 +100,11 @@
             ..Config::default()
         })
         .await;
-        let ran = run(&experiment(&router.address.to_string()), &[]).await;
-        assert_eq!(ran.code, 0, "{name}: {ran:?}");
-        let report = ran.json();
+        let ran = run(&experiment(&router.address.to_string()), &["--strict"]).await;
+        assert_eq!(ran.code, strict, "{name}: {ran:?}");
+        let report: Value = ran.stdout.lines().next().map_or(Value::Null, |line| {
+            serde_json::from_str(line).expect("the report comes first")
+        });
         let share = &report["organisations"][0];
         let sent = share["sent"]
             .as_u64()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,6 +4,9 @@
 #
 # It needs a Rust toolchain and a C compiler. The report and the plot are left in target/demo.
 #
+# It fails if an organisation got nothing, or if a request ended without a whole answer of its own and
+# without a refusal.
+#
 #   DEMO_SECONDS   for how long requests arrive (10)
 #   DEMO_PORT      the first of nine free ports of 127.0.0.1 (18200)
 set -euo pipefail
@@ -187,7 +190,7 @@
 
 echo "== sending traffic for $seconds s"
 # In the background, because the shell handles no signal while it runs a command in the foreground.
-"$bin/bulrushctl" load "$work/experiment.json" \
+"$bin/bulrushctl" load "$work/experiment.json" --strict \
     --report "$results/report.json" --plot "$results/plot.svg" &
 pids+=($!)
 wait "${pids[-1]}"
