--- a/crates/bulrushctl/src/load/run.rs
+++ b/crates/bulrushctl/src/load/run.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushtrestle_core::cost::Cost;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinSet;
 use tokio::time::{self, MissedTickBehavior};
 
@@ -32,7 +33,10 @@
     let experiment = Experiment::load(&args.file)?;
     let caller = Caller::new(&experiment);
     caller.reach().await?;
-    let report = Run::new(experiment, caller).finish().await;
+    let interrupts = signal(SignalKind::interrupt())
+        .map_err(|err| Error::failed(format!("interrupts cannot be caught: {err}")))?;
+    let report = Run::new(experiment, caller, interrupts).finish().await;
+    out.result(&report, || report::text(&report));
     if let Some(file) = &args.report {
         let json = serde_json::to_vec_pretty(&report).expect("reports have string keys");
         std::fs::write(file, json).map_err(|err| cannot_write(file, &err.to_string()))?;
@@ -40,10 +44,32 @@
     if let Some(file) = &args.plot {
         plot::write(&report, file).map_err(|err| cannot_write(file, &err))?;
     }
-    out.result(&report, || report::text(&report));
+    if args.strict {
+        strict(&report)?;
+    }
     Ok(())
 }
 
+/// Fails if a request ended in a way that no caller should see, or if none was answered.
+fn strict(report: &Report) -> Result<(), Error> {
+    let shares = &report.organisations;
+    let failed: u64 = shares.iter().flat_map(|share| share.failed.values()).sum();
+    if failed > 0 {
+        let problem = format!("{failed} requests have neither a whole answer nor a refusal");
+        return Err(Error::failed(problem));
+    }
+    match shares
+        .iter()
+        .find(|share| share.sent > 0 && share.finished == 0)
+    {
+        Some(share) => Err(Error::failed(format!(
+            "no request of {} was answered",
+            share.name
+        ))),
+        None => Ok(()),
+    }
+}
+
 fn cannot_write(file: &Path, problem: &str) -> Error {
     Error::failed(format!("{} cannot be written: {problem}", file.display()))
 }
@@ -58,10 +84,13 @@
     gap: Gap,
     samples: Vec<Sample>,
     start: Instant,
+    /// The first ends the arrivals, the second the wait for requests under way.
+    interrupts: Signal,
+    interrupted: bool,
 }
 
 impl Run {
-    fn new(experiment: Experiment, caller: Caller) -> Self {
+    fn new(experiment: Experiment, caller: Caller, interrupts: Signal) -> Self {
         Self {
             tally: Arc::new(Tally::new(experiment.organisations.len())),
             experiment: Arc::new(experiment),
@@ -71,6 +100,8 @@
             gap: Gap::default(),
             samples: Vec::new(),
             start: Instant::now(),
+            interrupts,
+            interrupted: false,
         }
     }
 
@@ -84,11 +115,15 @@
         while let Some(&arrival) = due.peek() {
             tokio::select! {
                 biased;
+                _ = self.interrupts.recv() => {
+                    self.interrupted = true;
+                    break;
+                }
+                _ = ticks.tick() => self.sample(),
                 () = time::sleep_until((self.start + arrival.at).into()) => {
                     self.send(*arrival);
                     due.next();
                 }
-                _ = ticks.tick() => self.sample(),
                 Some(_) = self.calls.join_next() => {}
             }
         }
@@ -97,12 +132,12 @@
         if std::io::stderr().is_terminal() {
             eprintln!();
         }
-        Report::new(
-            &self.experiment,
-            &self.tally.counts(),
-            self.samples,
-            self.gap.max(),
-        )
+        Report {
+            interrupted: self.interrupted,
+            samples: self.samples,
+            fairness_gap: self.gap.max(),
+            ..Report::new(&self.experiment, &self.tally.counts())
+        }
     }
 
     fn send(&mut self, arrival: Arrival) {
@@ -111,6 +146,8 @@
             organisation,
             stream,
         } = arrival;
+        // While arrivals are overdue, nothing else removes the calls that have ended.
+        while self.calls.try_join_next().is_some() {}
         if self.calls.len() as u64 >= self.experiment.in_flight_max {
             self.tally.not_sent(organisation);
             return;
@@ -135,6 +172,10 @@
             tokio::select! {
                 biased;
                 () = time::sleep_until(until.into()) => break,
+                _ = self.interrupts.recv() => {
+                    self.interrupted = true;
+                    break;
+                }
                 _ = ticks.tick() => self.sample(),
                 Some(_) = self.calls.join_next() => {}
             }
@@ -181,7 +222,7 @@
 fn charge(stream: &Stream) -> Charge {
     match stream.kind {
         Kind::Chat => Charge {
-            at_first: Cost::prompt(stream.body_bytes / BYTES_PER_TOKEN),
+            at_first: Cost::prompt((stream.prefix_bytes + stream.body_bytes) / BYTES_PER_TOKEN),
             at_end: Cost::ZERO,
         },
         Kind::Plain => Charge {
--- a/crates/bulrushctl/tests/ctl/fake.rs
+++ b/crates/bulrushctl/tests/ctl/fake.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+/// The longest time that a test waits for a request; far more than any needs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// How a router answers a chat request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Answer {
@@ -22,6 +25,8 @@
     Whole { tokens: u64, after: Duration },
     /// This many tokens and no end mark.
     Truncated { tokens: u64 },
+    /// This many tokens that carry the mark of the request, the last one that of another request.
+    Crossed { tokens: u64 },
     /// Tokens with a number left out, and the end mark.
     Gap,
     /// A refusal.
@@ -55,12 +60,25 @@
 }
 
 /// A running router.
-#[derive(Debug)]
 pub(crate) struct Handle {
     pub(crate) address: SocketAddr,
+    app: Arc<App>,
     task: JoinHandle<()>,
 }
 
+impl Handle {
+    /// Waits until this many chat requests have arrived.
+    pub(crate) async fn requests_reach(&self, requests: u64) {
+        let reached = async {
+            while self.app.requests.load(Ordering::SeqCst) < requests {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let reached = tokio::time::timeout(PATIENCE, reached).await;
+        reached.expect("the requests arrive in time");
+    }
+}
+
 impl Drop for Handle {
     fn drop(&mut self) {
         self.task.abort();
@@ -71,6 +89,7 @@
     cfg: Config,
     address: SocketAddr,
     looks: AtomicU64,
+    requests: AtomicU64,
 }
 
 /// Starts a router that knows the token `secret`.
@@ -83,6 +102,7 @@
         cfg,
         address,
         looks: AtomicU64::new(0),
+        requests: AtomicU64::new(0),
     });
     let routes = Router::new()
         .route("/v1/addresses", get(addresses))
@@ -90,13 +110,13 @@
         .route("/v1/services/{*path}", any(plain))
         .route("/status", get(status))
         .layer(axum::middleware::from_fn(authorise))
-        .with_state(app);
+        .with_state(Arc::clone(&app));
     let task = tokio::spawn(async move {
         axum::serve(listener, routes)
             .await
             .expect("the listener stays open");
     });
-    Handle { address, task }
+    Handle { address, app, task }
 }
 
 async fn authorise(
@@ -130,21 +150,27 @@
     body
 }
 
-async fn chat(State(app): State<Arc<App>>) -> Response {
+async fn chat(State(app): State<Arc<App>>, body: String) -> Response {
+    app.requests.fetch_add(1, Ordering::SeqCst);
     let numbers: Vec<u64> = match app.cfg.answer {
         Answer::Whole { tokens, after } => {
             tokio::time::sleep(after).await;
             (1..=tokens).collect()
         }
-        Answer::Truncated { tokens } => (1..=tokens).collect(),
+        Answer::Truncated { tokens } | Answer::Crossed { tokens } => (1..=tokens).collect(),
         Answer::Gap => vec![1, 3],
         Answer::Refused => return refusal(),
         Answer::Silent => std::future::pending().await,
     };
-    let mut text: String = numbers
-        .iter()
-        .map(|number| format!("id: {number}\ndata: {{}}\n\n"))
-        .collect();
+    let last = numbers.last().copied();
+    let mut text = String::new();
+    for number in numbers {
+        let crossed = matches!(app.cfg.answer, Answer::Crossed { .. }) && Some(number) == last;
+        let mark = if crossed { "another" } else { mark(&body) };
+        text.push_str(&format!(
+            "id: {number}\ndata: {{\"content\":\"{mark}\"}}\n\n"
+        ));
+    }
     if !matches!(app.cfg.answer, Answer::Truncated { .. }) {
         text.push_str("data: [DONE]\n\n");
     }
@@ -159,3 +185,9 @@
     let problem = json!({ "verdict": "not_run", "reason": "queue_full" });
     (StatusCode::TOO_MANY_REQUESTS, headers, problem.to_string()).into_response()
 }
+
+/// Returns the mark of a request.
+fn mark(body: &str) -> &str {
+    let (_, rest) = body.split_once("[echo=").unwrap_or_default();
+    rest.split_once(']').unwrap_or_default().0
+}
