--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -224,6 +224,50 @@
     client::request(method, router.callers, path, &all, body)
 }
 
+/// Returns a chat request of the organisation.
+pub fn chat_request(
+    router: &Daemon,
+    body: &Value,
+) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    as_organisation(
+        "POST",
+        router,
+        "/v1/chat/completions",
+        &[],
+        body.to_string(),
+    )
+}
+
+/// Asserts that an answer is a refusal that did not run, with all that belongs to it.
+pub fn assert_refused(answer: &Answer, status: u16, reason: &str, name: &str) {
+    assert_eq!(answer.status.as_u16(), status, "{name}: {}", answer.text());
+    let header = |name| {
+        answer
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    assert_eq!(
+        header("content-type"),
+        Some("application/problem+json"),
+        "{name}"
+    );
+    let problem = answer.json();
+    assert_eq!(problem["reason"], reason, "{name}");
+    assert_eq!(problem["verdict"], "not_run", "{name}");
+    assert_eq!(problem["status"], status, "{name}");
+    assert!(
+        problem["type"].as_str().is_some_and(|t| t.contains(reason)),
+        "{name}"
+    );
+    assert!(problem["title"].is_string(), "{name}");
+    let seconds = header("retry-after").and_then(|text| text.parse::<u64>().ok());
+    let whole = problem["retry_after_ms"]
+        .as_u64()
+        .map(|ms| ms.div_ceil(1_000));
+    assert_eq!(seconds, whole, "{name}");
+}
+
 /// Returns the body of a chat request for `tokens` tokens.
 pub fn chat_body(tokens: u32, stream: bool) -> Value {
     json!({
