Measure the daemon with warm targets, and show the limits beside the rates

A load before the measurement and the limits beside the figures tell the two apart; switching the limits off was ruled out, since nobody runs it so.

--- a/crates/bulrushtrestled/benches/overhead.rs
+++ b/crates/bulrushtrestled/benches/overhead.rs
@@ -77,8 +77,13 @@
     let at_rest = memory(&fleet, router).await;
     println!("memory at rest: {:.1} MiB", mebibytes(at_rest));
     compare_latency(&fleet, router).await;
+    // The limit of a new target grows with what it answers; that is not what is measured here.
+    load(router, FLOOD_CALLERS, LOAD_FOR).await;
+    show_limits(&fleet, router).await;
     throughput(router).await;
+    show_limits(&fleet, router).await;
     flood(&fleet, router).await;
+    show_limits(&fleet, router).await;
     open_streams(&fleet, router).await;
     assert!(
         at_rest <= MEMORY_BYTES_MAX,
@@ -86,6 +91,15 @@
     );
 }
 
+/// Shows how many requests the targets may have now, since that bounds every rate.
+async fn show_limits(fleet: &Fleet, router: &Daemon) {
+    let status = fleet.status(router).await;
+    for target in status["targets"].as_array().into_iter().flatten() {
+        let (name, limit) = (&target["name"], &target["limit"]);
+        println!("  limit of {name}: {limit} ({})", target["condition"]);
+    }
+}
+
 /// Compares calls through the router with calls straight to the service, in turn.
 async fn compare_latency(fleet: &Fleet, router: &Daemon) {
     let client = kept_client();
