--- a/crates/bulrushtrestled/tests/answers.rs
+++ b/crates/bulrushtrestled/tests/answers.rs
@@ -56,6 +56,31 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_may_not_be_repeated_says_that_it_is_not_whole() {
+    const DELIVERED: u64 = 10;
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    fleet.engine.set_faults(engine::Faults {
+        stream: Some(engine::StreamFault {
+            how: engine::StreamEnd::Truncated,
+            after_tokens: DELIVERED,
+            times: 1,
+        }),
+        ..engine::Faults::default()
+    });
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [("idempotency-key", key.as_str())];
+    let answer = fleet.chat(router, &chat_body(TOKENS, true), &headers).await;
+    assert!(!answer.has_end_mark());
+    assert_eq!(answer.token_numbers(), (1..=DELIVERED).collect::<Vec<_>>());
+    let text = answer.text();
+    assert!(text.contains("event: error\ndata: "), "{text}");
+    assert!(text.contains("\"reason\":\"answer_incomplete\""), "{text}");
+    assert!(text.contains("\"verdict\":\"may_have_run\""), "{text}");
+    assert_eq!(fleet.refused(router, "answer_incomplete").await, 1.0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_to_another_request_is_dropped_and_counted() {
     let fleet = Fleet::start(Plan::default()).await;
--- a/crates/bulrushtrestled/tests/refusals.rs
+++ b/crates/bulrushtrestled/tests/refusals.rs
@@ -293,35 +293,42 @@
 async fn a_call_that_may_have_run_is_never_said_not_to_have_run() {
     let fleet = Fleet::start(Plan::default()).await;
     let router = &fleet.routers[0];
+    let good = plain::Faults::default;
     let cases = [
         (
             "the answer is lost",
+            "target_failed",
             plain::Faults {
                 lost_answers: 1,
-                ..plain::Faults::default()
+                ..good()
             },
         ),
         (
             "the answer does not come",
+            "target_silent",
             plain::Faults {
                 silent_answers: 1,
-                ..plain::Faults::default()
+                ..good()
             },
         ),
         (
             "the answer is another's",
+            "target_failed",
             plain::Faults {
                 crossed_answers: 1,
-                ..plain::Faults::default()
+                ..good()
             },
         ),
     ];
-    for (name, faults) in cases {
+    for (name, reason, faults) in cases {
         let before = fleet.runs().await.unkeyed;
+        let refused = fleet.refused(router, reason).await;
         fleet.plain.set_faults(faults);
         let answer = fleet.call("POST", router, "/deposits", &[], "{}").await;
         assert!(answer.status.is_server_error(), "{name}: {}", answer.text());
         assert_eq!(answer.json()["verdict"], "may_have_run", "{name}");
+        assert_eq!(answer.json()["reason"], reason, "{name}");
+        assert_eq!(fleet.refused(router, reason).await, refused + 1.0, "{name}");
         assert_eq!(
             fleet.runs().await.unkeyed,
             before + 1,
@@ -330,6 +337,22 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_starts_nothing_ends_in_not_run() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    fleet.plain.set_faults(plain::Faults {
+        declines: true,
+        ..plain::Faults::default()
+    });
+    let answer = fleet.call("POST", router, "/deposits", &[], "{}").await;
+    assert_refused(&answer, 503, "no_target", "the target declines");
+    assert_eq!(fleet.refused(router, "no_target").await, 1.0);
+    let name = "bulrushtrestle_events_total{event=\"retry_refused_by_target\"}";
+    assert!(fleet.metric(router, name).await >= 1.0);
+    assert_eq!(fleet.runs().await.total, 0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn operators_need_their_token() {
     let fleet = Fleet::start(Plan::default()).await;
