--- /dev/null
+++ b/crates/bulrushctl/tests/ctl/main.rs
@@ -0,0 +1,8 @@
+//! Tests of `bulrushctl` as a process.
+
+mod ask;
+mod command;
+mod docs;
+mod edit;
+mod fake;
+mod load;
--- /dev/null
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -0,0 +1,138 @@
+//! What the traffic threads and the control thread tell each other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bulrushtrestle_core::catalogue::entry::{Limits, Service};
+use bulrushtrestle_core::input::AttemptEvent;
+use bulrushtrestle_core::key::{AttemptId, Fingerprint, Incarnation, OrganisationId, RequestId};
+use bulrushtrestle_core::request::{Class, Repeat};
+use bulrushtrestle_core::time::Time;
+use bulrushtrestle_core::verdict::Refusal;
+use tokio::sync::{mpsc, oneshot};
+
+/// Something that waits for an answer of the control thread.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    /// Whose token is it?
+    Identity {
+        /// The SHA-256 sum of the token.
+        sum: [u8; 32],
+        /// Takes the answer.
+        reply: oneshot::Sender<Result<Identity, Refusal>>,
+    },
+    /// Which addresses should a caller use?
+    Addresses {
+        /// The caller's organisation, if it showed a token.
+        organisation: Option<OrganisationId>,
+        /// Takes the answer.
+        reply: oneshot::Sender<Addresses>,
+    },
+    /// A request wants to be run.
+    Request {
+        /// The request.
+        arrival: Arrival,
+        /// Takes what is decided about it, until the final answer.
+        decisions: mpsc::UnboundedSender<Decision>,
+    },
+    /// What do operators see?
+    Status {
+        /// Takes the answer, as JSON.
+        reply: oneshot::Sender<String>,
+    },
+    /// Does the router take requests?
+    Ready {
+        /// Takes the answer.
+        reply: oneshot::Sender<bool>,
+    },
+}
+
+/// The addresses that a caller should use.
+#[derive(Debug, Clone)]
+pub(crate) struct Addresses {
+    /// The addresses, the best first.
+    pub(crate) addresses: Vec<String>,
+    /// For how long the answer holds.
+    pub(crate) valid: Duration,
+}
+
+/// Who a caller is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Identity {
+    /// The organisation.
+    pub(crate) organisation: OrganisationId,
+    /// Its limits.
+    pub(crate) limits: Limits,
+}
+
+/// A request before its pool is looked up.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    /// The identity that events about this request carry.
+    pub(crate) id: RequestId,
+    /// Who asks.
+    pub(crate) organisation: OrganisationId,
+    /// The name of the pool.
+    pub(crate) pool: String,
+    /// What the pool has to be.
+    pub(crate) kind: Service,
+    /// How urgent it is.
+    pub(crate) class: Option<Class>,
+    /// Whether it may be repeated.
+    pub(crate) repeat: Repeat,
+    /// When the caller gives up.
+    pub(crate) deadline: Option<Time>,
+    /// Tokens of the prompt, estimated.
+    pub(crate) prompt_tokens: u32,
+    /// Tokens to be generated, as the caller guesses.
+    pub(crate) hint_tokens: Option<u32>,
+    /// The hash of pool and content.
+    pub(crate) fingerprint: Fingerprint,
+    /// The hash of the leading part of the prompt.
+    pub(crate) prefix: Option<Fingerprint>,
+}
+
+/// The names by which targets know attempts, distinct in the whole fleet.
+#[derive(Debug, Clone)]
+pub(crate) struct AttemptNames(String);
+
+impl AttemptNames {
+    /// Returns the names of a router's run.
+    pub(crate) fn new(router: u32, incarnation: Incarnation) -> Self {
+        Self(format!("{router}-{:x}", incarnation.0))
+    }
+
+    /// Returns the name of an attempt.
+    pub(crate) fn name(&self, attempt: AttemptId) -> String {
+        format!("{}-{}", self.0, attempt.0)
+    }
+}
+
+/// What is decided about a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Decision {
+    /// Send it to a target.
+    Dispatch {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where the target is.
+        address: SocketAddr,
+    },
+    /// Stop an attempt.
+    Abort(AttemptId),
+    /// Give the caller its final answer.
+    Refuse(Refusal),
+}
+
+/// Something that happened to a request that was taken in.
+#[derive(Debug)]
+pub(crate) enum Note {
+    /// The caller has left.
+    Cancelled(RequestId),
+    /// Something was learnt about an attempt.
+    Attempt(AttemptId, AttemptEvent),
+    /// How far the answers of attempts have come.
+    Progress(Vec<(AttemptId, u64)>),
+    /// The process was asked to stop.
+    Stop,
+}
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -1,12 +1,16 @@
 //! What happens to a request at a target.
 
-use crate::input::{AttemptEvent, Failure};
+use crate::attempt::{Ending, Limits, Next};
+use crate::catalogue::TargetView;
+use crate::input::{AttemptEvent, Failure, FailureKind};
 use crate::node::Node;
 use crate::node::request::Stage;
+use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::share::Bill;
 use crate::slots::Policy;
+use crate::target::Sign;
 
 /// A request at a target.
 #[derive(Debug)]
@@ -15,6 +19,9 @@
     pub(super) target: TargetId,
     /// Tokens that were counted as service.
     pub(super) counted: u64,
+    /// When it was sent.
+    pub(super) sent: Time,
+    pub(super) flow: Flow,
     /// What it was charged.
     pub(super) bill: Bill,
     /// Until when its time was charged, for calls of plain services.
@@ -23,12 +30,27 @@
     pub(super) runs_as: (PoolId, OrganisationId, Class),
 }
 
+/// How far the answer of an attempt has come, as far as the target's health is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Flow {
+    /// Nothing has arrived.
+    Pending,
+    /// Nothing has arrived, and that was counted against the target.
+    Late,
+    /// The answer started then.
+    Started(Time),
+    /// It started then, and has flowed for long enough to count for the target.
+    Flowing(Time),
+}
+
 impl Attempt {
     pub(super) fn new(request: RequestId, target: TargetId, now: Time, bill: Bill) -> Self {
         Self {
             request,
             target,
             counted: 0,
+            sent: now,
+            flow: Flow::Pending,
             bill,
             charged_until: now,
             runs_as: <(PoolId, OrganisationId, Class)>::default(),
@@ -42,12 +64,64 @@
             self.cx.count(Counter::StaleAttempt);
             return;
         }
+        self.learn(attempt, event);
         match event {
             AttemptEvent::Started => {}
             AttemptEvent::Progress { tokens } => self.count_tokens(attempt, tokens),
             AttemptEvent::Finished { tokens } => self.on_finished(attempt, tokens),
-            AttemptEvent::Declined => self.again(attempt, Counter::RetryRefusedByTarget),
-            AttemptEvent::Failed(failure) => self.on_failed(attempt, failure),
+            AttemptEvent::Declined => self.on_ended(attempt, Ending::Declined),
+            AttemptEvent::Failed(failure) => {
+                self.count_tokens(attempt, failure.tokens);
+                self.on_ended(attempt, Ending::Failed(failure));
+            }
+        }
+    }
+
+    /// Counts answers that have not started in time against their targets.
+    pub(super) fn note_late_starts(&mut self) {
+        let now = self.cx.now;
+        let start_max = self.cfg.target.start_max;
+        for attempt in self.attempts.values_mut() {
+            if attempt.flow == Flow::Pending && now.since(attempt.sent) >= start_max {
+                attempt.flow = Flow::Late;
+                self.targets
+                    .on_sign(&mut self.cx, attempt.target, Sign::Late);
+            }
+        }
+    }
+
+    /// Lets the health of the target follow what an attempt shows.
+    fn learn(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        let now = self.cx.now;
+        let stream = self.cfg.target.stream;
+        let Some(attempt) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        let target = attempt.target;
+        let unstarted = matches!(attempt.flow, Flow::Pending | Flow::Late);
+        if unstarted && starts(event) {
+            attempt.flow = Flow::Started(now);
+            let after = now.since(attempt.sent);
+            self.targets
+                .on_sign(&mut self.cx, target, Sign::Started { after });
+        }
+        let sign = match (event, attempt.flow) {
+            (AttemptEvent::Started, _) => None,
+            (AttemptEvent::Progress { .. }, Flow::Started(at)) if now.since(at) >= stream => {
+                attempt.flow = Flow::Flowing(at);
+                Some(Sign::Flowing)
+            }
+            (AttemptEvent::Progress { .. }, _) => None,
+            (AttemptEvent::Finished { tokens }, Flow::Started(at) | Flow::Flowing(at)) => {
+                let took = now.since(at);
+                Some(Sign::Finished { took, tokens })
+            }
+            (AttemptEvent::Finished { .. }, _) => None,
+            (AttemptEvent::Declined, _) => Some(Sign::Declined),
+            (AttemptEvent::Failed(failure), _) => Some(failed(failure)),
+        };
+        if let Some(sign) = sign {
+            self.targets.on_sign(&mut self.cx, target, sign);
         }
     }
 
@@ -73,42 +147,57 @@
         }
     }
 
-    fn on_failed(&mut self, attempt: AttemptId, failure: Failure) {
-        if !failure.sent {
-            self.again(attempt, Counter::RetryNotSent);
-            return;
-        }
-        if let Some(ended) = self.end_attempt(attempt) {
-            self.refuse(
-                ended.request,
-                Refusal::may_have_run(Reason::TargetFailed, None),
-            );
-        }
-    }
-
-    /// Puts a request that certainly did not run back at the front of its queue.
-    fn again(&mut self, attempt: AttemptId, counter: Counter) {
+    fn on_ended(&mut self, attempt: AttemptId, ending: Ending) {
         let Some(ended) = self.end_attempt(attempt) else {
             return;
         };
+        if must_cancel(ending) {
+            self.cx.out.push(Output::Abort(attempt));
+        }
+        if let Ending::Failed(failure) = ending
+            && failed(failure) == Sign::Broken
+        {
+            let keep = u32::from(self.targets.owner(ended.target) == Some(self.cx.me));
+            self.slots.holder.shrink(ended.target, keep);
+        }
         let Some(active) = self.requests.get_mut(&ended.request) else {
             return;
         };
-        if active.attempts >= self.cfg.attempts_max {
-            let refusal = Refusal::not_run(Reason::NoTarget, Some(Duration::from_secs(1)));
-            self.refuse(ended.request, refusal);
-            return;
+        let limits = Limits {
+            now: self.cx.now,
+            deadline: active.deadline,
+            attempts_max: self.cfg.attempt.attempts_max,
+            organisation: active.req.organisation,
+            budgets: &mut self.budgets,
+        };
+        match active.life.end(ending, limits) {
+            Next::Refuse(refusal) => self.refuse(ended.request, refusal),
+            Next::Retry(counter) => {
+                self.cx.count(counter);
+                self.retry(ended.request);
+            }
         }
+    }
+
+    /// Puts a request back at the front of its queue.
+    fn retry(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
         active.stage = Stage::Waiting;
+        let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
         let waiting = Waiting {
-            request: ended.request,
+            request,
             since: active.arrived,
             deadline: active.deadline,
         };
-        let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
+        let avoid = active.life.wish().avoid;
+        let tried = |target: TargetView<'_>| target.out || avoid.contains(&target.id);
+        if self.catalogue.targets_of(pool).all(tried) {
+            active.life.forgive();
+        }
         self.queues.push_front(pool, org, class, waiting);
         self.enter(pool, org);
-        self.cx.count(counter);
     }
 
     fn count_tokens(&mut self, attempt: AttemptId, tokens: u64) {
@@ -117,6 +206,38 @@
         };
         let new = tokens.saturating_sub(state.counted);
         state.counted += new;
+        if let Some(active) = self.requests.get_mut(&state.request) {
+            active.life.deliver(tokens);
+        }
         self.charge_attempt(attempt, Cost::tokens(new));
     }
 }
+
+/// Says whether an event shows that the target has begun to answer.
+const fn starts(event: AttemptEvent) -> bool {
+    matches!(
+        event,
+        AttemptEvent::Started | AttemptEvent::Progress { .. } | AttemptEvent::Finished { .. }
+    )
+}
+
+/// Returns what a failure shows of the target.
+const fn failed(failure: Failure) -> Sign {
+    match failure.kind {
+        FailureKind::Connect => Sign::Unanswered,
+        FailureKind::Silent => Sign::Silent,
+        FailureKind::Broken if failure.sent => Sign::Broken,
+        FailureKind::Broken => Sign::Unanswered,
+        FailureKind::Truncated | FailureKind::Error | FailureKind::Crossed => Sign::Failed,
+    }
+}
+
+/// Says whether the target may still be working for an attempt that is given up on.
+const fn must_cancel(ending: Ending) -> bool {
+    match ending {
+        Ending::Declined => false,
+        Ending::Failed(failure) => {
+            matches!(failure.kind, FailureKind::Silent | FailureKind::Crossed)
+        }
+    }
+}
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -102,7 +102,8 @@
             Part::Catalogue(part) => self.on_catalogue_part(from, part),
             Part::Share(part) => self.ledger.on_part(from, run, part),
             Part::Slots(part) => self.on_slots_part(from, run, part),
-            Part::Target(_) | Part::Version(_) | Part::Quarantine(_) => {}
+            Part::Target(part) => self.targets.on_part(&mut self.cx, from, &part),
+            Part::Version(_) | Part::Quarantine(_) => {}
         }
     }
 }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -1,12 +1,14 @@
 //! Matching requests that wait with slots that are free.
 
+use crate::attempt::Wish;
+use crate::catalogue::TargetView;
 use crate::node::Node;
 use crate::node::attempt::Attempt;
 use crate::node::request::Stage;
-use crate::node::slots::usable;
 use crate::output::{Dispatch, Output};
 use crate::prelude::*;
 use crate::queue::Waiting;
+use crate::route::{self, Distance};
 use crate::slots::Policy;
 
 /// How often a node deals with itself in one event; the rest is left to the next event.
@@ -50,21 +52,50 @@
         }
     }
 
+    /// Dispatches what waits for a pool.
+    ///
+    /// A request that must avoid every target that is free is put aside, so that it does not hold up
+    /// the others.
     fn pump_pool(&mut self, pool: PoolId) {
-        while let Some((turn, target)) = self.next_match(pool) {
+        let mut aside = Vec::new();
+        while let Some(turn) = self.next_turn(pool) {
             let next = self
                 .queues
                 .pop(self.cx.now, pool, turn.organisation, turn.kept);
             let Some((class, waiting)) = next else {
                 break;
             };
-            self.dispatch(pool, class, waiting, target);
+            let placed = self.place(pool, class, waiting, turn);
+            aside.extend((!placed).then_some((turn.organisation, class, waiting)));
         }
+        for (organisation, class, waiting) in aside.into_iter().rev() {
+            let enters = self.queues.lane_mut(pool, organisation).is_none();
+            self.queues.push_front(pool, organisation, class, waiting);
+            if enters {
+                self.enter(pool, organisation);
+            }
+        }
+    }
+
+    /// Dispatches a request unless no target that it may go to is free, and says whether it is dealt
+    /// with.
+    ///
+    /// The deadline is checked here again, because a router that was paused may decide late.
+    fn place(&mut self, pool: PoolId, class: Class, waiting: Waiting, turn: Turn) -> bool {
+        if waiting.deadline <= self.cx.now {
+            self.give_up(waiting.request, Reason::DeadlinePassed);
+            return true;
+        }
+        let Some(target) = self.choose(pool, waiting.request, turn) else {
+            return false;
+        };
+        self.dispatch(pool, class, waiting, target);
+        true
     }
 
-    /// Returns whose request is next and where it runs. A slot that is kept for urgent requests goes to
+    /// Returns whose request is next, if there is a slot for it. A slot that is kept for urgent requests goes to
     /// the first of them if it is not the turn of one anyway.
-    fn next_match(&mut self, pool: PoolId) -> Option<(Turn, TargetId)> {
+    fn next_turn(&mut self, pool: PoolId) -> Option<Turn> {
         let (first, urgent) = self.turns(pool)?;
         let short = self.running.urgent_is_short(pool, self.queues.cfg().share);
         let turns = match urgent {
@@ -74,7 +105,7 @@
         turns
             .into_iter()
             .flatten()
-            .find_map(|turn| self.choose(pool, turn).map(|target| (turn, target)))
+            .find(|&turn| self.open_targets(pool, turn).any(has_room))
     }
 
     /// Returns the organisations that wait for a pool and may run another request, the lowest virtual
@@ -141,33 +172,76 @@
         }
     }
 
-    /// Returns the target of a pool that gets the next request, if one may.
-    fn choose(&self, pool: PoolId, turn: Turn) -> Option<TargetId> {
-        if self.slots.cfg.policy == Policy::FixedSplit {
-            return self.choose_of_split(pool);
+    /// Returns the target that gets a request, if one may.
+    fn choose(&self, pool: PoolId, request: RequestId, turn: Turn) -> Option<TargetId> {
+        let active = self.requests.get(&request)?;
+        let Wish { avoid, prefer } = active.life.wish();
+        let mut open = self.open_targets(pool, turn);
+        if prefer.is_some() && open.any(|open| Some(open.target) == prefer && has_room(open)) {
+            return prefer;
         }
-        self.slots
-            .holder
+        let rest = self
+            .open_targets(pool, turn)
+            .filter(|open| !avoid.contains(&open.target));
+        let salt = request.0 ^ (u64::from(self.cx.me.0) << 32);
+        route::choose(rest, self.prefixes.holders(active.req.prefix), salt)
+    }
+
+    /// Returns the targets of a pool that this router may use now for the request whose turn it is.
+    fn open_targets(&self, pool: PoolId, turn: Turn) -> impl Iterator<Item = route::Candidate> {
+        let split = self.slots.cfg.policy == Policy::FixedSplit;
+        let parts = split.then(|| self.parts_of_split(pool));
+        let open = (!split).then(|| self.open_grants(pool, turn));
+        let all = parts
+            .into_iter()
+            .flatten()
+            .chain(open.into_iter().flatten());
+        all.filter_map(|(target, used, part)| {
+            let view = self.catalogue.target(target)?;
+            let usable = self.targets.usable(self.cx.now, &view);
+            usable.then(|| route::Candidate {
+                target,
+                used,
+                part,
+                distance: self.distance(&view),
+            })
+        })
+    }
+
+    /// Returns targets with the requests that this router has there and may have there.
+    fn open_grants(&self, pool: PoolId, turn: Turn) -> impl Iterator<Item = (TargetId, u32, u32)> {
+        let holder = &self.slots.holder;
+        holder
             .open(self.cx.now, pool)
-            .filter(|&(target, _)| usable(&self.catalogue, target))
-            .filter(|&(target, _)| self.slots.holder.may_use(target, turn.lowest, turn.urgent))
-            .max_by_key(|&(target, idle)| (idle, target))
-            .map(|(target, _)| target)
+            .filter(move |&(target, _)| holder.may_use(target, turn.lowest, turn.urgent))
+            .map(move |(target, idle)| {
+                let used = holder.running(target);
+                (target, used, used + idle)
+            })
     }
 
-    fn choose_of_split(&self, pool: PoolId) -> Option<TargetId> {
+    fn parts_of_split(&self, pool: PoolId) -> impl Iterator<Item = (TargetId, u32, u32)> {
         let routers = u32::try_from(self.members.live(self.cx.now).count()).unwrap_or(u32::MAX);
-        self.catalogue
-            .targets_of(pool)
-            .filter(|target| !target.out)
-            .map(|target| {
-                let part = (target.entry.slots / routers.max(1)).max(1);
-                let used = self.slots.holder.running(target.id);
-                (part.saturating_sub(used), target.id)
-            })
-            .filter(|&(free, _)| free > 0)
-            .max()
-            .map(|(_, target)| target)
+        self.catalogue.targets_of(pool).map(move |view| {
+            let part = (view.entry.slots / routers.max(1)).max(1);
+            (view.id, self.slots.holder.running(view.id), part)
+        })
+    }
+
+    fn distance(&self, view: &TargetView<'_>) -> Distance {
+        let mine = &self.cfg.data_centre;
+        if view.entry.data_centre == *mine {
+            return Distance::Near;
+        }
+        let region = |name: &str| {
+            let (_, entry) = self.catalogue.data_centre_by_name(name)?;
+            Some(entry.region.as_str())
+        };
+        if region(mine) == region(&view.entry.data_centre) {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
     }
 
     fn dispatch(&mut self, pool: PoolId, class: Class, waiting: Waiting, target: TargetId) {
@@ -177,22 +251,34 @@
         let attempt = AttemptId(self.next_attempt);
         self.next_attempt += 1;
         active.stage = Stage::Running(attempt);
-        active.attempts += 1;
+        active.life.begin(target);
+        let resume_from = active.life.delivered();
         let dispatch = Dispatch {
             request: waiting.request,
             attempt,
             target,
-            resume_from: active.delivered,
+            resume_from,
         };
         let (organisation, prompt) = (active.req.organisation, active.req.prompt_tokens);
+        let prefix = active.req.prefix;
         let bill = self.open_bill(organisation, prompt);
         let owner = self.slots.owners.of(target).map_or(self.cx.me, |(_, o)| o);
         self.slots.holder.take(target, pool, owner);
         self.running.add(pool, organisation, class);
+        self.targets.on_dispatch(self.cx.now, target);
+        if let Some(prefix) = prefix {
+            self.prefixes.store(target, prefix);
+        }
         let mut state = Attempt::new(waiting.request, target, self.cx.now, bill);
+        state.counted = resume_from;
         state.runs_as = (pool, organisation, class);
         self.attempts.insert(attempt, state);
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
     }
 }
+
+/// Says whether a target takes another request from this router.
+const fn has_room(open: route::Candidate) -> bool {
+    open.used < open.part
+}
--- a/crates/core/src/node/slots.rs
+++ b/crates/core/src/node/slots.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 
-use crate::catalogue::Catalogue;
 use crate::input::Report;
 use crate::node::Node;
 use crate::node::pump::Candidate;
@@ -10,19 +9,6 @@
 use crate::slots::Policy;
 use crate::slots::message::{Demand, SlotsPart};
 
-/// Returns how many requests the fleet may have at a target now.
-pub(super) fn limit(catalogue: &Catalogue, target: TargetId) -> u32 {
-    match catalogue.target(target) {
-        Some(view) if usable(catalogue, target) => view.entry.slots,
-        _ => 0,
-    }
-}
-
-/// Says whether a target may be given new work.
-pub(super) fn usable(catalogue: &Catalogue, target: TargetId) -> bool {
-    catalogue.target(target).is_some_and(|view| !view.out)
-}
-
 impl Node {
     /// Takes over what a peer tells about slots.
     pub(super) fn on_slots_part(&mut self, from: RouterId, run: Incarnation, part: SlotsPart) {
@@ -42,7 +28,7 @@
                 let owners = &self.slots.owners;
                 self.slots
                     .holder
-                    .on_grants((from, run), &grants, |target| owners.of(target));
+                    .on_grants(now, (from, run), &grants, |target| owners.of(target));
             }
         }
     }
@@ -77,6 +63,9 @@
             self.slots
                 .holder
                 .on_owners(|target| owners.of(target).map(|(_, owner)| owner));
+            self.slots
+                .holder
+                .forget_former(|owner, pool| owners.of_pool(pool).contains(&owner));
         }
     }
 
@@ -126,11 +115,24 @@
     }
 
     fn answer_holders(&mut self) {
+        let now = self.cx.now;
+        let (catalogue, targets) = (&self.catalogue, &self.targets);
+        let usable = |target| {
+            catalogue
+                .target(target)
+                .is_some_and(|v| targets.usable(now, &v))
+        };
+        let limit = |target| {
+            if usable(target) {
+                targets.limit(target)
+            } else {
+                0
+            }
+        };
+        self.slots.owner.call_in(limit);
         if !self.slots.owner.has_work() {
             return;
         }
-        let (now, catalogue) = (self.cx.now, &self.catalogue);
-        let limit = |target| limit(catalogue, target);
         self.slots.owner.hand_out(now, limit);
         for (to, grants, urgency) in self.slots.owner.take_answers(now, limit) {
             self.send_slots(to, SlotsPart::Grants(grants), urgency);
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::attempt::Budgets;
 use crate::catalogue::Catalogue;
 use crate::input::Input;
 use crate::lease::Leases;
@@ -18,8 +19,10 @@
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::{Queues, Running};
+use crate::route::Prefixes;
 use crate::share::Ledger;
 use crate::slots::Slots;
+use crate::target::Targets;
 
 /// A router without its sockets: every decision, and nothing else.
 ///
@@ -54,9 +57,12 @@
     pub(super) ledger: Ledger,
     pub(super) queues: Queues,
     pub(super) slots: Slots,
+    pub(super) targets: Targets,
+    pub(super) prefixes: Prefixes,
     pub(super) running: Running,
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) budgets: Budgets,
     pub(super) next_attempt: u64,
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
@@ -92,11 +98,14 @@
             slots: Slots::new(
                 cfg.incarnation,
                 cfg.slots.clone(),
-                cfg.membership.timeout + cfg.slots.term,
+                cfg.membership.sparse.timeout + cfg.slots.term,
             ),
             running: Running::default(),
+            targets: Targets::new(cfg.me, cfg.target.clone(), now),
+            prefixes: Prefixes::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            budgets: Budgets::new(cfg.attempt.clone()),
             next_attempt: 0,
             sequences: BTreeMap::new(),
             next_tick: now,
@@ -122,9 +131,16 @@
             Input::Attempt(attempt, event) => self.on_attempt(attempt, event),
             Input::Peer { from, bytes } => self.on_peer(from, &bytes),
             Input::Log(event) => self.on_log(event),
-            Input::Vms(vms) => self.members.on_vms(self.cx.now, &vms),
-            Input::Report(target, report) => self.on_report(target, report),
-            Input::Cache(..) | Input::Ordered(..) => {}
+            Input::Vms(vms) => {
+                self.members.on_vms(self.cx.now, &vms);
+                self.targets.on_vms(&vms);
+            }
+            Input::Report(target, report) => {
+                self.targets.on_report(&mut self.cx, target, report);
+                self.on_report(target, report);
+            }
+            Input::Cache(target, events) => self.prefixes.on_events(target, &events),
+            Input::Ordered(..) => {}
             Input::Timer => {}
             Input::Stop { deadline } => self.on_stop(deadline),
         }
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -19,9 +19,15 @@
             self.watch_currency();
             self.catch_up_if_behind();
             self.refresh_if_due();
+            self.note_late_starts();
             self.finish_stop();
+            if self.members.has_news() {
+                self.next_frame = self.cx.now;
+            }
             self.cx.wake(self.next_tick);
         }
+        self.targets
+            .on_time(&mut self.cx, &self.catalogue, &self.members);
         if self.cx.now >= self.next_frame {
             self.next_frame = self.cx.now + self.members.period();
             self.send_heartbeats();
--- a/crates/core/src/slots/config.rs
+++ b/crates/core/src/slots/config.rs
@@ -26,7 +26,7 @@
     pub want: u32,
     /// How many owners are asked first. Default: 2.
     pub probes: usize,
-    /// The wait before more owners are asked. Default: 2 ms.
+    /// The wait before more owners are asked. Default: 1 ms.
     pub probe_wait: Duration,
     /// The most owners that are asked. Default: 16.
     pub fan: usize,
@@ -58,7 +58,7 @@
             lead: Cost::tokens(500),
             want: 64,
             probes: 2,
-            probe_wait: Duration::from_millis(2),
+            probe_wait: Duration::from_millis(1),
             fan: 16,
         }
     }
--- a/crates/core/src/slots/holder.rs
+++ b/crates/core/src/slots/holder.rs
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Gives up all slots of a target but `keep`, because the target may have been restarted.
+    pub fn shrink(&mut self, target: TargetId, keep: u32) {
+        if let Some(held) = self.held.get_mut(&target) {
+            held.level = held.level.min(keep).max(held.running);
+            self.dirty.insert(held.owner);
+        }
+    }
+
     /// Gives up slots that are idle and not to be kept, and notes how few requests run. It has to be
     /// called at the end of each event.
     pub fn settle(&mut self, now: Time, keep: bool) {
@@ -149,7 +157,7 @@
             let wanted = floor.is_some_and(|floor| floor.lowest.is_some() || floor.reserve);
             let kept = keep && !wanted && !held.over && now.since(since) < self.cfg.idle;
             if !kept || now >= held.lapses {
-                held.level = held.running;
+                held.level = if kept { 0 } else { held.running };
                 held.idle_since = None;
                 self.dirty.insert(held.owner);
             }
@@ -192,6 +200,13 @@
         }
     }
 
+    /// Forgets what was wanted of routers that are no longer owners in the pool, so that others are asked.
+    pub fn forget_former(&mut self, is_owner: impl Fn(RouterId, PoolId) -> bool) {
+        for (&owner, dealing) in &mut self.owners {
+            dealing.demands.retain(|&pool, _| is_owner(owner, pool));
+        }
+    }
+
     /// Returns the owners that were asked for a pool, with what they were asked for.
     pub fn asked(&self, pool: PoolId) -> impl Iterator<Item = (RouterId, &Demand)> {
         self.owners.iter().filter_map(move |(&owner, dealing)| {
@@ -256,6 +271,7 @@
     /// Takes over what a run of an owner grants.
     pub fn on_grants(
         &mut self,
+        now: Time,
         (from, run): (RouterId, Incarnation),
         grants: &Grants,
         target_of: impl Fn(TargetId) -> Option<(PoolId, RouterId)>,
@@ -279,7 +295,10 @@
         self.held
             .retain(|_, held| held.owner != from || !held.is_over_with(grants.ask));
         for held in self.held.values_mut().filter(|held| held.owner == from) {
-            if held.told.is_some_and(|told| told <= grants.ask) {
+            if now >= held.lapses {
+                // After a pause even the number of running requests is old, so nothing is renewed.
+                held.level = 0;
+            } else if held.told.is_some_and(|told| told <= grants.ask) {
                 held.lapses = held.lapses.max(lapses);
             }
             held.over = false;
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -29,7 +29,8 @@
 //!
 //! In a partition two routers take themselves for the owner of one target. Each looks at how many of the
 //! routers on the VM list it can see ([`Sight`]). A majority hands out its part, rounded up, others theirs,
-//! rounded down, so that the parts add up to no more than the limit. A side of less than a quarter hands out
+//! rounded down, so that the parts add up to no more than the limit. A side of more than a third gets at least
+//! one slot out of two, because a limit grows only with requests that finish. A side of less than a quarter hands out
 //! nothing, and a side that misses less than a quarter hands out everything.
 
 mod config;
--- a/crates/core/src/slots/owned.rs
+++ b/crates/core/src/slots/owned.rs
@@ -19,6 +19,8 @@
     reports: VecDeque<(Time, u32)>,
     /// Before this time nothing is handed out.
     opens: Time,
+    /// The target's limit when it was looked at last.
+    limit: u32,
 }
 
 /// What one holder may have at the target.
@@ -44,6 +46,7 @@
             lost_settled: opens,
             reports: VecDeque::new(),
             opens,
+            limit: 0,
         }
     }
 
@@ -57,6 +60,11 @@
         i64::from(usable) - i64::from(self.bound())
     }
 
+    /// Takes over the target's limit and says whether it has fallen.
+    pub(super) fn has_fallen(&mut self, limit: u32) -> bool {
+        core::mem::replace(&mut self.limit, limit) > limit
+    }
+
     /// Returns the most that holders in sight may have.
     pub(super) fn bound(&self) -> u32 {
         self.shares.values().map(Share::bound).sum()
--- a/crates/core/src/slots/owner.rs
+++ b/crates/core/src/slots/owner.rs
@@ -122,6 +122,16 @@
         !self.answers.is_empty() || self.wanted_pools().next().is_some()
     }
 
+    /// Tells holders at once of targets whose limit has fallen.
+    pub fn call_in(&mut self, limit: impl Limits) {
+        for (&target, owned) in &mut self.targets {
+            if owned.has_fallen(limit(target)) {
+                let holders = owned.holders().map(|holder| (holder, Urgency::Now));
+                self.answers.extend(holders);
+            }
+        }
+    }
+
     /// Hands free slots to those who wait, lowest first.
     pub fn hand_out(&mut self, now: Time, limit: impl Limits) {
         let pools: BTreeSet<PoolId> = self.wanted_pools().collect();
--- a/crates/core/src/slots/sight.rs
+++ b/crates/core/src/slots/sight.rs
@@ -6,6 +6,8 @@
 
 /// A side of a partition smaller than one in this many routers hands out nothing.
 const SMALLEST_SIDE: u64 = 4;
+/// A side larger than one in this many routers has at most one other like it.
+const MINOR_SIDES_MAX: u64 = 3;
 
 /// How many of the listed routers are seen.
 ///
@@ -89,10 +91,20 @@
         } else if seen * SMALLEST_SIDE < listed {
             0
         } else if seen * 2 > listed {
-            (limit * seen).div_ceil(listed)
+            limit - minor_part(unseen, listed, limit)
         } else {
-            limit * seen / listed
+            minor_part(seen, listed, limit)
         };
         u32::try_from(part).unwrap_or(u32::MAX)
     }
 }
+
+/// Returns the part of a side that is no majority. If it is large enough that there are at most two
+/// like it, it gets one slot out of two or more, so that a target that is warming up can grow there.
+const fn minor_part(side: u64, listed: u64, limit: u64) -> u64 {
+    let part = limit * side / listed;
+    if part == 0 && limit >= 2 && side * MINOR_SIDES_MAX > listed {
+        return 1;
+    }
+    part
+}
