Tell whose edit stands when records age out during an edit

If the log's oldest records age out between the command's read and its append, the command starts over and its own edit is undecided until the tail is reached. It then gave up with "look with get", although it had just read the answer. It now tells by the entry that stands: its own edit is applied, another one is a conflict. One case more in the table of edits, red without the change (exit code 3 in place of 0).

--- a/crates/bulrushctl/src/catalogue/publish.rs
+++ b/crates/bulrushctl/src/catalogue/publish.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::Applied;
-use bulrushtrestle_core::catalogue::entry::Kind;
-use bulrushtrestle_core::catalogue::message::{Change, Edit};
+use bulrushtrestle_core::catalogue::message::Edit;
 use bulrushtrestle_core::key::Offset;
 use bulrushtrestle_core::record::Record;
 use tokio::time::Instant;
@@ -44,7 +43,6 @@
         change: change.change,
         author,
     };
-    let subject = subject(&edit.change);
     fold.follow(edit.id);
     let record = Record::Edit(edit.clone());
     let mut may_be_on_log = false;
@@ -53,7 +51,7 @@
         may_be_on_log |= appended.as_ref().is_none_or(|err| !err.had_no_effect());
         let read = fold.catch_up(log).await.err();
         if let Some((offset, applied)) = fold.outcome() {
-            return settle(fold, &subject, offset, applied);
+            return settle(fold, &edit, offset, applied);
         }
         if Instant::now() + RESEND_PAUSE >= deadline {
             return Err(given_up(&edit, may_be_on_log, appended.or(read)));
@@ -62,27 +60,31 @@
     }
 }
 
-fn settle(
-    fold: &Fold,
-    (kind, name): &(Kind, String),
-    offset: Offset,
-    applied: Applied,
-) -> Result<Offset, Error> {
+fn settle(fold: &Fold, edit: &Edit, offset: Offset, applied: Applied) -> Result<Offset, Error> {
     match applied {
         Applied::Accepted | Applied::Repeated => Ok(offset),
         Applied::Invalid(err) => Err(err.into()),
-        Applied::Conflict { .. } => match fold.catalogue().stored(*kind, name) {
-            Some(stored) => Err(Error::conflict(Winner {
-                author: fold.author(stored).map(str::to_owned),
-                stored: stored.clone(),
-            })),
-            None => Err(Error::failed(
-                "the entry aged out of the log while it was edited",
-            )),
-        },
-        Applied::Undecided => Err(Error::failed(
-            "records aged out of the log while the edit was made; look with `get`",
-        )),
+        // Records aged out between the first read and the append, so the entry was read again from
+        // what is left; it shows whose edit stands.
+        Applied::Undecided if stands(fold, edit) => Ok(offset),
+        Applied::Conflict { .. } | Applied::Undecided => Err(lost(fold, edit)),
+    }
+}
+
+fn stands(fold: &Fold, edit: &Edit) -> bool {
+    let (kind, name) = edit.change.subject();
+    let stored = fold.catalogue().stored(kind, name);
+    stored.is_some_and(|stored| stored.edit == edit.id)
+}
+
+fn lost(fold: &Fold, edit: &Edit) -> Error {
+    let (kind, name) = edit.change.subject();
+    match fold.catalogue().stored(kind, name) {
+        Some(stored) => Error::conflict(Winner {
+            author: fold.author(stored).map(str::to_owned),
+            stored: stored.clone(),
+        }),
+        None => Error::failed("the entry aged out of the log while it was edited"),
     }
 }
 
@@ -98,10 +100,3 @@
         )),
     }
 }
-
-fn subject(change: &Change) -> (Kind, String) {
-    match change {
-        Change::Put { entry } => (entry.kind(), entry.name().to_owned()),
-        Change::Remove { kind, name } => (*kind, name.clone()),
-    }
-}
--- a/crates/bulrushctl/tests/ctl/edit.rs
+++ b/crates/bulrushctl/tests/ctl/edit.rs
@@ -300,6 +300,19 @@
             outcome: "applied",
             service: Some("model"),
         },
+        Case {
+            name: "earlier records age out between the read and the append",
+            faults: Faults {
+                rivals: vec!["not a record".to_owned(); 3],
+                keep_records: 1,
+                ..Faults::default()
+            },
+            line: put,
+            timeout: "10s",
+            code: 0,
+            outcome: "applied",
+            service: Some("model"),
+        },
         Case {
             name: "appends are refused",
             faults: Faults {
