Make the demonstration's wait for a stand-in safe from a race

The shell may look for a stand-in's address before the started process has created the file; seen once on a busy machine, which ended the script. The file is created first now.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,6 +45,7 @@
 start_standin() {
     local name=$1
     shift
+    : >"$work/$name.address"
     "$bin/examples/standin" "$@" >"$work/$name.address" 2>"$work/$name.err" &
     pids+=($!)
     for _ in {1..100}; do
