Take the catalogue from a router where one answers

The log keeps records for a week, claims of idempotency keys among them, and the command read all of it before each edit: about 7 microseconds a record, so minutes at a few hundred records a second. A router holds the result already. Whether an edit applies is still decided by the log alone. A time index of the log was ruled out, as the platform has none.

A router that is not current refuses, since what it holds while it catches up is no state that the log ever had. If it does not answer, or if it is ahead of the log's tail and so of another fleet, the command reads the whole log as before.

--- a/crates/bulrushctl/src/catalogue/fold.rs
+++ b/crates/bulrushctl/src/catalogue/fold.rs
@@ -3,14 +3,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bulrushtrestle_core::catalogue::message::{Edit, Stored};
+use bulrushtrestle_core::catalogue::message::{Edit, Page, Stored};
 use bulrushtrestle_core::catalogue::{Applied, Catalogue};
 use bulrushtrestle_core::key::Offset;
 use bulrushtrestle_core::record::Record;
 use uuid::Uuid;
 
 use super::log::{Kept, Log};
-use crate::http::Error;
+use crate::http::{Client, Error};
 
 /// The catalogue up to an offset of the log.
 #[derive(Debug, Default)]
@@ -30,17 +30,40 @@
 }
 
 impl Fold {
-    /// Reads the log up to its tail.
+    /// Reads the log up to its tail. What a router holds saves reading the log from its beginning; if
+    /// the router does not answer, the whole log is read.
     ///
     /// # Errors
     ///
     /// Fails if the log does not answer.
-    pub(crate) async fn read(log: &Log) -> Result<Self, Error> {
-        let mut fold = Self::default();
+    pub(crate) async fn read(log: &Log, router: Option<&Client>) -> Result<Self, Error> {
+        let mut fold = match router {
+            Some(router) => Self::ask(router).await.unwrap_or_default(),
+            None => Self::default(),
+        };
         fold.catch_up(log).await?;
         Ok(fold)
     }
 
+    /// Takes over the catalogue of a router, page by page.
+    async fn ask(router: &Client) -> Result<Self, Error> {
+        let mut page: Page = router.get("/catalogue").await?;
+        // What changes between two pages stands on the log from here on.
+        let next = page.applied;
+        let mut catalogue = Catalogue::new();
+        while let Some(last) = page.entries.last().map(|stored| stored.created) {
+            for copy in &page.entries {
+                catalogue.merge(copy);
+            }
+            page = router.get(&format!("/catalogue?after={}", last.0)).await?;
+        }
+        Ok(Self {
+            catalogue,
+            next,
+            ..Self::default()
+        })
+    }
+
     /// Reads on up to the tail of the log.
     ///
     /// # Errors
@@ -49,6 +72,11 @@
     pub(crate) async fn catch_up(&mut self, log: &Log) -> Result<(), Error> {
         loop {
             let page = log.read(self.next, Duration::ZERO).await?;
+            if self.next > page.tail {
+                // The router's catalogue was that of another log.
+                *self = Self::default();
+                continue;
+            }
             if page.first > self.next {
                 self.start_over(page.first);
             }
--- a/crates/bulrushctl/src/command.rs
+++ b/crates/bulrushctl/src/command.rs
@@ -79,14 +79,15 @@
     Ok(Client::new(base, token, args.timeout.0 / CALLS_PER_TIMEOUT))
 }
 
-async fn read(log: &Log) -> Result<Fold, Error> {
-    Fold::read(log)
+async fn read(args: &Args, log: &Log) -> Result<Fold, Error> {
+    let router = args.router.is_some().then(|| router(args)).transpose()?;
+    Fold::read(log, router.as_ref())
         .await
         .map_err(|err| Error::unavailable(Service::Log, err))
 }
 
 async fn show(args: &Args, get: &Get, out: &Output) -> Result<(), Error> {
-    let fold = read(&log(args)?).await?;
+    let fold = read(args, &log(args)?).await?;
     let wanted = |stored: &&Stored| {
         stored.entry.is_some()
             && get.kind.is_none_or(|kind| kind.0 == stored.kind)
@@ -104,7 +105,7 @@
 
 async fn edit(args: Args, out: &Output) -> Result<(), Error> {
     let log = log(&args)?;
-    let mut fold = read(&log).await?;
+    let mut fold = read(&args, &log).await?;
     let Some(changed) = change(&fold, args.command)? else {
         out.result(&json!({ "outcome": "unchanged" }), || {
             "unchanged".to_owned()
--- a/crates/bulrushctl/tests/ctl/edit.rs
+++ b/crates/bulrushctl/tests/ctl/edit.rs
@@ -6,9 +6,11 @@
 use bulrushtrestle_core::record::Record;
 use bulrushtrestle_standin::fault::Outage;
 use bulrushtrestle_standin::log::{self, Config, Faults};
+use serde_json::{Value, json};
 use uuid::Uuid;
 
 use crate::command::{Temporary, bulrushctl};
+use crate::fake;
 
 /// Splits a command line at its spaces.
 fn words(line: &str) -> Vec<&str> {
@@ -494,3 +496,86 @@
         assert!(ran.stderr.contains(stderr), "{name}: {ran:?}");
     }
 }
+
+#[tokio::test]
+async fn what_a_router_holds_saves_reading_the_log_from_its_beginning() {
+    struct Case {
+        name: &'static str,
+        /// The offset up to which the router has applied the log; none if it does not answer.
+        applied: Option<u64>,
+        /// The pools that are shown.
+        pools: &'static [&'static str],
+    }
+    let cases = [
+        // The last pool is left out of what the router holds, to show from where the log is read.
+        Case {
+            name: "the router is current",
+            applied: Some(4),
+            pools: &["a", "b"],
+        },
+        Case {
+            name: "the router lags",
+            applied: Some(3),
+            pools: &["a", "b", "d"],
+        },
+        Case {
+            name: "the router does not answer",
+            applied: None,
+            pools: &["d"],
+        },
+        Case {
+            name: "the router is one of another fleet",
+            applied: Some(99),
+            pools: &["d"],
+        },
+    ];
+    let stored = |offset: u64, name: &str, entry: bool| {
+        let content = json!({ "kind": "pool", "name": name, "service": "model" });
+        json!({
+            "created": offset,
+            "revision": offset,
+            "edit": Uuid::now_v7(),
+            "entry": if entry { content } else { Value::Null },
+            "kind": "pool",
+            "name": name,
+        })
+    };
+    for Case {
+        name,
+        applied,
+        pools,
+    } in cases
+    {
+        let log = log::spawn(Config::default())
+            .await
+            .expect("loopback has free ports");
+        let url = log.url();
+        for pool in ["a", "b", "c", "d"] {
+            let put = ["--log", &url, "pool", "put", pool, "--service", "model"];
+            assert_eq!(bulrushctl(&put).await.code, 0, "{name}");
+        }
+        log.set_faults(Faults {
+            keep_records: 1,
+            ..Faults::default()
+        });
+        let held = vec![
+            stored(0, "a", true),
+            stored(1, "b", true),
+            stored(2, "c", false),
+        ];
+        let router = fake::spawn(fake::Config {
+            catalogue: applied.map(|applied| (held, applied)),
+            ..fake::Config::default()
+        })
+        .await;
+        let token = Temporary::with("secret");
+        let (base, path) = (router.address.to_string(), token.path());
+        let mut args = vec!["--json", "--log", &url, "--router", &base];
+        args.extend(["--router-token-file", &path, "get", "pool"]);
+        let ran = bulrushctl(&args).await;
+        let shown = ran.json();
+        let shown = shown.as_array().into_iter().flatten();
+        let shown: Vec<&str> = shown.filter_map(|entry| entry["name"].as_str()).collect();
+        assert_eq!(shown, pools, "{name}: {ran:?}");
+    }
+}
--- a/crates/bulrushctl/tests/ctl/fake.rs
+++ b/crates/bulrushctl/tests/ctl/fake.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use axum::body::{Body, Bytes};
-use axum::extract::State;
+use axum::extract::{Query, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get, post};
@@ -42,6 +42,8 @@
     pub(crate) answer: Answer,
     /// The addresses that it names; its own if empty.
     pub(crate) addresses: Vec<String>,
+    /// The entries of its catalogue, and the offset up to which it has applied the log.
+    pub(crate) catalogue: Option<(Vec<Value>, u64)>,
     /// What it shows to operators, one after another; the last stays.
     pub(crate) status: Vec<Value>,
 }
@@ -54,6 +56,7 @@
                 after: Duration::ZERO,
             },
             addresses: Vec::new(),
+            catalogue: None,
             status: Vec::new(),
         }
     }
@@ -109,6 +112,7 @@
         .route("/v1/chat/completions", post(chat))
         .route("/v1/services/{*path}", any(plain))
         .route("/status", get(status))
+        .route("/catalogue", get(catalogue))
         .layer(axum::middleware::from_fn(authorise))
         .with_state(Arc::clone(&app));
     let task = tokio::spawn(async move {
@@ -146,6 +150,25 @@
     Json(app.cfg.status.get(n).cloned().unwrap_or_default())
 }
 
+#[derive(serde::Deserialize)]
+struct After {
+    after: Option<u64>,
+}
+
+/// Answers one entry at a time, so that a page is never the whole.
+async fn catalogue(State(app): State<Arc<App>>, Query(query): Query<After>) -> Response {
+    let Some((entries, applied)) = &app.cfg.catalogue else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let is_next = |entry: &&Value| {
+        query
+            .after
+            .is_none_or(|after| entry["created"].as_u64() > Some(after))
+    };
+    let entries: Vec<&Value> = entries.iter().filter(is_next).take(1).collect();
+    Json(json!({ "applied": applied, "entries": entries })).into_response()
+}
+
 async fn plain(body: Bytes) -> Bytes {
     body
 }
--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bulrushtrestle_core::input::AttemptEvent;
-use bulrushtrestle_core::key::{AttemptId, OrganisationId, RequestId};
+use bulrushtrestle_core::key::{AttemptId, Offset, OrganisationId, RequestId};
 use bulrushtrestle_core::verdict::Refusal;
 use tokio::sync::{mpsc, oneshot};
 
@@ -59,6 +59,11 @@
         self.ask(|reply| Ask::Status { reply }).await
     }
 
+    /// Asks for a page of the catalogue, as JSON; nothing if the router is not current.
+    pub(crate) async fn catalogue(&self, after: Option<Offset>) -> Result<Option<String>, Busy> {
+        self.ask(|reply| Ask::Catalogue { after, reply }).await
+    }
+
     /// Asks whether the router takes requests.
     pub(crate) async fn is_ready(&self) -> Result<bool, Busy> {
         self.ask(|reply| Ask::Ready { reply }).await
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -5,7 +5,9 @@
 
 use bulrushtrestle_core::catalogue::entry::{Limits, Service};
 use bulrushtrestle_core::input::AttemptEvent;
-use bulrushtrestle_core::key::{AttemptId, Fingerprint, Incarnation, OrganisationId, RequestId};
+use bulrushtrestle_core::key::{
+    AttemptId, Fingerprint, Incarnation, Offset, OrganisationId, RequestId,
+};
 use bulrushtrestle_core::request::{Class, Repeat};
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::Refusal;
@@ -40,6 +42,13 @@
         /// Takes the answer, as JSON.
         reply: oneshot::Sender<String>,
     },
+    /// Which entries were created after this offset?
+    Catalogue {
+        /// The offset at which the last entry of the page before was created.
+        after: Option<Offset>,
+        /// Takes the answer, as JSON; nothing if the router is not current.
+        reply: oneshot::Sender<Option<String>>,
+    },
     /// Does the router take requests?
     Ready {
         /// Takes the answer.
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -284,6 +284,10 @@
                 let status = serde_json::to_string(&self.node.status(self.clock.now()));
                 drop(reply.send(status.unwrap_or_default()));
             }
+            Ask::Catalogue { after, reply } => {
+                let page = self.node.catalogue_page(after);
+                drop(reply.send(page.and_then(|page| serde_json::to_string(&page).ok())));
+            }
             Ask::Ready { reply } => drop(reply.send(self.node.status(self.clock.now()).ready)),
         }
     }
--- a/crates/bulrushtrestled/src/operators.rs
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -1,4 +1,4 @@
-//! The operators' listener: metrics, health, readiness and status.
+//! The operators' listener: metrics, health, readiness, status and the catalogue.
 //!
 //! Every path needs one of the operators' tokens.
 
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use axum::error_handling::HandleErrorLayer;
-use axum::extract::{Request, State};
+use axum::extract::{Query, Request, State};
 use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{BoxError, Router};
+use bulrushtrestle_core::key::Offset;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, StatusCode};
@@ -80,6 +81,7 @@
         .route("/healthz", get(health))
         .route("/readyz", get(ready))
         .route("/status", get(status))
+        .route("/catalogue", get(catalogue))
         .layer(limits)
         .layer(middleware::from_fn_with_state(Arc::clone(&app), authorise))
         .with_state(app);
@@ -153,3 +155,18 @@
         Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
     }
 }
+
+/// Which page of the catalogue is wanted.
+#[derive(Debug, serde::Deserialize)]
+struct PageQuery {
+    /// The offset at which the last entry of the page before was created.
+    after: Option<Offset>,
+}
+
+/// Tools take the catalogue from here, because reading a long log takes long.
+async fn catalogue(State(app): State<Arc<App>>, Query(query): Query<PageQuery>) -> Response {
+    match app.control.catalogue(query.after).await {
+        Ok(Some(json)) => ([(CONTENT_TYPE, "application/json")], json).into_response(),
+        Ok(None) | Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
--- a/crates/core/src/catalogue/message.rs
+++ b/crates/core/src/catalogue/message.rs
@@ -81,6 +81,15 @@
     pub name: String,
 }
 
+/// A page of the catalogue as one router holds it, for operators' tools.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Every edit below this offset is contained, or older than what the entries show.
+    pub applied: Offset,
+    /// Entries in the order of creation, removed ones included; none after the last page.
+    pub entries: Vec<Stored>,
+}
+
 /// Entries appended again before their records age out. Each keeps its original offsets.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Refresh {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod currency;
 mod log;
+mod page;
 mod peer;
 mod pump;
 mod request;
