--- a/crates/bulrushctl/tests/ctl/main.rs
+++ b/crates/bulrushctl/tests/ctl/main.rs
@@ -6,3 +6,4 @@
 mod edit;
 mod fake;
 mod load;
+mod race;
