Let load experiments tell deadlines and hints

Callers may say how long they wait and how many tokens they expect, and the router decides by both, but an experiment could not send either. Two optional fields of a stream travel as X-Deadline-Ms and X-Cost-Hint, within the ranges that routers accept.

--- a/crates/bulrushctl/src/load/experiment.rs
+++ b/crates/bulrushctl/src/load/experiment.rs
@@ -31,6 +31,8 @@
 const TOKENS: RangeInclusive<u64> = 1..=1_000_000;
 /// The range of the time of a plain call, in milliseconds.
 const CALL_MS: RangeInclusive<u64> = 0..=600_000;
+/// The range of the time that a caller waits, in milliseconds.
+const DEADLINE_MS: RangeInclusive<u64> = 1..=86_400_000;
 /// The range of weights of organisations.
 const WEIGHTS: RangeInclusive<u64> = 1..=1_000;
 
@@ -103,6 +105,12 @@
     /// How urgent they are. Default: as the organisation's entry says.
     #[serde(default)]
     pub(crate) class: Option<Class>,
+    /// For how many milliseconds a caller waits, as it tells the router. Default: not told.
+    #[serde(default)]
+    pub(crate) deadline_ms: Option<u64>,
+    /// How many tokens a caller expects, as it tells the router. Default: not told.
+    #[serde(default)]
+    pub(crate) hint_tokens: Option<u64>,
     /// The size of the prompt or the body, in bytes. Default: 200.
     #[serde(default = "default_body")]
     pub(crate) body_bytes: u64,
@@ -230,6 +238,12 @@
         within(&field("body_bytes"), self.body_bytes, BODY_BYTES)?;
         within(&field("call_ms"), self.call_ms, CALL_MS)?;
         within(&field("max_tokens"), self.max_tokens, TOKENS)?;
+        if let Some(deadline) = self.deadline_ms {
+            within(&field("deadline_ms"), deadline, DEADLINE_MS)?;
+        }
+        if let Some(tokens) = self.hint_tokens {
+            within(&field("hint_tokens"), tokens, TOKENS)?;
+        }
         if let Some(tokens) = self.answer_tokens {
             within(&field("answer_tokens"), tokens, TOKENS)?;
         }
--- a/crates/bulrushctl/src/load/request.rs
+++ b/crates/bulrushctl/src/load/request.rs
@@ -12,6 +12,10 @@
 
 /// The header that names the class of a request.
 const CLASS: &str = "x-class";
+/// The header that says how long the caller waits.
+const DEADLINE: &str = "x-deadline-ms";
+/// The header with the caller's guess of the tokens of the answer.
+const HINT: &str = "x-cost-hint";
 
 /// The body of a request, with a mark of its own.
 #[derive(Debug)]
@@ -59,6 +63,12 @@
     if let Some(class) = stream.class {
         req = req.header(CLASS, class.as_str());
     }
+    if let Some(deadline) = stream.deadline_ms {
+        req = req.header(DEADLINE, deadline);
+    }
+    if let Some(tokens) = stream.hint_tokens {
+        req = req.header(HINT, tokens);
+    }
     if let Some(key) = key {
         req = req.header("idempotency-key", key.to_string());
     }
--- a/crates/bulrushctl/src/load/tests.rs
+++ b/crates/bulrushctl/src/load/tests.rs
@@ -99,6 +99,11 @@
             value: json!("/a b"),
             error: "organisations[0].streams[1].path: must be a path such as /book?day=3",
         },
+        Case {
+            pointer: "/organisations/0/streams/0/deadline_ms",
+            value: json!(0),
+            error: "organisations[0].streams[0].deadline_ms: 0 is not in 1 to 86400000",
+        },
         Case {
             pointer: "/organisations/0/weight",
             value: json!(1_001),
--- a/crates/bulrushctl/tests/ctl/fake.rs
+++ b/crates/bulrushctl/tests/ctl/fake.rs
@@ -1,8 +1,8 @@
 //! A router as far as callers and operators see it, with answers set by the test.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use axum::body::{Body, Bytes};
@@ -82,6 +82,19 @@
     }
 }
 
+impl Handle {
+    /// Returns a header of the last chat request.
+    pub(crate) fn header(&self, name: &str) -> Option<String> {
+        let headers = self
+            .app
+            .headers
+            .lock()
+            .expect("no thread panics with this lock");
+        let value = headers.get(name)?.to_str();
+        Some(value.expect("headers are text").to_owned())
+    }
+}
+
 impl Drop for Handle {
     fn drop(&mut self) {
         self.task.abort();
@@ -93,6 +106,7 @@
     address: SocketAddr,
     looks: AtomicU64,
     requests: AtomicU64,
+    headers: Mutex<HeaderMap>,
 }
 
 /// Starts a router that knows the token `secret`.
@@ -106,6 +120,7 @@
         address,
         looks: AtomicU64::new(0),
         requests: AtomicU64::new(0),
+        headers: Mutex::default(),
     });
     let routes = Router::new()
         .route("/v1/addresses", get(addresses))
@@ -173,7 +188,8 @@
     body
 }
 
-async fn chat(State(app): State<Arc<App>>, body: String) -> Response {
+async fn chat(State(app): State<Arc<App>>, headers: HeaderMap, body: String) -> Response {
+    *app.headers.lock().expect("no thread panics with this lock") = headers;
     app.requests.fetch_add(1, Ordering::SeqCst);
     let numbers: Vec<u64> = match app.cfg.answer {
         Answer::Whole { tokens, after } => {
--- a/crates/bulrushctl/tests/ctl/load.rs
+++ b/crates/bulrushctl/tests/ctl/load.rs
@@ -356,3 +356,51 @@
     assert!(share["finished"].as_u64() > Some(0), "{share}");
     assert_eq!(share["finished"], share["sent"], "{share}");
 }
+
+#[tokio::test]
+async fn what_a_caller_tells_travels_in_headers() {
+    struct Case {
+        field: &'static str,
+        value: Value,
+        header: &'static str,
+        told: &'static str,
+    }
+    let cases = [
+        Case {
+            field: "class",
+            value: json!("batch"),
+            header: "x-class",
+            told: "batch",
+        },
+        Case {
+            field: "deadline_ms",
+            value: json!(2_500),
+            header: "x-deadline-ms",
+            told: "2500",
+        },
+        Case {
+            field: "hint_tokens",
+            value: json!(40),
+            header: "x-cost-hint",
+            told: "40",
+        },
+    ];
+    for Case {
+        field,
+        value,
+        header,
+        told,
+    } in cases
+    {
+        for told in [None, Some(told)] {
+            let router = fake::spawn(Config::default()).await;
+            let mut experiment = experiment(&router.address.to_string());
+            if told.is_some() {
+                experiment["organisations"][0]["streams"][0][field] = value.clone();
+            }
+            let ran = run(&experiment, &["--strict"]).await;
+            assert_eq!(ran.code, 0, "{field}: {ran:?}");
+            assert_eq!(router.header(header).as_deref(), told, "{field}");
+        }
+    }
+}
