--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -11,12 +11,18 @@
 use crate::route::{self, Distance};
 use crate::slots::Policy;
 
+/// How often a node deals with itself in one event; the rest is left to the next event.
+const ROUNDS: u32 = 16;
+
 /// Whose request is next for a pool.
 #[derive(Debug, Clone, Copy)]
 struct Turn {
     organisation: OrganisationId,
     /// The lowest virtual time of all that wait here for the pool.
     lowest: u64,
+    urgent: bool,
+    /// Whether it goes before others because it is urgent.
+    kept: bool,
 }
 
 /// An organisation that waits for a pool and may run another request.
@@ -26,15 +32,15 @@
     pub(super) organisation: OrganisationId,
     pub(super) weight: u32,
     pub(super) waiting: usize,
-    urgent: bool,
+    pub(super) urgent: bool,
 }
 
 impl Node {
     /// Dispatches requests as long as there is a slot for the next one, and deals with owners about the
     /// rest.
     pub(super) fn pump(&mut self) {
-        loop {
-            if self.is_ready() {
+        for _ in 0..ROUNDS {
+            if self.gives_out_work() {
                 for pool in self.queues.pools() {
                     self.pump_pool(pool);
                 }
@@ -53,18 +59,21 @@
     fn pump_pool(&mut self, pool: PoolId) {
         let mut aside = Vec::new();
         while let Some(turn) = self.next_turn(pool) {
-            if !self.open_targets(pool, turn.lowest).any(has_room) {
-                break;
-            }
-            let Some((class, waiting)) = self.queues.pop(self.cx.now, pool, turn.organisation)
-            else {
+            let next = self
+                .queues
+                .pop(self.cx.now, pool, turn.organisation, turn.kept);
+            let Some((class, waiting)) = next else {
                 break;
             };
-            let placed = self.place(pool, class, waiting, turn.lowest);
+            let placed = self.place(pool, class, waiting, turn);
             aside.extend((!placed).then_some((turn.organisation, class, waiting)));
         }
         for (organisation, class, waiting) in aside.into_iter().rev() {
+            let enters = self.queues.lane_mut(pool, organisation).is_none();
             self.queues.push_front(pool, organisation, class, waiting);
+            if enters {
+                self.enter(pool, organisation);
+            }
         }
     }
 
@@ -72,22 +81,36 @@
     /// with.
     ///
     /// The deadline is checked here again, because a router that was paused may decide late.
-    fn place(&mut self, pool: PoolId, class: Class, waiting: Waiting, lowest: u64) -> bool {
+    fn place(&mut self, pool: PoolId, class: Class, waiting: Waiting, turn: Turn) -> bool {
         if waiting.deadline <= self.cx.now {
             self.give_up(waiting.request, Reason::DeadlinePassed);
             return true;
         }
-        let Some(target) = self.choose(pool, waiting.request, lowest) else {
+        let Some(target) = self.choose(pool, waiting.request, turn) else {
             return false;
         };
         self.dispatch(pool, class, waiting, target);
         true
     }
 
+    /// Returns whose request is next, if there is a slot for it. A slot that is kept for urgent requests goes to
+    /// the first of them if it is not the turn of one anyway.
+    fn next_turn(&mut self, pool: PoolId) -> Option<Turn> {
+        let (first, urgent) = self.turns(pool)?;
+        let short = self.running.urgent_is_short(pool, self.queues.cfg().share);
+        let turns = match urgent {
+            Some(urgent) if short => [Some(urgent), Some(first)],
+            urgent => [Some(first), urgent],
+        };
+        turns
+            .into_iter()
+            .flatten()
+            .find(|&turn| self.open_targets(pool, turn).any(has_room))
+    }
+
     /// Returns the organisations that wait for a pool and may run another request, the lowest virtual
     /// time first.
     pub(super) fn candidates(&self, pool: PoolId) -> Vec<Candidate> {
-        let (now, ageing) = (self.cx.now, self.queues.cfg().ageing);
         let lanes = self.queues.backlogged(pool);
         let mut candidates: Vec<Candidate> = lanes
             .filter_map(|(organisation, lane)| {
@@ -96,11 +119,11 @@
                 let running = self.running.of(organisation);
                 let time = self.ledger.virtual_time(organisation, weight);
                 (running < most).then(|| Candidate {
-                    time: time.saturating_sub(lane.discount),
+                    time: (time + lane.raise).saturating_sub(lane.discount),
                     organisation,
                     weight,
                     waiting: lane.len().min((most - running) as usize),
-                    urgent: lane.has_urgent(now, ageing),
+                    urgent: lane.has_urgent(),
                 })
             })
             .collect();
@@ -108,22 +131,30 @@
         candidates
     }
 
-    fn next_turn(&mut self, pool: PoolId) -> Option<Turn> {
+    /// Returns the turn of the lowest virtual time, and that of the lowest with an urgent request as far
+    /// as it may go ahead.
+    fn turns(&mut self, pool: PoolId) -> Option<(Turn, Option<Turn>)> {
         let candidates = self.candidates(pool);
         let first = *candidates.first()?;
         self.keep_up(pool, first);
-        let lead = first.time.saturating_add(self.queues.cfg().lead.0);
-        let urgent = candidates
-            .iter()
-            .find(|candidate| candidate.urgent && candidate.time <= lead);
-        let next = match urgent {
-            Some(urgent) if self.running.urgent_is_short(pool, self.queues.cfg().share) => urgent,
-            _ => &first,
-        };
-        Some(Turn {
-            organisation: next.organisation,
+        let turn = |candidate: &Candidate, kept| Turn {
+            organisation: candidate.organisation,
             lowest: first.time,
-        })
+            urgent: candidate.urgent,
+            kept,
+        };
+        let urgent = self.first_urgent(&candidates);
+        let urgent = urgent.map(|candidate| turn(candidate, true));
+        Some((turn(&first, false), urgent))
+    }
+
+    /// Returns the first candidate with an urgent request that is not too far above the floor.
+    pub(super) fn first_urgent<'a>(&self, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
+        let lead = self.queues.cfg().lead.0;
+        let lowest = candidates.first()?.time;
+        candidates
+            .iter()
+            .find(|candidate| candidate.urgent && candidate.time <= lowest.saturating_add(lead))
     }
 
     /// Raises the pool's system virtual time, and lifts an organisation that lags too far behind it.
@@ -142,26 +173,25 @@
     }
 
     /// Returns the target that gets a request, if one may.
-    fn choose(&self, pool: PoolId, request: RequestId, lowest: u64) -> Option<TargetId> {
+    fn choose(&self, pool: PoolId, request: RequestId, turn: Turn) -> Option<TargetId> {
         let active = self.requests.get(&request)?;
         let Wish { avoid, prefer } = active.life.wish();
-        let mut open = self.open_targets(pool, lowest);
+        let mut open = self.open_targets(pool, turn);
         if prefer.is_some() && open.any(|open| Some(open.target) == prefer && has_room(open)) {
             return prefer;
         }
         let rest = self
-            .open_targets(pool, lowest)
+            .open_targets(pool, turn)
             .filter(|open| !avoid.contains(&open.target));
         let salt = request.0 ^ (u64::from(self.cx.me.0) << 32);
         route::choose(rest, self.prefixes.holders(active.req.prefix), salt)
     }
 
-    /// Returns the targets of a pool that this router may use now, for requests of organisations from
-    /// the virtual time `lowest` on.
-    fn open_targets(&self, pool: PoolId, lowest: u64) -> impl Iterator<Item = route::Candidate> {
+    /// Returns the targets of a pool that this router may use now for the request whose turn it is.
+    fn open_targets(&self, pool: PoolId, turn: Turn) -> impl Iterator<Item = route::Candidate> {
         let split = self.slots.cfg.policy == Policy::FixedSplit;
         let parts = split.then(|| self.parts_of_split(pool));
-        let open = (!split).then(|| self.open_grants(pool, lowest));
+        let open = (!split).then(|| self.open_grants(pool, turn));
         let all = parts
             .into_iter()
             .flatten()
@@ -179,11 +209,11 @@
     }
 
     /// Returns targets with the requests that this router has there and may have there.
-    fn open_grants(&self, pool: PoolId, lowest: u64) -> impl Iterator<Item = (TargetId, u32, u32)> {
+    fn open_grants(&self, pool: PoolId, turn: Turn) -> impl Iterator<Item = (TargetId, u32, u32)> {
         let holder = &self.slots.holder;
         holder
             .open(self.cx.now, pool)
-            .filter(move |&(target, _)| holder.may_use(target, lowest))
+            .filter(move |&(target, _)| holder.may_use(target, turn.lowest, turn.urgent))
             .map(move |(target, idle)| {
                 let used = holder.running(target);
                 (target, used, used + idle)
