--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -1,1 +1,168 @@
-//! Tests of this duty.
+//! Tests of the ledger.
+
+use std::collections::BTreeMap;
+
+use super::message::SharePart;
+use super::{Bill, Config, Ledger};
+use crate::prelude::*;
+
+const ORGANISATION: OrganisationId = OrganisationId(7);
+
+/// A few ledgers that hear each other once in a period.
+struct Group {
+    ledgers: BTreeMap<RouterId, (Incarnation, Ledger)>,
+    all_up_to: usize,
+}
+
+impl Group {
+    fn new(routers: u32, all_up_to: usize) -> Self {
+        let mut group = Self {
+            ledgers: BTreeMap::new(),
+            all_up_to,
+        };
+        for id in 1..=routers {
+            group.start(RouterId(id), Incarnation(1));
+        }
+        group
+    }
+
+    fn start(&mut self, id: RouterId, run: Incarnation) {
+        let cfg = Config {
+            all_up_to: self.all_up_to,
+            ..Config::default()
+        };
+        self.ledgers.insert(id, (run, Ledger::new(id, run, cfg)));
+    }
+
+    fn charge(&mut self, id: u32, cost: u64) {
+        let (_, ledger) = self.ledgers.get_mut(&RouterId(id)).expect("it runs");
+        ledger.charge(ORGANISATION, Cost(cost));
+    }
+
+    /// Lets a period pass; every part arrives as often as `copies` says.
+    fn period(&mut self, copies: usize) {
+        let live: Vec<RouterId> = self.ledgers.keys().copied().collect();
+        let mut parts: Vec<(RouterId, Incarnation, RouterId, SharePart)> = Vec::new();
+        for (&from, (run, ledger)) in &mut self.ledgers {
+            ledger.on_live(live.clone());
+            let due = ledger.report().into_iter();
+            parts.extend(due.map(|(to, part)| (from, *run, to, part)));
+        }
+        for (from, run, to, part) in parts {
+            for _ in 0..copies {
+                let (_, ledger) = self.ledgers.get_mut(&to).expect("it is live");
+                ledger.on_part(from, run, part.clone());
+            }
+        }
+    }
+
+    fn totals(&self) -> Vec<u64> {
+        let ledgers = self.ledgers.values();
+        ledgers.map(|(_, l)| l.total(ORGANISATION).0).collect()
+    }
+}
+
+struct Case {
+    name: &'static str,
+    routers: u32,
+    all_up_to: usize,
+    copies: usize,
+    restart: bool,
+}
+
+#[test]
+fn service_counts_once_everywhere() {
+    let base = Case {
+        name: "everyone is an accountant",
+        routers: 4,
+        all_up_to: 8,
+        copies: 1,
+        restart: false,
+    };
+    let cases = [
+        Case {
+            name: "two accountants of twenty",
+            routers: 20,
+            ..base
+        },
+        Case {
+            name: "parts arrive three times",
+            copies: 3,
+            ..base
+        },
+        Case {
+            name: "a router restarts empty",
+            restart: true,
+            ..base
+        },
+        Case {
+            name: "a router restarts empty, two accountants of twenty",
+            routers: 20,
+            restart: true,
+            ..base
+        },
+        base,
+    ];
+    for case in cases {
+        let mut group = Group::new(case.routers, case.all_up_to);
+        (0..3).for_each(|_| group.period(case.copies));
+        for id in 1..=case.routers {
+            group.charge(id, 1_000);
+        }
+        (0..4).for_each(|_| group.period(case.copies));
+        if case.restart {
+            group.start(RouterId(2), Incarnation(2));
+            group.charge(2, 500);
+            (0..4).for_each(|_| group.period(case.copies));
+        }
+        let expected = u64::from(case.routers) * 1_000 + if case.restart { 500 } else { 0 };
+        assert!(
+            group.totals().iter().all(|&total| total == expected),
+            "{}: {:?} in place of {expected}",
+            case.name,
+            group.totals()
+        );
+    }
+}
+
+#[test]
+fn a_lift_by_two_routers_at_once_counts_once() {
+    let mut group = Group::new(2, 8);
+    (0..2).for_each(|_| group.period(1));
+    for (_, ledger) in group.ledgers.values_mut() {
+        ledger.lift(ORGANISATION, 1, 10_000);
+    }
+    (0..3).for_each(|_| group.period(1));
+    for (_, ledger) in group.ledgers.values() {
+        assert_eq!(ledger.virtual_time(ORGANISATION, 1), 10_000);
+    }
+}
+
+#[test]
+fn a_bill_comes_to_what_was_used() {
+    struct Case {
+        used: &'static [u64],
+        /// What is charged at the start and with each use.
+        due: &'static [u64],
+        unused: u64,
+    }
+    let cases = [
+        Case {
+            used: &[10, 20],
+            due: &[100, 0, 0],
+            unused: 70,
+        },
+        Case {
+            used: &[60, 60, 50],
+            due: &[100, 0, 20, 50],
+            unused: 0,
+        },
+    ];
+    for case in cases {
+        let (mut bill, first) = Bill::open(Cost::ZERO, Cost(100));
+        let mut due = vec![first.0];
+        due.extend(case.used.iter().map(|&cost| bill.add(Cost(cost)).0));
+        assert_eq!(due, case.due);
+        assert_eq!(bill.unused(), Cost(case.unused));
+    }
+}
