Move traffic between versions in stages, and back on evidence

A move was an entry that nobody read. Now the new version gets an exact share (a counter with another phase on each router, so that 1% of ten requests each is 1% over 430 routers too), in six stages that are worked back from the finishing time, 1% to 99%, final at 95% of the span. The holder of the move's lease takes the steps; in an outage of the log the preferred live router does, and records them later. Facts only merge: a router that knows nothing of a move gives the new version nothing, and a move that was taken back stays back, also against a stage or an end that arrives late.

Evidence is kept by class and by load of the target, over the same time as the old version's: failures, and times above one and a half times the old one's ninetieth percentile. It counts when Chernoff's bound puts it at e^-12 for a version half again as bad as the old one. Routers send totals to the decider, and each judges what it saw alone too. Connections that break together at one target are one failure.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -66,6 +66,10 @@
     OrderFenced = "order_fenced";
     /// A target was taken for cold.
     TargetCold = "target_cold";
+    /// A version move was learnt to be finished.
+    MoveFinished = "move_finished";
+    /// A version move was learnt to be taken back.
+    MoveTakenBack = "move_taken_back";
     /// A request was held as a suspect after a crash.
     Suspected = "suspected";
 }
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -5,12 +5,14 @@
 use crate::input::{AttemptEvent, Failure, FailureKind};
 use crate::node::Node;
 use crate::node::request::Stage;
+use crate::node::version::Trial;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::share::Bill;
 use crate::slots::Policy;
 use crate::target::Sign;
+use crate::version::evidence::Route;
 
 /// A request at a target.
 #[derive(Debug)]
@@ -28,6 +30,7 @@
     pub(super) charged_until: Time,
     /// Where it counts as running.
     pub(super) runs_as: (PoolId, OrganisationId, Class),
+    pub(super) trial: Trial,
 }
 
 /// How far the answer of an attempt has come, as far as the target's health is concerned.
@@ -44,7 +47,13 @@
 }
 
 impl Attempt {
-    pub(super) fn new(request: RequestId, target: TargetId, now: Time, bill: Bill) -> Self {
+    pub(super) fn new(
+        request: RequestId,
+        target: TargetId,
+        now: Time,
+        bill: Bill,
+        route: Route,
+    ) -> Self {
         Self {
             request,
             target,
@@ -54,6 +63,7 @@
             bill,
             charged_until: now,
             runs_as: <(PoolId, OrganisationId, Class)>::default(),
+            trial: Trial::new(route),
         }
     }
 }
@@ -65,6 +75,7 @@
             return;
         }
         self.learn(attempt, event);
+        self.compare(attempt, event);
         match event {
             AttemptEvent::Started => {}
             AttemptEvent::Progress { tokens } => self.count_tokens(attempt, tokens),
@@ -81,13 +92,17 @@
     pub(super) fn note_late_starts(&mut self) {
         let now = self.cx.now;
         let start_max = self.cfg.target.start_max;
+        let mut late = Vec::new();
         for attempt in self.attempts.values_mut() {
             if attempt.flow == Flow::Pending && now.since(attempt.sent) >= start_max {
                 attempt.flow = Flow::Late;
-                self.targets
-                    .on_sign(&mut self.cx, attempt.target, Sign::Late);
+                late.push((attempt.target, attempt.trial.route));
             }
         }
+        for (target, route) in late {
+            self.targets.on_sign(&mut self.cx, target, Sign::Late);
+            self.compare_late_start(target, route);
+        }
     }
 
     /// Lets the health of the target follow what an attempt shows.
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, attempt, lease, membership, queue, share, slots, target};
+use crate::{address, attempt, lease, membership, queue, share, slots, target, version};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -35,6 +35,8 @@
     pub queue: queue::Config,
     /// Settings of slots.
     pub slots: slots::Config,
+    /// Settings of version moves.
+    pub version: version::Config,
 }
 
 /// Settings of reading the log.
@@ -76,6 +78,7 @@
             share: share::Config::default(),
             queue: queue::Config::default(),
             slots: slots::Config::default(),
+            version: version::Config::default(),
         }
     }
 }
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -188,7 +188,8 @@
                 self.leases
                     .on_record(&mut self.cx, record.offset, first, &claim);
             }
-            Ok(Record::Claims(_) | Record::Move(_)) => {}
+            Ok(Record::Move(step)) => self.moves.on_record(&mut self.cx, &step),
+            Ok(Record::Claims(_)) => {}
         }
     }
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -18,6 +18,7 @@
 #[cfg(test)]
 mod tests;
 mod timer;
+mod version;
 
 pub use self::config::{Config, LogConfig};
 pub use self::state::Node;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -103,7 +103,8 @@
             Part::Share(part) => self.ledger.on_part(from, run, part),
             Part::Slots(part) => self.on_slots_part(from, run, part),
             Part::Target(part) => self.targets.on_part(&mut self.cx, from, &part),
-            Part::Version(_) | Part::Quarantine(_) => {}
+            Part::Version(part) => self.moves.on_part(&mut self.cx, from, &part),
+            Part::Quarantine(_) => {}
         }
     }
 }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -10,6 +10,10 @@
 use crate::queue::Waiting;
 use crate::route::{self, Distance};
 use crate::slots::Policy;
+use crate::slots::lane::new_lane;
+
+/// How often a router deals with itself within one event; what is left waits for the next one.
+const OWN_MAIL_ROUNDS: usize = 16;
 
 /// Whose request is next for a pool.
 #[derive(Debug, Clone, Copy)]
@@ -28,12 +32,14 @@
     pub(super) waiting: usize,
     urgent: bool,
 }
+use crate::version::Arm;
+use crate::version::evidence::Route;
 
 impl Node {
     /// Dispatches requests as long as there is a slot for the next one, and deals with owners about the
     /// rest.
     pub(super) fn pump(&mut self) {
-        loop {
+        for _ in 0..OWN_MAIL_ROUNDS {
             if self.is_ready() {
                 for pool in self.queues.pools() {
                     self.pump_pool(pool);
@@ -53,14 +59,14 @@
     fn pump_pool(&mut self, pool: PoolId) {
         let mut aside = Vec::new();
         while let Some(turn) = self.next_turn(pool) {
-            if !self.open_targets(pool, turn.lowest).any(has_room) {
+            let Some(arm) = self.open_arm(pool, turn.lowest) else {
                 break;
-            }
+            };
             let Some((class, waiting)) = self.queues.pop(self.cx.now, pool, turn.organisation)
             else {
                 break;
             };
-            let placed = self.place(pool, class, waiting, turn.lowest);
+            let placed = self.place((pool, arm), class, waiting, turn.lowest);
             aside.extend((!placed).then_some((turn.organisation, class, waiting)));
         }
         for (organisation, class, waiting) in aside.into_iter().rev() {
@@ -72,12 +78,18 @@
     /// with.
     ///
     /// The deadline is checked here again, because a router that was paused may decide late.
-    fn place(&mut self, pool: PoolId, class: Class, waiting: Waiting, lowest: u64) -> bool {
+    fn place(
+        &mut self,
+        (pool, arm): (PoolId, Arm),
+        class: Class,
+        waiting: Waiting,
+        lowest: u64,
+    ) -> bool {
         if waiting.deadline <= self.cx.now {
             self.give_up(waiting.request, Reason::DeadlinePassed);
             return true;
         }
-        let Some(target) = self.choose(pool, waiting.request, lowest) else {
+        let Some(target) = self.choose(pool, arm, waiting.request, lowest) else {
             return false;
         };
         self.dispatch(pool, class, waiting, target);
@@ -128,7 +140,8 @@
 
     /// Raises the pool's system virtual time, and lifts an organisation that lags too far behind it.
     fn keep_up(&mut self, pool: PoolId, first: Candidate) {
-        let floor = self.slots.holder.floor(pool);
+        let floors = [pool, new_lane(pool)].map(|lane| self.slots.holder.floor(lane));
+        let floor = floors.into_iter().flatten().min();
         let seen = floor.map_or(first.time, |floor| floor.min(first.time));
         self.slots.raise_system(pool, seen);
         let lowest = self
@@ -142,33 +155,50 @@
     }
 
     /// Returns the target that gets a request, if one may.
-    fn choose(&self, pool: PoolId, request: RequestId, lowest: u64) -> Option<TargetId> {
+    fn choose(&self, pool: PoolId, arm: Arm, request: RequestId, lowest: u64) -> Option<TargetId> {
         let active = self.requests.get(&request)?;
         let Wish { avoid, prefer } = active.life.wish();
-        let mut open = self.open_targets(pool, lowest);
+        let mut open = self.open_targets(pool, arm, lowest);
         if prefer.is_some() && open.any(|open| Some(open.target) == prefer && has_room(open)) {
             return prefer;
         }
         let rest = self
-            .open_targets(pool, lowest)
+            .open_targets(pool, arm, lowest)
             .filter(|open| !avoid.contains(&open.target));
         let salt = request.0 ^ (u64::from(self.cx.me.0) << 32);
         route::choose(rest, self.prefixes.holders(active.req.prefix), salt)
     }
 
+    /// Returns the version whose turn it is, or that may stand in, if it has a free slot.
+    fn open_arm(&mut self, pool: PoolId, lowest: u64) -> Option<Arm> {
+        let first = self.moves.next_arm(pool);
+        if self.open_targets(pool, first, lowest).any(has_room) {
+            return Some(first);
+        }
+        let other = self.moves.other_arm(self.cx.now, pool, first)?;
+        let is_open = self.open_targets(pool, other, lowest).any(has_room);
+        is_open.then_some(other)
+    }
+
     /// Returns the targets of a pool that this router may use now, for requests of organisations from
     /// the virtual time `lowest` on.
-    fn open_targets(&self, pool: PoolId, lowest: u64) -> impl Iterator<Item = route::Candidate> {
+    fn open_targets(
+        &self,
+        pool: PoolId,
+        arm: Arm,
+        lowest: u64,
+    ) -> impl Iterator<Item = route::Candidate> {
         let split = self.slots.cfg.policy == Policy::FixedSplit;
         let parts = split.then(|| self.parts_of_split(pool));
-        let open = (!split).then(|| self.open_grants(pool, lowest));
+        let open = (!split).then(|| self.open_grants(pool, arm, lowest));
         let all = parts
             .into_iter()
             .flatten()
             .chain(open.into_iter().flatten());
-        all.filter_map(|(target, used, part)| {
+        all.filter_map(move |(target, used, part)| {
             let view = self.catalogue.target(target)?;
-            let usable = self.targets.usable(self.cx.now, &view);
+            let usable = self.moves.takes(pool, arm, &view.entry.version)
+                && self.targets.usable(self.cx.now, &view);
             usable.then(|| route::Candidate {
                 target,
                 used,
@@ -179,10 +209,20 @@
     }
 
     /// Returns targets with the requests that this router has there and may have there.
-    fn open_grants(&self, pool: PoolId, lowest: u64) -> impl Iterator<Item = (TargetId, u32, u32)> {
+    fn open_grants(
+        &self,
+        pool: PoolId,
+        arm: Arm,
+        lowest: u64,
+    ) -> impl Iterator<Item = (TargetId, u32, u32)> {
         let holder = &self.slots.holder;
+        let lane = if arm == Arm::New {
+            new_lane(pool)
+        } else {
+            pool
+        };
         holder
-            .open(self.cx.now, pool)
+            .open(self.cx.now, lane)
             .filter(move |&(target, _)| holder.may_use(target, lowest))
             .map(move |(target, idle)| {
                 let used = holder.running(target);
@@ -232,17 +272,26 @@
         let (organisation, prompt) = (active.req.organisation, active.req.prompt_tokens);
         let prefix = active.req.prefix;
         let bill = self.open_bill(organisation, prompt);
-        let owner = self.slots.owners.of(target).map_or(self.cx.me, |(_, o)| o);
-        self.slots.holder.take(target, pool, owner);
+        let known = self.slots.owners.of(target);
+        let (lane, owner) = known.unwrap_or((pool, self.cx.me));
+        self.slots.holder.take(target, lane, owner);
         self.running.add(pool, organisation, class);
         self.targets.on_dispatch(self.cx.now, target);
         if let Some(prefix) = prefix {
             self.prefixes.store(target, prefix);
         }
-        let mut state = Attempt::new(waiting.request, target, self.cx.now, bill);
+        let load = self.targets.load(target);
+        let route = Route { class, load };
+        let mut state = Attempt::new(waiting.request, target, self.cx.now, bill, route);
         state.counted = resume_from;
         state.runs_as = (pool, organisation, class);
         self.attempts.insert(attempt, state);
+        if !self.moves.is_empty()
+            && let Some((pool, version)) = self.version_of(target)
+        {
+            let version = version.to_owned();
+            self.moves.on_dispatch(pool, &version);
+        }
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
     }
--- a/crates/core/src/node/slots.rs
+++ b/crates/core/src/node/slots.rs
@@ -7,7 +7,9 @@
 use crate::node::pump::Candidate;
 use crate::prelude::*;
 use crate::slots::Policy;
+use crate::slots::lane::{is_new, new_lane, pool_of};
 use crate::slots::message::{Demand, SlotsPart};
+use crate::version::Arm;
 
 impl Node {
     /// Takes over what a peer tells about slots.
@@ -20,7 +22,7 @@
             }
             SlotsPart::Grants(grants) => {
                 for floor in &grants.floors {
-                    self.slots.raise_system(floor.pool, floor.system);
+                    self.slots.raise_system(pool_of(floor.pool), floor.system);
                 }
                 if !grants.levels.is_empty() {
                     self.cx.count(Counter::GrantReceived);
@@ -130,7 +132,7 @@
     }
 
     fn ask_for_slots(&mut self) {
-        let waiting = self.queues.pools();
+        let waiting = self.lanes();
         for pool in self.slots.holder.asked_pools() {
             if !waiting.contains(&pool) {
                 self.slots.holder.want_nothing(pool);
@@ -145,6 +147,15 @@
         }
     }
 
+    /// Returns the lanes of the pools for which something waits.
+    fn lanes(&self) -> Vec<PoolId> {
+        let pools = self.queues.pools();
+        let moving = |pool: &PoolId| self.moves.has(*pool);
+        let new = pools.iter().copied().filter(moving).map(new_lane);
+        let new: Vec<PoolId> = new.collect();
+        pools.into_iter().chain(new).collect()
+    }
+
     /// Asks more owners, or the same ones again, if what they know is not enough.
     fn ask_for(&mut self, demand: Demand) {
         let (now, pool) = (self.cx.now, demand.pool);
@@ -208,14 +219,18 @@
     }
 
     /// Returns what this router wants of a pool, or `None` if nothing that waits may run.
-    fn demand(&self, pool: PoolId) -> Option<Demand> {
+    fn demand(&self, lane: PoolId) -> Option<Demand> {
+        let pool = pool_of(lane);
         let candidates = self.candidates(pool);
         let first: &Candidate = candidates.first()?;
         let waiting: usize = candidates.iter().map(|candidate| candidate.waiting).sum();
         let most = self.slots.cfg.want;
-        Some(Demand {
-            pool,
-            want: u32::try_from(waiting).unwrap_or(most).min(most),
+        let waiting = u32::try_from(waiting).unwrap_or(most).min(most);
+        let arm = if is_new(lane) { Arm::New } else { Arm::Old };
+        let want = self.moves.turns(self.cx.now, pool, arm, waiting);
+        (want > 0).then_some(Demand {
+            pool: lane,
+            want,
             lowest: first.time,
             step: self.ledger.cfg().start_charge.0 / u64::from(first.weight.max(1)),
             system: self.slots.system(pool),
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -23,6 +23,7 @@
 use crate::share::Ledger;
 use crate::slots::Slots;
 use crate::target::Targets;
+use crate::version::Moves;
 
 /// A router without its sockets: every decision, and nothing else.
 ///
@@ -60,6 +61,7 @@
     pub(super) targets: Targets,
     pub(super) prefixes: Prefixes,
     pub(super) running: Running,
+    pub(super) moves: Moves,
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) budgets: Budgets,
@@ -102,6 +104,7 @@
             running: Running::default(),
             targets: Targets::new(cfg.me, cfg.target.clone(), now),
             prefixes: Prefixes::new(),
+            moves: Moves::new(cfg.me, cfg.version.clone()),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             budgets: Budgets::new(cfg.attempt.clone()),
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::prelude::*;
 use crate::target::Condition;
+use crate::version::MoveStatus;
 
 /// A snapshot of a node's state, for operators.
 #[derive(Debug, Clone, Serialize)]
@@ -29,6 +30,8 @@
     pub requests: usize,
     /// The targets, with what the fleet may have at each of them.
     pub targets: Vec<TargetStatus>,
+    /// The version moves.
+    pub moves: Vec<MoveStatus>,
 }
 
 /// What operators see of a target.
@@ -59,6 +62,7 @@
             live: self.members.live(now).collect(),
             requests: self.requests.len(),
             targets: self.target_status(now),
+            moves: self.moves.status(),
         }
     }
 
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -28,6 +28,7 @@
         }
         self.targets
             .on_time(&mut self.cx, &self.catalogue, &self.members);
+        self.follow_moves();
         if self.cx.now >= self.next_frame {
             self.next_frame = self.cx.now + self.members.period();
             self.send_heartbeats();
--- /dev/null
+++ b/crates/core/src/node/version.rs
@@ -0,0 +1,182 @@
+//! Version moves: who decides, and what attempts show of both versions.
+
+use crate::input::{AttemptEvent, Failure, FailureKind};
+use crate::lease::message::Lease;
+use crate::membership;
+use crate::node::Node;
+use crate::node::attempt::{Attempt, Flow};
+use crate::prelude::*;
+use crate::version::evidence::{Measure, Route};
+use crate::version::{Arm, Decider};
+
+/// Tokens after which the pace of a stream is compared.
+const PACE_TOKENS: u64 = 8;
+/// What is compared of an attempt.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Trial {
+    pub(super) route: Route,
+    /// Whether its pace has been compared.
+    paced: bool,
+    /// Whether it was slow to start.
+    slow: bool,
+}
+
+impl Trial {
+    pub(super) const fn new(route: Route) -> Self {
+        Self {
+            route,
+            paced: false,
+            slow: false,
+        }
+    }
+}
+
+impl Node {
+    /// Follows the catalogue's moves and takes the steps that are due to this router.
+    pub(super) fn follow_moves(&mut self) {
+        let now = self.cx.now;
+        if !self.moves.is_due(now) {
+            return;
+        }
+        self.moves.follow(&self.catalogue);
+        if self.moves.is_empty() {
+            return;
+        }
+        let pools = self.moves.pools();
+        let open = self.moves.open();
+        let partners: Vec<RouterId> = self.members.partners().collect();
+        let log_down = self.reader.down;
+        for pool in pools {
+            let best = membership::owner(move_key(pool), self.members.live(now));
+            let best = best.unwrap_or(self.cx.me);
+            let is_best = best == self.cx.me;
+            if open.contains(&pool) {
+                self.take_steps(pool, best);
+            }
+            self.moves
+                .spread(&mut self.cx, pool, is_best, log_down, &partners);
+        }
+    }
+
+    /// Returns the version of a target.
+    pub(super) fn version_of(&self, target: TargetId) -> Option<(PoolId, &str)> {
+        let view = self.catalogue.target(target)?;
+        let (pool, _) = self.catalogue.pool_by_name(&view.entry.pool)?;
+        Some((pool, view.entry.version.as_str()))
+    }
+
+    /// Compares what an event shows of an attempt with the other version.
+    pub(super) fn compare(&mut self, id: AttemptId, event: AttemptEvent) {
+        if self.moves.is_empty() {
+            return;
+        }
+        let now = self.cx.now;
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let (target, trial, flow) = (attempt.target, attempt.trial, attempt.flow);
+        let Some((pool, version)) = self.version_of(target) else {
+            return;
+        };
+        if self.moves.next_arm(pool) == Arm::Any {
+            return;
+        }
+        let version = version.to_owned();
+        if let Some((measure, time)) = measured(now, attempt, event) {
+            let route = trial.route;
+            let slow = self
+                .moves
+                .is_slow(pool, &version, route, measure, time)
+                .map(|slow| slow || trial.slow);
+            if let Some(attempt) = self.attempts.get_mut(&id) {
+                attempt.trial.paced |= measure == Measure::Pace;
+                attempt.trial.slow = slow.unwrap_or(trial.slow);
+            }
+            if let Some(slow) = slow.filter(|_| measure == Measure::Pace) {
+                self.moves.on_timed(pool, &version, route, slow);
+            }
+        }
+        if is_break(event) {
+            self.moves.on_break(&mut self.cx, pool, target, &version);
+        }
+        // A late start was counted as a failure already.
+        if flow != Flow::Late
+            && let Some(failed) = ended(event)
+        {
+            self.moves
+                .on_end(&mut self.cx, pool, &version, trial.route, failed);
+        }
+    }
+
+    /// Counts an answer that did not start in time as a failure of its version.
+    pub(super) fn compare_late_start(&mut self, target: TargetId, route: Route) {
+        let Some((pool, version)) = self.version_of(target) else {
+            return;
+        };
+        let version = version.to_owned();
+        self.moves.on_end(&mut self.cx, pool, &version, route, true);
+    }
+
+    fn take_steps(&mut self, pool: PoolId, best: RouterId) {
+        let now = self.cx.now;
+        let lease = Lease::Move(pool);
+        if best == self.cx.me && !self.reader.down {
+            self.leases.want(&mut self.cx, lease);
+        }
+        let usable = self.catalogue.targets_of(pool).any(|view| {
+            let new = self.moves.takes(pool, Arm::New, &view.entry.version);
+            new && self.targets.usable(now, &view)
+        });
+        let decider = Decider {
+            best,
+            fence: self.leases.held(now, lease),
+            log_down: self.reader.down,
+            has_target: usable,
+        };
+        self.moves.step(&mut self.cx, pool, decider);
+    }
+}
+
+/// Returns the rendezvous key of the router that decides on a pool's move.
+fn move_key(pool: PoolId) -> u64 {
+    u64::MAX - 1 - u64::from(pool.0)
+}
+
+/// Returns the time that an event lets one compare.
+fn measured(now: Time, attempt: &Attempt, event: AttemptEvent) -> Option<(Measure, Duration)> {
+    let tokens = match event {
+        AttemptEvent::Started => return Some((Measure::Start, now.since(attempt.sent))),
+        AttemptEvent::Progress { tokens } if tokens >= PACE_TOKENS => tokens,
+        AttemptEvent::Finished { tokens } => tokens.max(1),
+        _ => return None,
+    };
+    let (Flow::Started(at) | Flow::Flowing(at)) = attempt.flow else {
+        return None;
+    };
+    let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+    (!attempt.trial.paced).then(|| (Measure::Pace, now.since(at) / tokens))
+}
+
+/// Says whether the attempt ended at the target, and ill. That no connection could be made or that one
+/// went silent says nothing of the version; broken ones are counted by target.
+const fn ended(event: AttemptEvent) -> Option<bool> {
+    match event {
+        AttemptEvent::Finished { .. } => Some(false),
+        AttemptEvent::Declined => Some(true),
+        AttemptEvent::Failed(failure) => match failure.kind {
+            FailureKind::Connect | FailureKind::Silent | FailureKind::Broken => None,
+            _ => Some(true),
+        },
+        AttemptEvent::Started | AttemptEvent::Progress { .. } => None,
+    }
+}
+
+const fn is_break(event: AttemptEvent) -> bool {
+    matches!(
+        event,
+        AttemptEvent::Failed(Failure {
+            kind: FailureKind::Broken,
+            ..
+        })
+    )
+}
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -35,6 +35,7 @@
 
 mod config;
 mod holder;
+pub mod lane;
 pub mod message;
 mod owned;
 mod owner;
--- a/crates/core/src/slots/owner.rs
+++ b/crates/core/src/slots/owner.rs
@@ -62,7 +62,8 @@
         let opens = now + self.cfg.term * 2;
         for (&target, &pool) in owned {
             let entry = self.targets.entry(target);
-            entry.or_insert_with(|| Owned::new(pool, opens, &self.cfg));
+            let owned = entry.or_insert_with(|| Owned::new(pool, opens, &self.cfg));
+            owned.pool = pool;
         }
     }
 
--- a/crates/core/src/slots/owners.rs
+++ b/crates/core/src/slots/owners.rs
@@ -5,6 +5,7 @@
 use crate::catalogue::Catalogue;
 use crate::membership;
 use crate::prelude::*;
+use crate::slots::lane::lane_of;
 
 /// The owners of all targets, as this router sees them.
 #[derive(Debug, Default)]
@@ -34,8 +35,8 @@
         let mut pools: BTreeMap<PoolId, BTreeSet<RouterId>> = BTreeMap::new();
         for view in catalogue.targets() {
             let owner = membership::owner(u64::from(view.id.0), self.live.iter().copied());
-            let pool = catalogue.pool_by_name(&view.entry.pool);
-            if let (Some(owner), Some((pool, _))) = (owner, pool) {
+            let lane = lane_of(catalogue, &view);
+            if let (Some(owner), Some(pool)) = (owner, lane) {
                 self.targets.insert(view.id, (pool, owner));
                 pools.entry(pool).or_default().insert(owner);
             }
@@ -47,7 +48,7 @@
         true
     }
 
-    /// Returns the pool and the owner of a target.
+    /// Returns the lane of the pool and the owner of a target.
     pub fn of(&self, target: TargetId) -> Option<(PoolId, RouterId)> {
         self.targets.get(&target).copied()
     }
--- a/crates/core/src/target/health.rs
+++ b/crates/core/src/target/health.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Returns how many requests the target ran at its last report.
+    pub(super) fn running(&self) -> u32 {
+        self.report.map_or(0, |(_, report)| report.running)
+    }
+
     /// Says whether the target is not held back.
     pub(super) fn is_free(&self, now: Time) -> bool {
         now >= self.held
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -10,6 +10,7 @@
 use crate::target::health::Health;
 use crate::target::message::{Limit, Seen, TargetPart};
 use crate::target::{Cause, Config, Policy, Sign};
+use crate::version::evidence::Load;
 
 /// A list from which more than one part in so many of the targets vanished at once is not believed.
 const VANISHED_PARTS: usize = 2;
@@ -145,6 +146,13 @@
         even + u32::from(in_turn && (early || routers == 1))
     }
 
+    /// Returns the load of a target by its last report, for comparisons at like load.
+    pub fn load(&self, target: TargetId) -> Load {
+        self.known.get(&target).map_or(Load::Low, |known| {
+            Load::of(known.health.running(), known.health.slots)
+        })
+    }
+
     /// Returns the router that keeps the limit of a target.
     pub fn owner(&self, target: TargetId) -> Option<RouterId> {
         self.known.get(&target)?.owner()
--- /dev/null
+++ b/crates/core/src/version/tests.rs
@@ -0,0 +1,405 @@
+//! Tests of stages, shares, facts and evidence.
+
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+use super::evidence::{Counts, Evidence, Load, Measure, Pool as Pooled, Route, Tally};
+use super::message::{Fact, Fault, MoveStep, TakenBack};
+use super::schedule::{Due, due, share};
+use super::{Arm, Config, Moves};
+use crate::catalogue::Catalogue;
+use crate::catalogue::entry::{Entry, Move, Pool, Service};
+use crate::catalogue::message::Edit;
+use crate::prelude::*;
+
+const ROUTE: Route = Route {
+    class: Class::Interactive,
+    load: Load::Low,
+};
+
+#[test]
+fn stages_are_worked_back_from_the_finishing_time() {
+    struct Case {
+        name: &'static str,
+        start: u64,
+        finish_at: u64,
+        now: u64,
+        due: Due,
+    }
+    let case = |name, start, finish_at, now, due| Case {
+        name,
+        start,
+        finish_at,
+        now,
+        due,
+    };
+    let cases = [
+        case("the start", 0, 1_000, 0, Due::Stage(0)),
+        case("just before a step", 0, 1_000, 199, Due::Stage(0)),
+        case("a step", 0, 1_000, 200, Due::Stage(1)),
+        case("the last stage", 0, 1_000, 949, Due::Stage(5)),
+        case("before the finishing time", 0, 1_000, 950, Due::Finish),
+        case("long after", 0, 1_000, 9_000, Due::Finish),
+        case("a finishing time in the past", 500, 100, 500, Due::Stage(0)),
+        case("the same, later", 500, 100, 510, Due::Finish),
+    ];
+    for case in cases {
+        let time = |secs: u64| Time::from_millis(secs * 1_000);
+        let found = due(time(case.now), time(case.start), time(case.finish_at));
+        assert_eq!(found, case.due, "{}", case.name);
+    }
+}
+
+fn moves(me: u32) -> (Moves, Context, PoolId) {
+    let mut catalogue = Catalogue::new();
+    let pool = Entry::Pool(Pool {
+        name: "m".to_owned(),
+        service: Service::Model,
+    });
+    let entry = Entry::Move(Move {
+        pool: "m".to_owned(),
+        from: "v1".to_owned(),
+        to: "v2".to_owned(),
+        finish_at: Time::from_millis(1_000),
+    });
+    catalogue.apply(Offset(0), &Edit::put(Uuid::from_u128(1), None, pool));
+    catalogue.apply(Offset(1), &Edit::put(Uuid::from_u128(2), None, entry));
+    let mut moves = Moves::new(RouterId(me), Config::default());
+    moves.follow(&catalogue);
+    let cx = Context::new(RouterId(me), Incarnation(1), ChaCha8Rng::seed_from_u64(1));
+    (moves, cx, PoolId(0))
+}
+
+fn step(fact: Fact) -> MoveStep {
+    MoveStep {
+        pool: PoolId(0),
+        revision: Offset(1),
+        fact,
+    }
+}
+
+/// Dispatches requests to the version whose turn it is and returns how many went to the new one.
+fn dispatch(moves: &mut Moves, pool: PoolId, requests: u32) -> u32 {
+    let mut new = 0;
+    for _ in 0..requests {
+        let arm = moves.next_arm(pool);
+        let version = if arm == Arm::New { "v2" } else { "v1" };
+        new += u32::from(arm == Arm::New);
+        moves.on_dispatch(pool, version);
+    }
+    new
+}
+
+#[test]
+fn the_share_is_exact_after_any_number_of_requests() {
+    for stage in 0..6 {
+        for requests in [1, 7, 99, 1_000, 12_345] {
+            let (mut moves, mut cx, pool) = moves(stage + 1);
+            let fact = Fact {
+                stage: Some(u8::try_from(stage).expect("a small number")),
+                ..Fact::default()
+            };
+            moves.on_record(&mut cx, &step(fact));
+            let new = f64::from(dispatch(&mut moves, pool, requests));
+            let due = f64::from(requests * share(u8::try_from(stage).expect("small"))) / 1_000.0;
+            assert!((new - due).abs() <= 1.0, "{stage}: {new} of {requests}");
+        }
+    }
+}
+
+#[test]
+fn a_small_share_is_exact_over_many_routers_with_few_requests_each() {
+    let new: u32 = (1..=430)
+        .map(|me| {
+            let (mut moves, mut cx, pool) = moves(me);
+            let stage = Some(0);
+            let fact = Fact {
+                stage,
+                ..Fact::default()
+            };
+            moves.on_record(&mut cx, &step(fact));
+            dispatch(&mut moves, pool, 10)
+        })
+        .sum();
+    assert!((22..=64).contains(&new), "{new} of 4300, 43 are due");
+}
+
+#[test]
+fn facts_decide_which_version_serves() {
+    let back = TakenBack {
+        at: Time(1),
+        by: RouterId(1),
+        fault: Fault::Fails,
+        route: ROUTE,
+    };
+    struct Case {
+        name: &'static str,
+        facts: Vec<Fact>,
+        new: u32,
+    }
+    let finished = Fact {
+        finished: true,
+        ..Fact::default()
+    };
+    let taken_back = Fact {
+        taken_back: Some(back),
+        ..Fact::default()
+    };
+    let staged = Fact {
+        stage: Some(4),
+        ..Fact::default()
+    };
+    let cases = [
+        Case {
+            name: "nothing is known",
+            facts: vec![],
+            new: 0,
+        },
+        Case {
+            name: "finished",
+            facts: vec![staged.clone(), finished.clone()],
+            new: 100,
+        },
+        Case {
+            name: "taken back, and an older stage arrives late",
+            facts: vec![taken_back.clone(), staged],
+            new: 0,
+        },
+        Case {
+            name: "taken back while another finishes it",
+            facts: vec![finished, taken_back],
+            new: 0,
+        },
+    ];
+    for case in cases {
+        let (mut moves, mut cx, pool) = moves(1);
+        for fact in case.facts {
+            moves.on_record(&mut cx, &step(fact));
+        }
+        assert_eq!(dispatch(&mut moves, pool, 100), case.new, "{}", case.name);
+    }
+}
+
+fn any_fact() -> impl Strategy<Value = Fact> {
+    let back = prop::option::of((0_u64..3, 0_u32..3));
+    let start = prop::option::of(0_u64..3);
+    (
+        0_u64..3,
+        start,
+        prop::option::of(0_u8..6),
+        any::<bool>(),
+        back,
+    )
+        .prop_map(|(fence, start, stage, finished, back)| Fact {
+            fence: Fence(fence),
+            start: start.map(Time),
+            stage,
+            finished,
+            taken_back: back.map(|(at, by)| TakenBack {
+                at: Time(at),
+                by: RouterId(by),
+                fault: Fault::Slow,
+                route: ROUTE,
+            }),
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn facts_merge_in_any_order_and_any_number_of_times(
+        facts in prop::collection::vec(any_fact(), 1..6),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+    ) {
+        let mut straight = Fact::default();
+        for fact in &facts {
+            straight.merge(fact);
+        }
+        let mut mixed = Fact::default();
+        for index in order {
+            mixed.merge(index.get(&facts));
+        }
+        for fact in facts.iter().rev() {
+            mixed.merge(fact);
+        }
+        prop_assert_eq!(straight, mixed);
+    }
+}
+
+#[test]
+fn a_version_is_bad_if_it_is_surely_worse_than_the_old_one() {
+    struct Case {
+        name: &'static str,
+        /// Requests, failed ones, slow ones.
+        old: (u32, u32, u32),
+        new: (u32, u32, u32),
+        fault: Option<Fault>,
+    }
+    let case = |name, old, new, fault| Case {
+        name,
+        old,
+        new,
+        fault,
+    };
+    let fails = Some(Fault::Fails);
+    let slow = Some(Fault::Slow);
+    let cases = [
+        case("nothing", (0, 0, 0), (0, 0, 0), None),
+        case("all well", (900, 0, 50), (100, 0, 5), None),
+        case(
+            "three failures, which may be chance",
+            (300, 0, 0),
+            (3, 3, 0),
+            None,
+        ),
+        case("four failures of four", (300, 0, 0), (4, 4, 0), fails),
+        case(
+            "a failure in fifty is allowed",
+            (5_000, 0, 0),
+            (5_000, 90, 0),
+            None,
+        ),
+        case(
+            "as noisy as the old one",
+            (900, 90, 90),
+            (100, 12, 12),
+            None,
+        ),
+        case(
+            "bad beside a noisy old one",
+            (900, 90, 90),
+            (30, 24, 0),
+            fails,
+        ),
+        case(
+            "few failures in many requests",
+            (900, 0, 0),
+            (500, 40, 0),
+            fails,
+        ),
+        case("slow", (900, 0, 50), (20, 0, 19), slow),
+        case("slow half of the time", (900, 0, 50), (40, 0, 20), slow),
+        case("the old one is unknown", (0, 0, 0), (20, 20, 20), None),
+    ];
+    for case in cases {
+        let counts = |(ended, failed, slow)| Counts {
+            ended,
+            failed,
+            timed: ended,
+            slow,
+        };
+        let tally = Tally {
+            old: counts(case.old),
+            new: counts(case.new),
+        };
+        let mut pool = Pooled::default();
+        pool.add(Time::default(), ROUTE, tally, true);
+        let fault = pool.fault().map(|(_, fault)| fault);
+        assert_eq!(fault, case.fault, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_version_that_was_good_for_long_shows_itself_within_a_few_failures() {
+    let good = Counts {
+        ended: 5_000,
+        timed: 5_000,
+        ..Counts::default()
+    };
+    let failure = Counts {
+        ended: 1,
+        failed: 1,
+        ..Counts::default()
+    };
+    let mut pool = Pooled::default();
+    let mut now = Time::default();
+    for (new, seconds) in [(good, 20), (failure, 20)] {
+        for _ in 0..seconds {
+            now = now + Duration::from_secs(1);
+            let old = good;
+            pool.add(now, ROUTE, Tally { old, new }, true);
+        }
+    }
+    let fault = pool.fault().map(|(_, fault)| fault);
+    assert_eq!(fault, Some(Fault::Fails));
+}
+
+#[test]
+fn a_healthy_version_beside_a_noisy_one_is_not_taken_back_in_many_moves() {
+    let mut rng = StdRng::seed_from_u64(5);
+    for round in 0..300 {
+        let noise = f64::from(round % 4) * 0.08;
+        let mut pool = Pooled::default();
+        for second in 0..300 {
+            let mut counts = |ended: u32| Counts {
+                ended,
+                failed: (0..ended).filter(|_| rng.random_bool(noise)).count() as u32,
+                timed: ended,
+                slow: (0..ended).filter(|_| rng.random_bool(0.1)).count() as u32,
+            };
+            let tally = Tally {
+                old: counts(10),
+                new: counts(1 + second / 100),
+            };
+            let now = Time::from_millis(u64::from(second) * 1_000);
+            pool.add(now, ROUTE, tally, true);
+            assert_eq!(pool.fault(), None, "round {round}, second {second}");
+        }
+    }
+}
+
+#[test]
+fn times_are_compared_at_the_same_load_or_a_higher_one() {
+    struct Case {
+        name: &'static str,
+        /// The load at which the old version answered within 100 ms.
+        seen: Load,
+        load: Load,
+        millis: u64,
+        slow: Option<bool>,
+    }
+    let case = |name, seen, load, millis, slow| Case {
+        name,
+        seen,
+        load,
+        millis,
+        slow,
+    };
+    let cases = [
+        case("as usual", Load::Low, Load::Low, 110, Some(false)),
+        case("slow", Load::Low, Load::Low, 200, Some(true)),
+        case(
+            "a higher load stands in",
+            Load::High,
+            Load::Low,
+            200,
+            Some(true),
+        ),
+        case(
+            "a lower load says nothing",
+            Load::Low,
+            Load::High,
+            200,
+            None,
+        ),
+    ];
+    for case in cases {
+        let mut evidence = Evidence::default();
+        let route = |load| Route { load, ..ROUTE };
+        let millis = Duration::from_millis;
+        for _ in 0..20 {
+            evidence.is_slow(route(case.seen), false, Measure::Pace, millis(100));
+        }
+        let time = millis(case.millis);
+        let slow = evidence.is_slow(route(case.load), true, Measure::Pace, time);
+        assert_eq!(slow, case.slow, "{}", case.name);
+    }
+}
--- a/crates/core/tests/load/mod.rs
+++ b/crates/core/tests/load/mod.rs
@@ -7,8 +7,10 @@
 )]
 
 use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry, Kind};
+use bulrushtrestle_core::catalogue::entry::{Move, Target};
 use bulrushtrestle_core::catalogue::message::{Change, Edit};
 use bulrushtrestle_core::input::{Vm, VmRole};
+use bulrushtrestle_core::lease::message::Lease;
 use bulrushtrestle_core::node::Config;
 use bulrushtrestle_core::prelude::*;
 use bulrushtrestle_core::record::Record;
@@ -88,11 +90,44 @@
             .collect();
         let router = up[self.next as usize % up.len()];
         let organisation = self.organisations[self.next as usize % self.organisations.len()];
-        let req = request(self.next, organisation, self.pool);
+        let mut req = request(self.next, organisation, self.pool);
+        // One request in four is of the other class, so that there are two routes.
+        let batch = self.next % 4 == 3;
+        req.class = Some(if batch {
+            Class::Batch
+        } else {
+            Class::Interactive
+        });
         self.next += 1;
         self.fleet.submit(router, req, self.job);
     }
 
+    /// Publishes targets of another version and a move to it that is to finish after `time`, and
+    /// returns the targets.
+    pub fn move_to(&mut self, targets: u32, time: Duration) -> Vec<TargetId> {
+        let entry = Move {
+            pool: "m".to_owned(),
+            from: "v1".to_owned(),
+            to: "v2".to_owned(),
+            finish_at: self.fleet.now + time,
+        };
+        self.fleet.publish(Entry::Move(entry), None);
+        let new = (0..targets).map(|index| {
+            let entry = Target {
+                name: format!("n{index}"),
+                vm: 200 + index,
+                address: format!("127.0.0.1:{}", 9200 + index),
+                data_centre: ["a", "b", "c"][index as usize % 3].to_owned(),
+                pool: "m".to_owned(),
+                version: "v2".to_owned(),
+                slots: 8,
+                checks_fence: false,
+            };
+            TargetId(self.fleet.publish(Entry::Target(entry), None).0 as u32)
+        });
+        new.collect()
+    }
+
     /// Offers load for a while and returns the most requests that a target had at one time.
     pub fn peak(&mut self, target: TargetId, time: Duration, rate: u32) -> u32 {
         let engine = self.fleet.engines.get_mut(&target).expect("it exists");
@@ -138,6 +173,21 @@
         self.fleet.log.records.push((self.fleet.now, record));
     }
 
+    /// Returns how many requests were offered so far.
+    pub fn offered(&self) -> usize {
+        self.next as usize
+    }
+
+    /// Returns the router that decides on the move of the pool, as most recently recorded.
+    pub fn decider(&self) -> RouterId {
+        let claims = self.fleet.log.records.iter().rev();
+        let holder = claims.filter_map(|(_, bytes)| match Record::decode(bytes) {
+            Ok(Record::Lease(claim)) if claim.lease == Lease::Move(self.pool) => Some(claim.holder),
+            _ => None,
+        });
+        holder.into_iter().next().expect("the lease was claimed")
+    }
+
     pub fn owner(&self, target: TargetId) -> RouterId {
         let catalogue = self.fleet.hosts[&RouterId(1)].node.catalogue();
         let name = &catalogue.target(target).expect("it exists").entry.name;
