--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -61,6 +61,7 @@
     /// Whether records below the first one that was read may have been lost.
     unsettled: bool,
     undecided: BTreeMap<Offset, Edit>,
+    changes: u64,
 }
 
 /// A target with what its entry refers to.
@@ -279,6 +280,11 @@
         }
     }
 
+    /// Returns a number that differs after each change, so that followers notice changes at once.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     fn ids(&self, kind: Kind) -> impl Iterator<Item = u32> {
         self.entries
             .get(&kind)
@@ -293,6 +299,7 @@
     }
 
     fn put(&mut self, stored: Stored) {
+        self.changes += 1;
         self.unindex(stored.kind, &stored.name);
         self.index(&stored);
         self.names
--- a/crates/core/src/node/version.rs
+++ b/crates/core/src/node/version.rs
@@ -35,10 +35,10 @@
     /// Follows the catalogue's moves and takes the steps that are due to this router.
     pub(super) fn follow_moves(&mut self) {
         let now = self.cx.now;
+        self.moves.follow(&self.catalogue);
         if !self.moves.is_due(now) {
             return;
         }
-        self.moves.follow(&self.catalogue);
         if self.moves.is_empty() {
             return;
         }
--- a/crates/core/src/version/state.rs
+++ b/crates/core/src/version/state.rs
@@ -70,6 +70,8 @@
     cfg: Config,
     moves: BTreeMap<PoolId, Active>,
     facts: BTreeMap<(PoolId, Offset), Known>,
+    /// The change of the catalogue that was followed last.
+    followed: Option<u64>,
     next: Time,
 }
 
@@ -126,6 +128,7 @@
             cfg,
             moves: BTreeMap::new(),
             facts: BTreeMap::new(),
+            followed: None,
             next: Time(0),
         }
     }
@@ -312,8 +315,12 @@
         due
     }
 
-    /// Follows the catalogue.
+    /// Follows the catalogue, which is to be done before the next dispatch, so that no target of a new
+    /// version is used before its move is known.
     pub fn follow(&mut self, catalogue: &Catalogue) {
+        if self.followed.replace(catalogue.changes()) == Some(catalogue.changes()) {
+            return;
+        }
         let entries: BTreeMap<PoolId, (&str, Offset, &Move)> = catalogue
             .pools()
             .filter_map(|(pool, entry)| {
