--- a/crates/core/src/target/config.rs
+++ b/crates/core/src/target/config.rs
@@ -33,7 +33,7 @@
     pub stream: Duration,
     /// The time between two looks at owners, data centres and silence. Default: 500 ms.
     pub period: Duration,
-    /// The time after which an owner repeats a limit to its standbys. Default: 5 s.
+    /// The time after which an owner repeats a limit to its standbys. Default: 30 s.
     pub repeat: Duration,
     /// How many routers, next in rank for a target, learn its limit. Default: 7.
     pub standbys: usize,
@@ -51,7 +51,7 @@
             start_max: Duration::from_secs(3),
             stream: Duration::from_secs(10),
             period: Duration::from_millis(500),
-            repeat: Duration::from_secs(5),
+            repeat: Duration::from_secs(30),
             standbys: 7,
         }
     }
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -16,6 +16,8 @@
 const VANISHED_PARTS: usize = 2;
 /// How long the slots that are left over from an even split stay with one router.
 const TURN_MILLIS: u64 = 2_000;
+/// How long a router that has become the owner heeds what the former owner tells.
+const HANDOVER: Duration = Duration::from_secs(5);
 /// How long a peer's word that a target is leaving holds without being repeated.
 const LEAVING_HOLDS: Duration = Duration::from_secs(15);
 
@@ -268,7 +270,7 @@
         }
         for told in &part.limits {
             if let Some(known) = self.known.get_mut(&told.target) {
-                known.on_told(cx, told.limit, &self.cfg);
+                known.on_told(cx, told.limit);
             }
         }
         for seen in &part.seen {
@@ -490,12 +492,12 @@
     }
 
     /// Takes in a limit from the owner, or from the former owner if this router has just become it.
-    fn on_told(&mut self, cx: &Context, limit: u32, cfg: &Config) {
+    fn on_told(&mut self, cx: &Context, limit: u32) {
         if self.owner() != Some(cx.me) {
             self.told = Some(limit);
             return;
         }
-        let fresh = cx.now.since(self.owned) < cfg.repeat;
+        let fresh = cx.now.since(self.owned) < HANDOVER;
         if fresh && self.health.cause == Some(Cause::New) && self.health.limit < limit / 2 {
             self.health.take_over(cx.now, Some(limit));
         }
--- a/crates/core/tests/load/mod.rs
+++ b/crates/core/tests/load/mod.rs
@@ -14,6 +14,7 @@
 use bulrushtrestle_core::node::Config;
 use bulrushtrestle_core::prelude::*;
 use bulrushtrestle_core::record::Record;
+use bulrushtrestle_core::version::MoveStatus;
 
 use crate::fixture::{Fleet, Job, Setup, request, setup_with};
 
@@ -26,6 +27,10 @@
     pub targets: Vec<TargetId>,
     pub organisations: Vec<OrganisationId>,
     pub job: Job,
+    /// What requests of the other class do.
+    pub batch: Job,
+    /// When each request was offered.
+    pub arrivals: Vec<Time>,
     next: u64,
 }
 
@@ -67,6 +72,8 @@
             targets,
             organisations,
             job,
+            batch: job,
+            arrivals: Vec::new(),
             next: 0,
         }
     }
@@ -99,7 +106,9 @@
             Class::Interactive
         });
         self.next += 1;
-        self.fleet.submit(router, req, self.job);
+        let job = if batch { self.batch } else { self.job };
+        self.arrivals.push(self.fleet.now);
+        self.fleet.submit(router, req, job);
     }
 
     /// Publishes targets of another version and a move to it that is to finish after `time`, and
@@ -188,6 +197,34 @@
         holder.into_iter().next().expect("the lease was claimed")
     }
 
+    /// Returns the limit that a target's owner keeps.
+    pub fn limit(&self, target: TargetId) -> u32 {
+        let host = &self.fleet.hosts[&self.owner(target)];
+        let catalogue = host.node.catalogue();
+        let name = &catalogue.target(target).expect("it exists").entry.name;
+        let status = host.node.status(self.fleet.now);
+        let status = status.targets.iter().find(|status| status.name == *name);
+        status.expect("it is listed").limit
+    }
+
+    /// Returns how each live router sees the first move.
+    pub fn moves(&self) -> Vec<MoveStatus> {
+        let hosts = self.fleet.hosts.values();
+        let live = hosts.filter(|host| host.up && !host.frozen);
+        live.filter_map(|host| host.node.status(self.fleet.now).moves.into_iter().next())
+            .collect()
+    }
+
+    /// Returns when these targets failed requests or made them slow.
+    pub fn harmed(&self, targets: &[TargetId]) -> Vec<Time> {
+        let engines = targets.iter().map(|target| &self.fleet.engines[target]);
+        let mut harmed: Vec<Time> = engines
+            .flat_map(|engine| engine.harmed.values().copied())
+            .collect();
+        harmed.sort();
+        harmed
+    }
+
     pub fn owner(&self, target: TargetId) -> RouterId {
         let catalogue = self.fleet.hosts[&RouterId(1)].node.catalogue();
         let name = &catalogue.target(target).expect("it exists").entry.name;
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -335,15 +335,7 @@
 
     /// Returns when the new version harmed requests.
     fn harmed(&self) -> Vec<Time> {
-        let engines = self
-            .new
-            .iter()
-            .map(|target| &self.world.fleet.engines[target]);
-        let mut harmed: Vec<Time> = engines
-            .flat_map(|engine| engine.harmed.values().copied())
-            .collect();
-        harmed.sort();
-        harmed
+        self.world.harmed(&self.new)
     }
 
     /// Returns when the new version had shown itself as bad.
