--- a/crates/core/tests/load/mod.rs
+++ b/crates/core/tests/load/mod.rs
@@ -7,11 +7,14 @@
 )]
 
 use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry, Kind};
+use bulrushtrestle_core::catalogue::entry::{Move, Target};
 use bulrushtrestle_core::catalogue::message::{Change, Edit};
 use bulrushtrestle_core::input::{Vm, VmRole};
+use bulrushtrestle_core::lease::message::Lease;
 use bulrushtrestle_core::node::Config;
 use bulrushtrestle_core::prelude::*;
 use bulrushtrestle_core::record::Record;
+use bulrushtrestle_core::version::MoveStatus;
 
 use crate::fixture::{Fleet, Job, Setup, request, setup_with};
 
@@ -24,6 +27,10 @@
     pub targets: Vec<TargetId>,
     pub organisations: Vec<OrganisationId>,
     pub job: Job,
+    /// What requests of the other class do.
+    pub batch: Job,
+    /// When each request was offered.
+    pub arrivals: Vec<Time>,
     next: u64,
 }
 
@@ -65,6 +72,8 @@
             targets,
             organisations,
             job,
+            batch: job,
+            arrivals: Vec::new(),
             next: 0,
         }
     }
@@ -88,9 +97,44 @@
             .collect();
         let router = up[self.next as usize % up.len()];
         let organisation = self.organisations[self.next as usize % self.organisations.len()];
-        let req = request(self.next, organisation, self.pool);
+        let mut req = request(self.next, organisation, self.pool);
+        // One request in four is of the other class, so that there are two routes.
+        let batch = self.next % 4 == 3;
+        req.class = Some(if batch {
+            Class::Batch
+        } else {
+            Class::Interactive
+        });
         self.next += 1;
-        self.fleet.submit(router, req, self.job);
+        let job = if batch { self.batch } else { self.job };
+        self.arrivals.push(self.fleet.now);
+        self.fleet.submit(router, req, job);
+    }
+
+    /// Publishes targets of another version and a move to it that is to finish after `time`, and
+    /// returns the targets.
+    pub fn move_to(&mut self, targets: u32, time: Duration) -> Vec<TargetId> {
+        let entry = Move {
+            pool: "m".to_owned(),
+            from: "v1".to_owned(),
+            to: "v2".to_owned(),
+            finish_at: self.fleet.now + time,
+        };
+        self.fleet.publish(Entry::Move(entry), None);
+        let new = (0..targets).map(|index| {
+            let entry = Target {
+                name: format!("n{index}"),
+                vm: 200 + index,
+                address: format!("127.0.0.1:{}", 9200 + index),
+                data_centre: ["a", "b", "c"][index as usize % 3].to_owned(),
+                pool: "m".to_owned(),
+                version: "v2".to_owned(),
+                slots: 8,
+                checks_fence: false,
+            };
+            TargetId(self.fleet.publish(Entry::Target(entry), None).0 as u32)
+        });
+        new.collect()
     }
 
     /// Offers load for a while and returns the most requests that a target had at one time.
@@ -138,6 +182,49 @@
         self.fleet.log.records.push((self.fleet.now, record));
     }
 
+    /// Returns how many requests were offered so far.
+    pub fn offered(&self) -> usize {
+        self.next as usize
+    }
+
+    /// Returns the router that decides on the move of the pool, as most recently recorded.
+    pub fn decider(&self) -> RouterId {
+        let claims = self.fleet.log.records.iter().rev();
+        let holder = claims.filter_map(|(_, bytes)| match Record::decode(bytes) {
+            Ok(Record::Lease(claim)) if claim.lease == Lease::Move(self.pool) => Some(claim.holder),
+            _ => None,
+        });
+        holder.into_iter().next().expect("the lease was claimed")
+    }
+
+    /// Returns the limit that a target's owner keeps.
+    pub fn limit(&self, target: TargetId) -> u32 {
+        let host = &self.fleet.hosts[&self.owner(target)];
+        let catalogue = host.node.catalogue();
+        let name = &catalogue.target(target).expect("it exists").entry.name;
+        let status = host.node.status(self.fleet.now);
+        let status = status.targets.iter().find(|status| status.name == *name);
+        status.expect("it is listed").limit
+    }
+
+    /// Returns how each live router sees the first move.
+    pub fn moves(&self) -> Vec<MoveStatus> {
+        let hosts = self.fleet.hosts.values();
+        let live = hosts.filter(|host| host.up && !host.frozen);
+        live.filter_map(|host| host.node.status(self.fleet.now).moves.into_iter().next())
+            .collect()
+    }
+
+    /// Returns when these targets failed requests or made them slow.
+    pub fn harmed(&self, targets: &[TargetId]) -> Vec<Time> {
+        let engines = targets.iter().map(|target| &self.fleet.engines[target]);
+        let mut harmed: Vec<Time> = engines
+            .flat_map(|engine| engine.harmed.values().copied())
+            .collect();
+        harmed.sort();
+        harmed
+    }
+
     pub fn owner(&self, target: TargetId) -> RouterId {
         let catalogue = self.fleet.hosts[&RouterId(1)].node.catalogue();
         let name = &catalogue.target(target).expect("it exists").entry.name;
