Run an idempotency key at most once, by claims on the log

Cause: keys were taken in and ignored; two routers would have run one key twice.

Change: the duty `once`. Claims are collected for 5 ms and appended together, one append under way at a time, and decided by log order alone. A claim that its holder gave up before the dispatch is released by a record that names the claim's number. Keys from before the horizon (aged out or forgotten at 200,000 keys, with a margin of 60 s) and from more than 5 s ahead are refused. Keys that a router issues carry a mark and a code over organisation, router and incarnation; only that run takes them, without the log. Refusals without a claim say "not run" only if the log was out of sight for at most 2 s since the key was drawn; else an earlier request with the key may have run.

Ruled out: releasing whatever own claim turns up without a request. The property test with records that stand twice in the log (an append sent again) showed two runs of one key; only claims that are known to have been let go of are released now. Ruled out too: waiting for capacity before claiming, which would add a round trip to the log to every free slot.

Conclusion: late dispatch is safe because nobody but the holder can undo its claim.

--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -55,7 +55,7 @@
     fn on_finished(&mut self, attempt: AttemptId, tokens: u64) {
         self.count_tokens(attempt, tokens);
         if let Some(ended) = self.end_attempt(attempt) {
-            self.requests.remove(&ended.request);
+            self.close(ended.request);
             self.cx.count(Counter::Completed);
         }
     }
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, attempt, lease, membership};
+use crate::{address, attempt, lease, membership, once};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -21,6 +21,8 @@
     pub log: LogConfig,
     /// Settings of attempts and retries.
     pub attempt: attempt::Config,
+    /// Settings of idempotency keys.
+    pub once: once::Config,
     /// Settings of membership.
     pub membership: membership::Config,
     /// Settings of leases.
@@ -61,6 +63,7 @@
             requests_max: 10_000,
             log: LogConfig::default(),
             attempt: attempt::Config::default(),
+            once: once::Config::default(),
             membership: membership::Config::default(),
             lease: lease::Config::default(),
             address: address::Config::default(),
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -63,12 +63,16 @@
                 first,
             } => self.on_read(&records, tail, first),
             LogEvent::ReadFailed => self.on_read_failed(),
-            LogEvent::Appended(..) => {}
+            LogEvent::Appended(id, _) => self.on_claims_appended(id, false),
             LogEvent::AppendFailed(id) => {
                 self.leases.on_append_failed(id);
+                self.on_claims_appended(id, true);
+                self.cx.count(Counter::AppendUnanswered);
+            }
+            LogEvent::AppendUnknown(id) => {
+                self.on_claims_appended(id, false);
                 self.cx.count(Counter::AppendUnanswered);
             }
-            LogEvent::AppendUnknown(_) => self.cx.count(Counter::AppendUnanswered),
         }
     }
 
@@ -120,6 +124,9 @@
 
     fn on_read(&mut self, records: &[LogRecord], tail: Offset, first: Offset) {
         self.reader.first = first;
+        let next = records.first().map(|record| record.at);
+        self.once
+            .on_read(self.cx.now, first, self.reader.applied, next);
         if self.reader.applied < first {
             self.start_over(first);
         }
@@ -129,6 +136,7 @@
                 continue;
             }
             self.reader.applied = Offset(record.offset.0 + 1);
+            self.once.on_age(record.offset, record.at);
             self.apply(record);
         }
         if self.reader.down {
@@ -188,7 +196,8 @@
                 self.leases
                     .on_record(&mut self.cx, record.offset, first, &claim);
             }
-            Ok(Record::Claims(_) | Record::Move(_)) => {}
+            Ok(Record::Claims(batch)) => self.on_claims(&batch),
+            Ok(Record::Move(_)) => {}
         }
     }
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod currency;
 mod log;
+mod once;
 mod peer;
 mod pump;
 mod request;
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::Life;
 use crate::node::Node;
+use crate::once::Admission;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Waiting;
@@ -23,6 +24,8 @@
 /// Where a request is on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
+    /// It waits for its idempotency key to be claimed.
+    Claiming,
     /// It waits for a slot.
     Waiting,
     /// It is at a target.
@@ -44,6 +47,7 @@
         };
         let (pool, org) = (active.req.pool, active.req.organisation);
         match active.stage {
+            Stage::Claiming => {}
             Stage::Waiting => {
                 self.queues.remove(pool, org, request);
             }
@@ -52,15 +56,19 @@
                 self.cx.out.push(Output::Abort(attempt));
             }
         }
-        self.requests.remove(&request);
+        self.close(request);
         self.cx.count(Counter::Refused(Reason::CallerLeft));
     }
 
     /// Gives up a request that waits, with the verdict of all its attempts.
     pub(super) fn give_up(&mut self, request: RequestId, reason: Reason) {
         if let Some(active) = self.requests.get(&request) {
+            let unclaimed = self
+                .once
+                .refusal(self.cx.now, self.sight(), request)
+                .map(|refusal| refusal.verdict);
             let refusal = Refusal {
-                verdict: active.life.verdict(),
+                verdict: unclaimed.unwrap_or(active.life.verdict()),
                 reason,
                 retry_after: Some(RETRY_AFTER),
             };
@@ -72,11 +80,24 @@
 
     /// Gives a request its final answer and forgets it.
     pub(super) fn refuse(&mut self, request: RequestId, refusal: Refusal) {
-        self.requests.remove(&request);
+        self.close(request);
         self.cx.count(Counter::Refused(refusal.reason));
         self.cx.out.push(Output::Refuse(request, refusal));
     }
 
+    /// Forgets a request. Its key is let go of if it was certainly not sent.
+    pub(super) fn close(&mut self, request: RequestId) {
+        let Some(active) = self.requests.remove(&request) else {
+            return;
+        };
+        if matches!(active.req.repeat, Repeat::Once(_)) {
+            match active.life.verdict() {
+                Verdict::NotRun => self.once.release(&mut self.cx, request),
+                Verdict::MayHaveRun => self.once.finish(request),
+            }
+        }
+    }
+
     fn admit(&mut self, req: Request) -> Result<(), Refusal> {
         let busy = |reason| Refusal::not_run(reason, Some(RETRY_AFTER));
         if !self.is_ready() {
@@ -95,7 +116,8 @@
             return Err(Refusal::not_run(Reason::UnknownPool, None));
         }
         let limits = organisation.limits;
-        if self.queues.waiting(req.organisation) >= limits.waiting as usize {
+        let waiting = self.queues.waiting(req.organisation) + self.once.pending(req.organisation);
+        if waiting >= limits.waiting as usize {
             return Err(busy(Reason::QueueFull));
         }
         let now = self.cx.now;
@@ -104,23 +126,37 @@
         if deadline <= now {
             return Err(busy(Reason::DeadlinePassed));
         }
-        self.budgets.earn(now, req.organisation);
         let class = req.class.unwrap_or(organisation.class);
-        let waiting = Waiting {
-            request: req.id,
-            since: now,
-            deadline,
-        };
-        self.queues.push(req.pool, req.organisation, class, waiting);
+        let admission = self.admit_key(&req, deadline)?;
+        self.budgets.earn(now, req.organisation);
         let active = Active {
             class,
             arrived: now,
             deadline,
-            stage: Stage::Waiting,
+            stage: Stage::Claiming,
             life: Life::new(req.repeat),
             req,
         };
-        self.requests.insert(active.req.id, active);
+        let id = active.req.id;
+        self.requests.insert(id, active);
+        if admission == Admission::Run {
+            self.enqueue(id);
+        }
         Ok(())
     }
+
+    /// Puts a request that may run at the end of its queue.
+    pub(super) fn enqueue(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        active.stage = Stage::Waiting;
+        let waiting = Waiting {
+            request,
+            since: active.arrived,
+            deadline: active.deadline,
+        };
+        let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
+        self.queues.push(pool, org, class, waiting);
+    }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -16,6 +16,7 @@
 use crate::node::log::Reader;
 use crate::node::request::Active;
 use crate::node::stop::Stopping;
+use crate::once::Once;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Queues;
@@ -58,6 +59,7 @@
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) budgets: Budgets,
+    pub(super) once: Once,
     pub(super) next_attempt: u64,
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
@@ -73,6 +75,7 @@
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let mut cx = Context::new(cfg.me, cfg.incarnation, rng);
         cx.now = now;
+        let once = Once::new(&mut cx, cfg.once.clone());
         Self {
             cx,
             catalogue: Catalogue::new(),
@@ -92,6 +95,7 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             budgets: Budgets::new(cfg.attempt.clone()),
+            once,
             next_attempt: 0,
             sequences: BTreeMap::new(),
             next_tick: now,
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -54,6 +54,13 @@
         self.cfg.address.valid
     }
 
+    /// Issues `n` idempotency keys that an organisation can use at this router, also while the log is
+    /// out, for as long as this run of it lasts.
+    pub fn issue_keys(&mut self, n: usize, organisation: OrganisationId) -> Vec<uuid::Uuid> {
+        let now = self.cx.now;
+        (0..n).map(|_| self.once.issue(now, organisation)).collect()
+    }
+
     /// Returns where to reach the other routers.
     pub fn peer_addresses(&self) -> impl Iterator<Item = (RouterId, &str)> {
         self.members
--- a/crates/core/src/node/stop.rs
+++ b/crates/core/src/node/stop.rs
@@ -64,7 +64,7 @@
             .collect();
         for (request, stage) in left {
             match stage {
-                Stage::Waiting => self.give_up(request, Reason::Stopping),
+                Stage::Claiming | Stage::Waiting => self.give_up(request, Reason::Stopping),
                 Stage::Running(attempt) => {
                     self.end_attempt(attempt);
                     self.cx.out.push(Output::Abort(attempt));
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -11,6 +11,8 @@
     /// on a busy router.
     pub(super) fn on_time(&mut self) {
         self.read_if_due();
+        self.give_up_unclaimed();
+        self.once.flush(&mut self.cx);
         if self.cx.now >= self.next_tick {
             self.next_tick = self.cx.now + TICK;
             self.find_silent_peers();
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -95,6 +95,10 @@
     KeyTooOld = "key_too_old", 422;
     /// The idempotency key is not a UUID of version 7.
     KeyInvalid = "key_invalid", 400;
+    /// The idempotency key carries a time that lies too far in the future.
+    KeyFromFuture = "key_from_future", 422;
+    /// The idempotency key was issued by another router, which alone can run it.
+    KeyIssuedElsewhere = "key_issued_elsewhere", 409;
     /// The claim of the idempotency key cannot be recorded now.
     ClaimUnavailable = "claim_unavailable", 503;
     /// It is not known whether the claim of the idempotency key was recorded.
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -286,3 +286,25 @@
     assert_eq!(refusal.reason, Reason::DeadlinePassed);
     assert_eq!(refusal.verdict, Verdict::MayHaveRun);
 }
+
+#[test]
+fn a_slot_that_comes_free_after_the_deadline_is_not_used() {
+    let Setup {
+        mut fleet,
+        pool,
+        organisations,
+        ..
+    } = setup(1, 1, 1, 1);
+    let job = Job { tokens: 23, ..JOB };
+    for id in 0..8 {
+        fleet.submit(ROUTER, request(id, organisations[0], pool), job);
+    }
+    let mut late = request(8, organisations[0], pool);
+    late.deadline = Some(fleet.now + Duration::from_millis(225));
+    fleet.submit(ROUTER, late, job);
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(fleet.dispatches.len(), 8);
+    let refusal = fleet.answers.iter().find_map(|answer| answer.refusal);
+    let expected = Refusal::not_run(Reason::DeadlinePassed, Some(Duration::from_secs(1)));
+    assert_eq!(refusal, Some(expected));
+}
