Run suspects of a crash alone, and quarantine what crashes a target alone

Cause: a request that crashes its target was retried at the next one, and so on through the pool; a caller that sent it again under a new key began anew.

Change: the duty `quarantine`. What ran at a target when its connections broke is a suspect by fingerprint, told to all routers by entries that only merge, and cleared if the target's next report shows that it had not restarted, if the request runs to its end, or if four targets crash within 2 s. A router tries one suspect at a time: with a permit of the fingerprint's coordinator, on a target that everybody keeps off and that reports to be idle. A crash while alone, confirmed by a report or by 5 s of silence, quarantines the fingerprint for an hour.

Ruled out: a lane in company with a count of three crashes (the neighbours of each crash pay for it); excusing crashed targets in a list of their own (a restarted router that hears old entries took them for a new storm; entries are cleared instead). Found on the way: a trial chose a target that was down, because its last report said idle, and waited there; targets without a report for 5 s are passed over now, and those that the suspect crashed come last.

--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -6,6 +6,7 @@
 use crate::node::request::Stage;
 use crate::output::Output;
 use crate::prelude::*;
+use crate::quarantine::Standing;
 use crate::queue::Waiting;
 
 /// A request at a target.
@@ -15,14 +16,22 @@
     pub(super) target: TargetId,
     /// Tokens that were counted as service.
     pub(super) counted: u64,
+    /// When it was dispatched.
+    pub(super) began: Time,
 }
 
 impl Attempt {
-    pub(super) const fn new(request: RequestId, target: TargetId, counted: u64) -> Self {
+    pub(super) const fn new(
+        request: RequestId,
+        target: TargetId,
+        counted: u64,
+        began: Time,
+    ) -> Self {
         Self {
             request,
             target,
             counted,
+            began,
         }
     }
 }
@@ -55,6 +64,7 @@
     fn on_finished(&mut self, attempt: AttemptId, tokens: u64) {
         self.count_tokens(attempt, tokens);
         if let Some(ended) = self.end_attempt(attempt) {
+            self.clear_suspect(ended.request);
             self.close(ended.request);
             self.cx.count(Counter::Completed);
         }
@@ -64,6 +74,7 @@
         let Some(ended) = self.end_attempt(attempt) else {
             return;
         };
+        self.suspect(&ended, ending);
         if must_cancel(ending) {
             self.cx.out.push(Output::Abort(attempt));
         }
@@ -86,11 +97,21 @@
         }
     }
 
-    /// Puts a request back at the front of its queue.
-    fn retry(&mut self, request: RequestId) {
+    /// Puts a request back at the front of its queue, or among the suspects if it is one.
+    pub(super) fn retry(&mut self, request: RequestId) {
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
+        if self
+            .quarantine
+            .standing(self.cx.now, active.req.fingerprint)
+            != Standing::Clear
+        {
+            active.stage = Stage::Waiting;
+            let prefer = active.life.wish().prefer;
+            self.quarantine.hold(&active.req, active.deadline, prefer);
+            return;
+        }
         active.stage = Stage::Waiting;
         let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
         let avoid = active.life.wish().avoid;
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, attempt, lease, membership, once};
+use crate::{address, attempt, lease, membership, once, quarantine};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -23,6 +23,8 @@
     pub attempt: attempt::Config,
     /// Settings of idempotency keys.
     pub once: once::Config,
+    /// Settings of requests that crash targets.
+    pub quarantine: quarantine::Config,
     /// Settings of membership.
     pub membership: membership::Config,
     /// Settings of leases.
@@ -64,6 +66,7 @@
             log: LogConfig::default(),
             attempt: attempt::Config::default(),
             once: once::Config::default(),
+            quarantine: quarantine::Config::default(),
             membership: membership::Config::default(),
             lease: lease::Config::default(),
             address: address::Config::default(),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod once;
 mod peer;
 mod pump;
+mod quarantine;
 mod request;
 mod state;
 mod status;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -30,6 +30,7 @@
         }
         if !met {
             self.send_heartbeat(from, Vec::new(), true);
+            self.send_quarantine(from);
         }
         for part in frame.parts {
             self.on_part(from, part);
@@ -99,11 +100,8 @@
                 self.members.on_heartbeat(self.cx.now, from, heartbeat);
             }
             Part::Catalogue(part) => self.on_catalogue_part(from, part),
-            Part::Share(_)
-            | Part::Slots(_)
-            | Part::Target(_)
-            | Part::Version(_)
-            | Part::Quarantine(_) => {}
+            Part::Quarantine(part) => self.on_quarantine_part(from, part),
+            Part::Share(_) | Part::Slots(_) | Part::Target(_) | Part::Version(_) => {}
         }
     }
 }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -39,6 +39,9 @@
             self.give_up(waiting.request, Reason::DeadlinePassed);
             return None;
         }
+        if self.holds_suspect(waiting.request) {
+            return None;
+        }
         let active = self.requests.get(&waiting.request)?;
         let Some(target) = self.choose(pool, active.life.wish()) else {
             return Some(waiting);
@@ -59,6 +62,7 @@
         self.catalogue
             .targets_of(pool)
             .filter(|target| !target.out && !wish.avoid.contains(&target.id))
+            .filter(|target| !self.quarantine.keeps_off(self.cx.now, target.id))
             .map(|target| {
                 (
                     self.slots.free(target.id, target.entry.slots, routers),
@@ -82,7 +86,7 @@
         self.queues.pop(pool, org)
     }
 
-    fn dispatch(&mut self, waiting: Waiting, target: TargetId) {
+    pub(super) fn dispatch(&mut self, waiting: Waiting, target: TargetId) {
         let Some(active) = self.requests.get_mut(&waiting.request) else {
             return;
         };
@@ -100,7 +104,7 @@
         let prompt = Cost::prompt(u64::from(active.req.prompt_tokens));
         self.ledger.charge(active.req.organisation, prompt);
         self.slots.take(target);
-        let state = Attempt::new(waiting.request, target, resume_from);
+        let state = Attempt::new(waiting.request, target, resume_from, self.cx.now);
         self.attempts.insert(attempt, state);
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -90,6 +90,7 @@
         let Some(active) = self.requests.remove(&request) else {
             return;
         };
+        self.let_go_of_suspect(request);
         if matches!(active.req.repeat, Repeat::Once(_)) {
             match active.life.verdict() {
                 Verdict::NotRun => self.once.release(&mut self.cx, request),
@@ -145,8 +146,11 @@
         Ok(())
     }
 
-    /// Puts a request that may run at the end of its queue.
+    /// Puts a request that may run at the end of its queue, if its content may run.
     pub(super) fn enqueue(&mut self, request: RequestId) {
+        if self.refuses_quarantined(request) {
+            return;
+        }
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -19,6 +19,7 @@
 use crate::once::Once;
 use crate::output::Output;
 use crate::prelude::*;
+use crate::quarantine::Quarantine;
 use crate::queue::Queues;
 use crate::share::Ledger;
 use crate::slots::Slots;
@@ -60,6 +61,7 @@
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) budgets: Budgets,
     pub(super) once: Once,
+    pub(super) quarantine: Quarantine,
     pub(super) next_attempt: u64,
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
@@ -96,6 +98,7 @@
             attempts: BTreeMap::new(),
             budgets: Budgets::new(cfg.attempt.clone()),
             once,
+            quarantine: Quarantine::new(cfg.me, cfg.quarantine.clone()),
             next_attempt: 0,
             sequences: BTreeMap::new(),
             next_tick: now,
@@ -120,8 +123,8 @@
             Input::Peer { from, bytes } => self.on_peer(from, &bytes),
             Input::Log(event) => self.on_log(event),
             Input::Vms(vms) => self.members.on_vms(self.cx.now, &vms),
-            Input::Report(..) | Input::Cache(..) | Input::Ordered(..) => {}
-            Input::Timer => {}
+            Input::Report(target, report) => self.on_report_after_break(target, report),
+            Input::Cache(..) | Input::Ordered(..) | Input::Timer => {}
             Input::Stop { deadline } => self.on_stop(deadline),
         }
         self.on_time();
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -20,6 +20,7 @@
             self.catch_up_if_behind();
             self.refresh_if_due();
             self.give_up_expired();
+            self.try_suspects();
             self.finish_stop();
             if self.members.has_news() {
                 self.next_frame = self.cx.now;
--- /dev/null
+++ b/crates/core/src/quarantine/tests.rs
@@ -0,0 +1,296 @@
+//! Tests of the quarantine: what entries say, what reports prove, and how a trial goes on.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
+
+use self::Step::{Condemn, Crash, Excuse, Finish, Pass};
+use super::message::Entry;
+use super::*;
+use crate::prelude::*;
+
+const NOW: Time = Time::from_millis(1_800_000_000_000);
+const F: Fingerprint = Fingerprint(1);
+const A: TargetId = TargetId(1);
+const B: TargetId = TargetId(2);
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Crash(u64, u32),
+    Excuse(u64, u32),
+    Finish(u64),
+    Condemn(u64),
+    Pass(u64),
+}
+
+#[test]
+fn the_standing_follows_from_what_was_seen() {
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        standing: Standing,
+    }
+    let cases = [
+        Case {
+            name: "nothing was seen",
+            steps: &[Crash(2, 1)],
+            standing: Standing::Clear,
+        },
+        Case {
+            name: "it was at a crash",
+            steps: &[Crash(1, 1)],
+            standing: Standing::Suspect,
+        },
+        Case {
+            name: "it was at two crashes in company",
+            steps: &[Crash(1, 1), Crash(1, 2)],
+            standing: Standing::Suspect,
+        },
+        Case {
+            name: "the target had not crashed",
+            steps: &[Crash(1, 1), Excuse(1, 1)],
+            standing: Standing::Clear,
+        },
+        Case {
+            name: "one of two targets had not crashed",
+            steps: &[Crash(1, 1), Crash(1, 2), Excuse(1, 2)],
+            standing: Standing::Suspect,
+        },
+        Case {
+            name: "it ran to its end since",
+            steps: &[Crash(1, 1), Crash(1, 2), Finish(1)],
+            standing: Standing::Clear,
+        },
+        Case {
+            name: "it was at another crash after it ran to its end",
+            steps: &[Crash(1, 1), Finish(1), Crash(1, 2)],
+            standing: Standing::Suspect,
+        },
+        Case {
+            name: "it crashed a target alone",
+            steps: &[Crash(1, 1), Crash(1, 2), Condemn(1)],
+            standing: Standing::Quarantined,
+        },
+        Case {
+            name: "a copy that was still running elsewhere does not undo that",
+            steps: &[Crash(1, 1), Condemn(1), Finish(1)],
+            standing: Standing::Quarantined,
+        },
+        Case {
+            name: "the suspicion expires",
+            steps: &[Crash(1, 1), Pass(600)],
+            standing: Standing::Clear,
+        },
+        Case {
+            name: "the quarantine lasts longer",
+            steps: &[Crash(1, 1), Condemn(1), Pass(3_599)],
+            standing: Standing::Quarantined,
+        },
+        Case {
+            name: "and expires too",
+            steps: &[Crash(1, 1), Condemn(1), Pass(3_600)],
+            standing: Standing::Clear,
+        },
+        Case {
+            name: "four targets crash together, and it was at one of them",
+            steps: &[Crash(1, 1), Crash(2, 2), Crash(3, 3), Crash(4, 4)],
+            standing: Standing::Clear,
+        },
+        Case {
+            name: "four targets crash together, and it was at all of them",
+            steps: &[Crash(1, 1), Crash(1, 2), Crash(1, 3), Crash(1, 4)],
+            standing: Standing::Suspect,
+        },
+        Case {
+            name: "four targets crash one after another",
+            steps: &[Crash(2, 2), Crash(3, 3), Crash(4, 4), Pass(3), Crash(1, 1)],
+            standing: Standing::Suspect,
+        },
+        Case {
+            name: "one target crashes under four requests",
+            steps: &[Crash(1, 1), Crash(2, 1), Crash(3, 1), Crash(4, 1)],
+            standing: Standing::Suspect,
+        },
+    ];
+    for case in cases {
+        let mut book = Book::new(Config::default());
+        let mut now = NOW;
+        for &step in case.steps {
+            play(&mut book, &mut now, step);
+        }
+        assert_eq!(book.standing(now, F), case.standing, "{}", case.name);
+    }
+}
+
+fn play(book: &mut Book, now: &mut Time, step: Step) {
+    match step {
+        Crash(fingerprint, target) => {
+            book.crash(*now, Fingerprint(fingerprint), TargetId(target));
+        }
+        Excuse(fingerprint, target) => {
+            book.excuse(*now, Fingerprint(fingerprint), TargetId(target));
+        }
+        Finish(fingerprint) => drop(book.finish(*now, Fingerprint(fingerprint))),
+        Condemn(fingerprint) => drop(book.condemn(*now, Fingerprint(fingerprint))),
+        Pass(seconds) => *now = *now + Duration::from_secs(seconds),
+    }
+}
+
+fn entry() -> impl Strategy<Value = Entry> {
+    let targets = || prop::collection::btree_set((0..6_u32).prop_map(TargetId), 0..4);
+    (0..3_u64, targets(), targets(), any::<bool>(), 1..900_u64).prop_map(
+        |(fingerprint, crashed, cleared, quarantined, seconds)| Entry {
+            fingerprint: Fingerprint(fingerprint),
+            crashed: crashed.into_iter().collect(),
+            cleared: cleared.into_iter().collect(),
+            quarantined,
+            // Older than a storm, which depends on when a router hears of it.
+            expires: NOW + Duration::from_secs(seconds.min(590)),
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(21),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn entries_merge_alike_in_any_order_and_number(
+        entries in prop::collection::vec(entry(), 1..12),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let mut once = Book::new(Config::default());
+        entries.iter().for_each(|entry| once.merge(NOW, entry));
+        let mut mixed = Book::new(Config::default());
+        let start = order.index(entries.len());
+        let turned = entries[start..].iter().chain(&entries[..start]);
+        turned.rev().for_each(|entry| {
+            mixed.merge(NOW, entry);
+            mixed.merge(NOW, entry);
+        });
+        let (once, mixed): (Vec<_>, Vec<_>) = (once.entries().collect(), mixed.entries().collect());
+        prop_assert_eq!(once, mixed);
+    }
+}
+
+#[test]
+fn a_book_is_bounded_and_refuses_oversized_entries() {
+    let cfg = Config::default();
+    let mut book = Book::new(cfg.clone());
+    for n in 0..2 * cfg.entries_max as u64 {
+        book.crash(NOW, Fingerprint(n), TargetId(n as u32));
+    }
+    assert_eq!(book.entries().count(), cfg.entries_max);
+    let mut book = Book::new(cfg);
+    book.merge(
+        NOW,
+        &Entry {
+            fingerprint: F,
+            crashed: (0..5).map(TargetId).collect(),
+            cleared: Vec::new(),
+            quarantined: true,
+            expires: Time::MAX,
+        },
+    );
+    assert!(book.is_empty());
+}
+
+#[test]
+fn a_report_tells_a_crash_from_a_broken_connection() {
+    struct Case {
+        name: &'static str,
+        /// When the report arrives after the break, and the uptime in it, in milliseconds.
+        report: Option<(u64, u64)>,
+        crashed: Option<bool>,
+    }
+    let cases = [
+        Case {
+            name: "up since before the dispatch",
+            report: Some((1_200, 60_000)),
+            crashed: Some(false),
+        },
+        Case {
+            name: "the report may be from before the break",
+            report: Some((900, 60_000)),
+            crashed: None,
+        },
+        Case {
+            name: "restarted after the break",
+            report: Some((700, 600)),
+            crashed: Some(true),
+        },
+        Case {
+            name: "restarted, and reported much later",
+            report: Some((4_000, 3_900)),
+            crashed: Some(true),
+        },
+        Case {
+            name: "no report",
+            report: None,
+            crashed: None,
+        },
+    ];
+    for case in cases {
+        let cfg = Config::default();
+        let mut breaks = Breaks::new(cfg.clone());
+        let one = Break {
+            target: A,
+            fingerprint: F,
+            began: NOW - Duration::from_secs(10),
+            at: NOW,
+            alone: true,
+        };
+        breaks.push(one);
+        let finding = case.report.and_then(|(after, uptime)| {
+            let now = NOW + Duration::from_millis(after);
+            let uptime = Duration::from_millis(uptime);
+            assert_eq!(breaks.on_report(now, B, uptime), [], "another target");
+            breaks.on_report(now, A, uptime).pop()
+        });
+        let expected = case.crashed.map(|crashed| match crashed {
+            true => Finding::Crashed(one),
+            false => Finding::WentOn(one),
+        });
+        assert_eq!(finding, expected, "{}", case.name);
+        assert_eq!(breaks.is_open_alone(F), expected.is_none(), "{}", case.name);
+        let late = breaks.on_silence(NOW + cfg.silence);
+        assert_eq!(late.is_empty(), expected.is_some(), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_trial_counts_as_alone_only_if_nothing_else_was_seen_there() {
+    let lag = Config::default().report_lag;
+    let mut trial = Trial::new(RequestId(1), F, PoolId(1), None);
+    let draining = Phase::Draining {
+        target: A,
+        since: NOW,
+        idle: false,
+    };
+    let is_idle = |trial: &Trial| matches!(trial.phase, Phase::Draining { idle: true, .. });
+    trial.phase = draining;
+    trial.on_report(NOW, lag, 0);
+    assert!(!is_idle(&trial), "the report may be from before");
+    trial.on_report(NOW + lag, lag, 1);
+    assert!(!is_idle(&trial));
+    trial.on_report(NOW + lag, lag, 0);
+    assert!(is_idle(&trial));
+    trial.on_rival(false);
+    assert!(is_idle(&trial), "the rival gives way");
+    trial.on_rival(true);
+    assert_eq!(trial.phase, Phase::Waiting);
+    let running = Phase::Running {
+        target: A,
+        alone: true,
+    };
+    trial.phase = running;
+    trial.on_report(NOW, lag, 1);
+    assert!(trial.is_alone());
+    trial.on_report(NOW, lag, 2);
+    assert!(!trial.is_alone());
+    trial.phase = running;
+    trial.on_rival(false);
+    assert!(!trial.is_alone());
+}
