--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -12,6 +12,8 @@
 mod pump;
 mod quarantine;
 mod request;
+mod share;
+mod slots;
 mod state;
 mod status;
 mod stop;
@@ -21,4 +23,4 @@
 
 pub use self::config::{Config, LogConfig};
 pub use self::state::Node;
-pub use self::status::Status;
+pub use self::status::{Status, TargetStatus};
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -1,92 +1,234 @@
 //! Matching requests that wait with slots that are free.
 
 use crate::attempt::Wish;
+use crate::catalogue::TargetView;
 use crate::node::Node;
 use crate::node::attempt::Attempt;
 use crate::node::request::Stage;
 use crate::output::{Dispatch, Output};
 use crate::prelude::*;
 use crate::queue::Waiting;
+use crate::route::{self, Distance};
+use crate::slots::Policy;
+
+/// How often one event goes round between this router as the owner of targets and as the holder of
+/// their slots. A slot that the holder cannot use goes back and forth; the rest waits for the next event.
+const ROUNDS_MAX: usize = 8;
+
+/// Whose request is next for a pool.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    organisation: OrganisationId,
+    /// The lowest virtual time of all that wait here for the pool.
+    lowest: u64,
+}
+
+/// An organisation that waits for a pool and may run another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Candidate {
+    pub(super) time: u64,
+    pub(super) organisation: OrganisationId,
+    pub(super) weight: u32,
+    pub(super) waiting: usize,
+    urgent: bool,
+}
 
 impl Node {
-    /// Dispatches requests as long as there is a slot for the next one.
+    /// Dispatches requests as long as there is a slot for the next one, and deals with owners about the
+    /// rest.
+    pub(super) fn pump(&mut self) {
+        for _ in 0..ROUNDS_MAX {
+            if self.is_ready() {
+                for pool in self.queues.pools() {
+                    self.pump_pool(pool);
+                }
+            }
+            self.deal();
+            if !self.take_own_mail() {
+                break;
+            }
+        }
+    }
+
+    /// Dispatches what waits for a pool.
     ///
     /// A request that must avoid every target that is free is put aside, so that it does not hold up
     /// the others.
-    pub(super) fn pump(&mut self) {
-        if !self.is_ready() {
-            return;
-        }
-        for pool in self.queues.pools() {
-            let mut aside = Vec::new();
-            while self.choose(pool, Wish::default()).is_some() {
-                let Some(waiting) = self.next(pool) else {
-                    break;
-                };
-                aside.extend(self.place(pool, waiting));
-            }
-            for waiting in aside.into_iter().rev() {
-                self.put_back(waiting);
+    fn pump_pool(&mut self, pool: PoolId) {
+        let mut aside = Vec::new();
+        while let Some(turn) = self.next_turn(pool) {
+            if !self.open_targets(pool, turn.lowest).any(has_room) {
+                break;
             }
+            let Some((class, waiting)) = self.queues.pop(self.cx.now, pool, turn.organisation)
+            else {
+                break;
+            };
+            let placed = self.place(pool, class, waiting, turn.lowest);
+            aside.extend((!placed).then_some((turn.organisation, class, waiting)));
+        }
+        for (organisation, class, waiting) in aside.into_iter().rev() {
+            self.queues.push_front(pool, organisation, class, waiting);
         }
     }
 
-    /// Dispatches a request, or returns it if no target that it may go to is free.
+    /// Dispatches a request unless no target that it may go to is free, and says whether it is dealt
+    /// with.
     ///
     /// The deadline is checked here again, because a router that was paused may decide late.
-    fn place(&mut self, pool: PoolId, waiting: Waiting) -> Option<Waiting> {
+    fn place(&mut self, pool: PoolId, class: Class, waiting: Waiting, lowest: u64) -> bool {
         if waiting.deadline <= self.cx.now {
             self.give_up(waiting.request, Reason::DeadlinePassed);
-            return None;
+            return true;
         }
         if self.holds_suspect(waiting.request) {
-            return None;
+            return true;
         }
-        let active = self.requests.get(&waiting.request)?;
-        let Some(target) = self.choose(pool, active.life.wish()) else {
-            return Some(waiting);
+        let Some(target) = self.choose(pool, waiting.request, lowest) else {
+            return false;
         };
-        self.dispatch(waiting, target);
-        None
+        self.dispatch(pool, class, waiting, target);
+        true
+    }
+
+    /// Returns the organisations that wait for a pool and may run another request, the lowest virtual
+    /// time first.
+    pub(super) fn candidates(&self, pool: PoolId) -> Vec<Candidate> {
+        let (now, ageing) = (self.cx.now, self.queues.cfg().ageing);
+        let lanes = self.queues.backlogged(pool);
+        let mut candidates: Vec<Candidate> = lanes
+            .filter_map(|(organisation, lane)| {
+                let entry = self.catalogue.organisation(organisation);
+                let (weight, most) = entry.map_or((1, 1), |e| (e.weight, e.limits.running));
+                let running = self.running.of(organisation);
+                let time = self.ledger.virtual_time(organisation, weight);
+                (running < most).then(|| Candidate {
+                    time: time.saturating_sub(lane.discount),
+                    organisation,
+                    weight,
+                    waiting: lane.len().min((most - running) as usize),
+                    urgent: lane.has_urgent(now, ageing),
+                })
+            })
+            .collect();
+        candidates.sort_unstable();
+        candidates
     }
 
-    fn put_back(&mut self, waiting: Waiting) {
-        if let Some(active) = self.requests.get(&waiting.request) {
-            let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
-            self.queues.push_front(pool, org, class, waiting);
+    fn next_turn(&mut self, pool: PoolId) -> Option<Turn> {
+        let candidates = self.candidates(pool);
+        let first = *candidates.first()?;
+        self.keep_up(pool, first);
+        let lead = first.time.saturating_add(self.queues.cfg().lead.0);
+        let urgent = candidates
+            .iter()
+            .find(|candidate| candidate.urgent && candidate.time <= lead);
+        let next = match urgent {
+            Some(urgent) if self.running.urgent_is_short(pool, self.queues.cfg().share) => urgent,
+            _ => &first,
+        };
+        Some(Turn {
+            organisation: next.organisation,
+            lowest: first.time,
+        })
+    }
+
+    /// Raises the pool's system virtual time, and lifts an organisation that lags too far behind it.
+    fn keep_up(&mut self, pool: PoolId, first: Candidate) {
+        let floor = self.slots.holder.floor(pool);
+        let seen = floor.map_or(first.time, |floor| floor.min(first.time));
+        self.slots.raise_system(pool, seen);
+        let lowest = self
+            .slots
+            .system(pool)
+            .saturating_sub(self.ledger.cfg().catch_up.0);
+        if first.time < lowest {
+            let to = lowest.saturating_add(self.discount(pool, first.organisation));
+            self.ledger.lift(first.organisation, first.weight, to);
         }
     }
 
-    fn choose(&self, pool: PoolId, wish: Wish<'_>) -> Option<TargetId> {
-        let routers = u32::try_from(self.members.live(self.cx.now).count()).unwrap_or(u32::MAX);
-        self.catalogue
-            .targets_of(pool)
-            .filter(|target| !target.out && !wish.avoid.contains(&target.id))
-            .filter(|target| !self.quarantine.keeps_off(self.cx.now, target.id))
-            .map(|target| {
-                (
-                    self.slots.free(target.id, target.entry.slots, routers),
-                    target.id,
-                )
+    /// Returns the target that gets a request, if one may.
+    fn choose(&self, pool: PoolId, request: RequestId, lowest: u64) -> Option<TargetId> {
+        let active = self.requests.get(&request)?;
+        let Wish { avoid, prefer } = active.life.wish();
+        let mut open = self.open_targets(pool, lowest);
+        if prefer.is_some() && open.any(|open| Some(open.target) == prefer && has_room(open)) {
+            return prefer;
+        }
+        let rest = self
+            .open_targets(pool, lowest)
+            .filter(|open| !avoid.contains(&open.target));
+        let salt = request.0 ^ (u64::from(self.cx.me.0) << 32);
+        route::choose(rest, self.prefixes.holders(active.req.prefix), salt)
+    }
+
+    /// Returns the targets of a pool that this router may use now, for requests of organisations from
+    /// the virtual time `lowest` on.
+    fn open_targets(&self, pool: PoolId, lowest: u64) -> impl Iterator<Item = route::Candidate> {
+        let split = self.slots.cfg.policy == Policy::FixedSplit;
+        let parts = split.then(|| self.parts_of_split(pool));
+        let open = (!split).then(|| self.open_grants(pool, lowest));
+        let all = parts
+            .into_iter()
+            .flatten()
+            .chain(open.into_iter().flatten());
+        all.filter_map(|(target, used, part)| {
+            let view = self.catalogue.target(target)?;
+            let usable = self.targets.usable(self.cx.now, &view)
+                && !self.quarantine.keeps_off(self.cx.now, target);
+            usable.then(|| route::Candidate {
+                target,
+                used,
+                part,
+                distance: self.distance(&view),
+            })
+        })
+    }
+
+    /// Returns targets with the requests that this router has there and may have there.
+    fn open_grants(&self, pool: PoolId, lowest: u64) -> impl Iterator<Item = (TargetId, u32, u32)> {
+        let holder = &self.slots.holder;
+        holder
+            .open(self.cx.now, pool)
+            .filter(move |&(target, _)| holder.may_use(target, lowest))
+            .map(move |(target, idle)| {
+                let used = holder.running(target);
+                (target, used, used + idle)
             })
-            .filter(|&(free, _)| free > 0)
-            .max_by_key(|&(free, id)| (Some(id) == wish.prefer, free, id))
-            .map(|(_, target)| target)
     }
 
-    fn next(&mut self, pool: PoolId) -> Option<Waiting> {
-        let turn = |org: &OrganisationId| {
-            let weight = self
-                .catalogue
-                .organisation(*org)
-                .map_or(1, |entry| entry.weight);
-            (self.ledger.virtual_time(*org, weight), *org)
+    fn parts_of_split(&self, pool: PoolId) -> impl Iterator<Item = (TargetId, u32, u32)> {
+        let routers = u32::try_from(self.members.live(self.cx.now).count()).unwrap_or(u32::MAX);
+        self.catalogue.targets_of(pool).map(move |view| {
+            let part = (view.entry.slots / routers.max(1)).max(1);
+            (view.id, self.slots.holder.running(view.id), part)
+        })
+    }
+
+    fn distance(&self, view: &TargetView<'_>) -> Distance {
+        let mine = &self.cfg.data_centre;
+        if view.entry.data_centre == *mine {
+            return Distance::Near;
+        }
+        let region = |name: &str| {
+            let (_, entry) = self.catalogue.data_centre_by_name(name)?;
+            Some(entry.region.as_str())
         };
-        let org = self.queues.backlogged(pool).min_by_key(turn)?;
-        self.queues.pop(pool, org)
+        if region(mine) == region(&view.entry.data_centre) {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
     }
 
-    pub(super) fn dispatch(&mut self, waiting: Waiting, target: TargetId) {
+    pub(super) fn dispatch(
+        &mut self,
+        pool: PoolId,
+        class: Class,
+        waiting: Waiting,
+        target: TargetId,
+    ) {
         let Some(active) = self.requests.get_mut(&waiting.request) else {
             return;
         };
@@ -101,12 +243,26 @@
             target,
             resume_from,
         };
-        let prompt = Cost::prompt(u64::from(active.req.prompt_tokens));
-        self.ledger.charge(active.req.organisation, prompt);
-        self.slots.take(target);
-        let state = Attempt::new(waiting.request, target, resume_from, self.cx.now);
+        let (organisation, prompt) = (active.req.organisation, active.req.prompt_tokens);
+        let prefix = active.req.prefix;
+        let bill = self.open_bill(organisation, prompt);
+        let owner = self.slots.owners.of(target).map_or(self.cx.me, |(_, o)| o);
+        self.slots.holder.take(target, pool, owner);
+        self.running.add(pool, organisation, class);
+        self.targets.on_dispatch(self.cx.now, target);
+        if let Some(prefix) = prefix {
+            self.prefixes.store(target, prefix);
+        }
+        let mut state = Attempt::new(waiting.request, target, self.cx.now, bill);
+        state.counted = resume_from;
+        state.runs_as = (pool, organisation, class);
         self.attempts.insert(attempt, state);
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
     }
 }
+
+/// Says whether a target takes another request from this router.
+const fn has_room(open: route::Candidate) -> bool {
+    open.used < open.part
+}
--- a/crates/core/src/node/quarantine.rs
+++ b/crates/core/src/node/quarantine.rs
@@ -4,6 +4,7 @@
 use crate::input::{FailureKind, Report};
 use crate::node::Node;
 use crate::node::attempt::Attempt;
+use crate::node::request::Stage;
 use crate::prelude::*;
 use crate::quarantine::message::QuarantinePart;
 use crate::quarantine::{Break, Fleet, Standing, Task};
@@ -19,7 +20,7 @@
             let task = self.quarantine.on_break(Break {
                 target: ended.target,
                 fingerprint: active.req.fingerprint,
-                began: ended.began,
+                began: ended.sent,
                 at: self.cx.now,
                 alone,
             });
@@ -45,6 +46,7 @@
             now: self.cx.now,
             members: &self.members,
             catalogue: &self.catalogue,
+            targets: &self.targets,
         };
         let tasks = self.quarantine.remove(fleet, request);
         self.carry_out(tasks);
@@ -56,7 +58,7 @@
         if self.refuses_quarantined(request) {
             return true;
         }
-        let Some(active) = self.requests.get(&request) else {
+        let Some(active) = self.requests.get_mut(&request) else {
             return false;
         };
         let standing = self
@@ -65,6 +67,7 @@
         if standing == Standing::Clear {
             return false;
         }
+        active.stage = Stage::Waiting;
         let prefer = active.life.wish().prefer;
         self.quarantine.hold(&active.req, active.deadline, prefer);
         true
@@ -116,6 +119,7 @@
             now: self.cx.now,
             members: &self.members,
             catalogue: &self.catalogue,
+            targets: &self.targets,
         };
         let tasks = self.quarantine.on_time(self.cx.now, fleet);
         self.carry_out(tasks);
@@ -165,7 +169,8 @@
             since: active.arrived,
             deadline: active.deadline,
         };
-        self.dispatch(waiting, target);
+        let (pool, class) = (active.req.pool, active.class);
+        self.dispatch(pool, class, waiting, target);
     }
 }
 
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -7,7 +7,7 @@
 use crate::prelude::*;
 use crate::queue::Waiting;
 
-/// The longest wait that is proposed to a caller that is refused for want of capacity.
+/// The wait that is proposed to a caller that is refused for a reason of the router's own.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request from its arrival to its final answer.
@@ -63,17 +63,23 @@
     /// Gives up a request that waits, with the verdict of all its attempts.
     pub(super) fn give_up(&mut self, request: RequestId, reason: Reason) {
         if let Some(active) = self.requests.get(&request) {
+            let (pool, organisation) = (active.req.pool, active.req.organisation);
             let unclaimed = self
                 .once
                 .refusal(self.cx.now, self.sight(), request)
                 .map(|refusal| refusal.verdict);
+            let verdict = unclaimed.unwrap_or(active.life.verdict());
+            let wait = self.queues.retry_after(self.cx.now, organisation);
+            self.queues.remove(pool, organisation, request);
+            let retry_after = match reason {
+                Reason::DeadlinePassed => wait,
+                _ => Some(RETRY_AFTER),
+            };
             let refusal = Refusal {
-                verdict: unclaimed.unwrap_or(active.life.verdict()),
+                verdict,
                 reason,
-                retry_after: Some(RETRY_AFTER),
+                retry_after,
             };
-            self.queues
-                .remove(active.req.pool, active.req.organisation, request);
             self.refuse(request, refusal);
         }
     }
@@ -119,7 +125,8 @@
         let limits = organisation.limits;
         let waiting = self.queues.waiting(req.organisation) + self.once.pending(req.organisation);
         if waiting >= limits.waiting as usize {
-            return Err(busy(Reason::QueueFull));
+            let wait = self.queues.retry_after(self.cx.now, req.organisation);
+            return Err(Refusal::not_run(Reason::QueueFull, wait));
         }
         let now = self.cx.now;
         let patience = now + Duration::from_millis(u64::from(limits.wait_ms));
@@ -155,12 +162,20 @@
             return;
         };
         active.stage = Stage::Waiting;
+        let deadline = active.deadline;
         let waiting = Waiting {
             request,
             since: active.arrived,
-            deadline: active.deadline,
+            deadline,
         };
-        let (pool, org, class) = (active.req.pool, active.req.organisation, active.class);
-        self.queues.push(pool, org, class, waiting);
+        let (pool, organisation, class) = (active.req.pool, active.req.organisation, active.class);
+        let enters = self.queues.lane_mut(pool, organisation).is_none();
+        self.queues.push(pool, organisation, class, waiting);
+        if enters {
+            self.enter(pool, organisation);
+        }
+        if self.queues.next_deadline() == Some(deadline) {
+            self.cx.wake(deadline);
+        }
     }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -20,9 +20,11 @@
 use crate::output::Output;
 use crate::prelude::*;
 use crate::quarantine::Quarantine;
-use crate::queue::Queues;
+use crate::queue::{Queues, Running};
+use crate::route::Prefixes;
 use crate::share::Ledger;
 use crate::slots::Slots;
+use crate::target::Targets;
 
 /// A router without its sockets: every decision, and nothing else.
 ///
@@ -57,6 +59,9 @@
     pub(super) ledger: Ledger,
     pub(super) queues: Queues,
     pub(super) slots: Slots,
+    pub(super) targets: Targets,
+    pub(super) prefixes: Prefixes,
+    pub(super) running: Running,
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) budgets: Budgets,
@@ -66,6 +71,7 @@
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
     pub(super) next_frame: Time,
+    pub(super) flush_all: bool,
     pub(super) was_ready: bool,
     pub(super) stopping: Option<Stopping>,
     pub(super) stopped: bool,
@@ -91,9 +97,16 @@
                 cfg.membership.clone(),
             ),
             leases: Leases::new(cfg.lease.clone()),
-            ledger: Ledger::new(),
-            queues: Queues::new(),
-            slots: Slots::new(),
+            ledger: Ledger::new(cfg.me, cfg.incarnation, cfg.share.clone()),
+            queues: Queues::new(cfg.queue.clone()),
+            slots: Slots::new(
+                cfg.incarnation,
+                cfg.slots.clone(),
+                cfg.membership.sparse.timeout + cfg.slots.term,
+            ),
+            running: Running::default(),
+            targets: Targets::new(cfg.me, cfg.target.clone(), now),
+            prefixes: Prefixes::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             budgets: Budgets::new(cfg.attempt.clone()),
@@ -103,6 +116,7 @@
             sequences: BTreeMap::new(),
             next_tick: now,
             next_frame: now,
+            flush_all: false,
             was_ready: false,
             stopping: None,
             stopped: false,
@@ -122,9 +136,18 @@
             Input::Attempt(attempt, event) => self.on_attempt(attempt, event),
             Input::Peer { from, bytes } => self.on_peer(from, &bytes),
             Input::Log(event) => self.on_log(event),
-            Input::Vms(vms) => self.members.on_vms(self.cx.now, &vms),
-            Input::Report(target, report) => self.on_report_after_break(target, report),
-            Input::Cache(..) | Input::Ordered(..) | Input::Timer => {}
+            Input::Vms(vms) => {
+                self.members.on_vms(self.cx.now, &vms);
+                self.targets.on_vms(&vms);
+            }
+            Input::Report(target, report) => {
+                self.targets.on_report(&mut self.cx, target, report);
+                self.on_report(target, report);
+                self.on_report_after_break(target, report);
+            }
+            Input::Cache(target, events) => self.prefixes.on_events(target, &events),
+            Input::Ordered(..) => {}
+            Input::Timer => {}
             Input::Stop { deadline } => self.on_stop(deadline),
         }
         self.on_time();
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use crate::quarantine::message::{Entry, QuarantinePart};
 use crate::quarantine::{Book, Break, Breaks, Config, Finding, Phase, Standing, Trial};
+use crate::target::Targets;
 
 /// Everything about requests that crash targets.
 #[derive(Debug)]
@@ -62,8 +63,10 @@
     pub now: Time,
     /// The routers.
     pub members: &'a Members,
-    /// The targets.
+    /// The entries of the targets.
     pub catalogue: &'a Catalogue,
+    /// The state of the targets.
+    pub targets: &'a Targets,
 }
 
 impl Fleet<'_> {
@@ -73,8 +76,11 @@
     }
 
     fn usable(&self, pool: PoolId) -> Vec<TargetId> {
-        let targets = self.catalogue.targets_of(pool).filter(|view| !view.out);
-        targets.map(|view| view.id).collect()
+        self.catalogue
+            .targets_of(pool)
+            .filter(|view| self.targets.usable(self.now, view))
+            .map(|view| view.id)
+            .collect()
     }
 }
 
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -294,3 +294,21 @@
     trial.on_rival(false);
     assert!(!trial.is_alone());
 }
+
+#[test]
+fn a_target_that_goes_on_clears_what_ran_there() {
+    for alone in [false, true] {
+        let mut quarantine = Quarantine::new(RouterId(1), Config::default());
+        quarantine.on_break(Break {
+            target: A,
+            fingerprint: F,
+            began: NOW - Duration::from_secs(1),
+            at: NOW,
+            alone,
+        });
+        assert_eq!(quarantine.standing(NOW, F), Standing::Suspect);
+        let later = NOW + Config::default().report_lag;
+        quarantine.on_report(later, A, 1, Duration::from_secs(60));
+        assert_eq!(quarantine.standing(later, F), Standing::Clear);
+    }
+}
