--- a/crates/bulrushctl/tests/ctl/fake.rs
+++ b/crates/bulrushctl/tests/ctl/fake.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use axum::body::{Body, Bytes};
-use axum::extract::State;
+use axum::extract::{Query, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get, post};
@@ -15,6 +15,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+/// The longest time that a test waits for a request; far more than any needs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// How a router answers a chat request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Answer {
@@ -22,6 +25,8 @@
     Whole { tokens: u64, after: Duration },
     /// This many tokens and no end mark.
     Truncated { tokens: u64 },
+    /// This many tokens that carry the mark of the request, the last one that of another request.
+    Crossed { tokens: u64 },
     /// Tokens with a number left out, and the end mark.
     Gap,
     /// A refusal.
@@ -37,6 +42,8 @@
     pub(crate) answer: Answer,
     /// The addresses that it names; its own if empty.
     pub(crate) addresses: Vec<String>,
+    /// The entries of its catalogue, and the offset up to which it has applied the log.
+    pub(crate) catalogue: Option<(Vec<Value>, u64)>,
     /// What it shows to operators, one after another; the last stays.
     pub(crate) status: Vec<Value>,
 }
@@ -49,18 +56,32 @@
                 after: Duration::ZERO,
             },
             addresses: Vec::new(),
+            catalogue: None,
             status: Vec::new(),
         }
     }
 }
 
 /// A running router.
-#[derive(Debug)]
 pub(crate) struct Handle {
     pub(crate) address: SocketAddr,
+    app: Arc<App>,
     task: JoinHandle<()>,
 }
 
+impl Handle {
+    /// Waits until this many chat requests have arrived.
+    pub(crate) async fn requests_reach(&self, requests: u64) {
+        let reached = async {
+            while self.app.requests.load(Ordering::SeqCst) < requests {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let reached = tokio::time::timeout(PATIENCE, reached).await;
+        reached.expect("the requests arrive in time");
+    }
+}
+
 impl Drop for Handle {
     fn drop(&mut self) {
         self.task.abort();
@@ -71,6 +92,7 @@
     cfg: Config,
     address: SocketAddr,
     looks: AtomicU64,
+    requests: AtomicU64,
 }
 
 /// Starts a router that knows the token `secret`.
@@ -83,20 +105,22 @@
         cfg,
         address,
         looks: AtomicU64::new(0),
+        requests: AtomicU64::new(0),
     });
     let routes = Router::new()
         .route("/v1/addresses", get(addresses))
         .route("/v1/chat/completions", post(chat))
         .route("/v1/services/{*path}", any(plain))
         .route("/status", get(status))
+        .route("/catalogue", get(catalogue))
         .layer(axum::middleware::from_fn(authorise))
-        .with_state(app);
+        .with_state(Arc::clone(&app));
     let task = tokio::spawn(async move {
         axum::serve(listener, routes)
             .await
             .expect("the listener stays open");
     });
-    Handle { address, task }
+    Handle { address, app, task }
 }
 
 async fn authorise(
@@ -126,25 +150,50 @@
     Json(app.cfg.status.get(n).cloned().unwrap_or_default())
 }
 
+#[derive(serde::Deserialize)]
+struct After {
+    after: Option<u64>,
+}
+
+/// Answers one entry at a time, so that a page is never the whole.
+async fn catalogue(State(app): State<Arc<App>>, Query(query): Query<After>) -> Response {
+    let Some((entries, applied)) = &app.cfg.catalogue else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let is_next = |entry: &&Value| {
+        query
+            .after
+            .is_none_or(|after| entry["created"].as_u64() > Some(after))
+    };
+    let entries: Vec<&Value> = entries.iter().filter(is_next).take(1).collect();
+    Json(json!({ "applied": applied, "entries": entries })).into_response()
+}
+
 async fn plain(body: Bytes) -> Bytes {
     body
 }
 
-async fn chat(State(app): State<Arc<App>>) -> Response {
+async fn chat(State(app): State<Arc<App>>, body: String) -> Response {
+    app.requests.fetch_add(1, Ordering::SeqCst);
     let numbers: Vec<u64> = match app.cfg.answer {
         Answer::Whole { tokens, after } => {
             tokio::time::sleep(after).await;
             (1..=tokens).collect()
         }
-        Answer::Truncated { tokens } => (1..=tokens).collect(),
+        Answer::Truncated { tokens } | Answer::Crossed { tokens } => (1..=tokens).collect(),
         Answer::Gap => vec![1, 3],
         Answer::Refused => return refusal(),
         Answer::Silent => std::future::pending().await,
     };
-    let mut text: String = numbers
-        .iter()
-        .map(|number| format!("id: {number}\ndata: {{}}\n\n"))
-        .collect();
+    let last = numbers.last().copied();
+    let mut text = String::new();
+    for number in numbers {
+        let crossed = matches!(app.cfg.answer, Answer::Crossed { .. }) && Some(number) == last;
+        let mark = if crossed { "another" } else { mark(&body) };
+        text.push_str(&format!(
+            "id: {number}\ndata: {{\"content\":\"{mark}\"}}\n\n"
+        ));
+    }
     if !matches!(app.cfg.answer, Answer::Truncated { .. }) {
         text.push_str("data: [DONE]\n\n");
     }
@@ -159,3 +208,9 @@
     let problem = json!({ "verdict": "not_run", "reason": "queue_full" });
     (StatusCode::TOO_MANY_REQUESTS, headers, problem.to_string()).into_response()
 }
+
+/// Returns the mark of a request.
+fn mark(body: &str) -> &str {
+    let (_, rest) = body.split_once("[echo=").unwrap_or_default();
+    rest.split_once(']').unwrap_or_default().0
+}
--- a/crates/bulrushctl/tests/ctl/load.rs
+++ b/crates/bulrushctl/tests/ctl/load.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use crate::command::{Ran, Temporary, bulrushctl};
+use crate::command::{Ran, Temporary, bulrushctl, end, start};
 use crate::fake::{self, Answer, Config};
 
 fn experiment(seed: &str) -> Value {
@@ -16,7 +16,7 @@
         "organisations": [{
             "name": "lyceum",
             "token": "secret",
-            "streams": [{ "kind": "chat", "pool": "m", "per_second": 100.0 }],
+            "streams": [{ "kind": "chat", "pool": "m", "per_second": 100.0, "echo": true }],
         }],
     })
 }
@@ -37,6 +37,8 @@
         /// The single way in which all requests end, as a path into the organisation's report.
         ends: &'static str,
         tokens_each: u64,
+        /// The exit code with `--strict`.
+        strict: i32,
     }
     let cases = [
         Case {
@@ -47,30 +49,42 @@
             },
             ends: "/finished",
             tokens_each: 4,
+            strict: 0,
         },
         Case {
             name: "answers without their end mark",
             answer: Answer::Truncated { tokens: 2 },
             ends: "/failed/truncated",
             tokens_each: 2,
+            strict: 1,
         },
         Case {
             name: "answers with a token missing",
             answer: Answer::Gap,
             ends: "/failed/out_of_order",
             tokens_each: 2,
+            strict: 1,
+        },
+        Case {
+            name: "answers with a token of another request",
+            answer: Answer::Crossed { tokens: 3 },
+            ends: "/failed/crossed",
+            tokens_each: 3,
+            strict: 1,
         },
         Case {
             name: "refusals",
             answer: Answer::Refused,
             ends: "/refused/0/count",
             tokens_each: 0,
+            strict: 1,
         },
         Case {
             name: "silence",
             answer: Answer::Silent,
             ends: "/failed/unfinished",
             tokens_each: 0,
+            strict: 1,
         },
     ];
     for Case {
@@ -78,6 +92,7 @@
         answer,
         ends,
         tokens_each,
+        strict,
     } in cases
     {
         let router = fake::spawn(Config {
@@ -85,9 +100,11 @@
             ..Config::default()
         })
         .await;
-        let ran = run(&experiment(&router.address.to_string()), &[]).await;
-        assert_eq!(ran.code, 0, "{name}: {ran:?}");
-        let report = ran.json();
+        let ran = run(&experiment(&router.address.to_string()), &["--strict"]).await;
+        assert_eq!(ran.code, strict, "{name}: {ran:?}");
+        let report: Value = ran.stdout.lines().next().map_or(Value::Null, |line| {
+            serde_json::from_str(line).expect("the report comes first")
+        });
         let share = &report["organisations"][0];
         let sent = share["sent"]
             .as_u64()
@@ -275,7 +292,8 @@
 async fn report_and_plot_are_written() {
     let router = fake::spawn(Config::default()).await;
     let mut experiment = experiment(&router.address.to_string());
-    let plain = json!({ "kind": "plain", "pool": "desk", "per_second": 50.0, "once": true });
+    let plain =
+        json!({ "kind": "plain", "pool": "desk", "per_second": 50.0, "once": true, "echo": true });
     let other = json!({ "name": "guild", "token": "secret", "weight": 2, "streams": [plain] });
     experiment["organisations"]
         .as_array_mut()
@@ -308,3 +326,33 @@
         assert!(plot.contains(name), "{name} is not in the plot");
     }
 }
+
+#[tokio::test]
+async fn an_interrupted_experiment_still_reports() {
+    let answer = Answer::Whole {
+        tokens: 1,
+        after: Duration::ZERO,
+    };
+    let router = fake::spawn(Config {
+        answer,
+        ..Config::default()
+    })
+    .await;
+    let mut experiment = experiment(&router.address.to_string());
+    experiment["seconds"] = json!(600.0);
+    let file = Temporary::with(&experiment.to_string());
+    let child = start(&["--json", "load", &file.path()]);
+    router.requests_reach(1).await;
+    let pid = child.id().expect("the command is running").to_string();
+    let kill = std::process::Command::new("kill")
+        .args(["-s", "INT", &pid])
+        .status();
+    assert!(kill.expect("the command runs").success());
+    let ran = end(child).await;
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let report = ran.json();
+    assert_eq!(report["interrupted"], true);
+    let share = &report["organisations"][0];
+    assert!(share["finished"].as_u64() > Some(0), "{share}");
+    assert_eq!(share["finished"], share["sent"], "{share}");
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod currency;
 mod log;
 mod once;
+mod page;
 mod peer;
 mod pump;
 mod quarantine;
