--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -14,6 +14,7 @@
 //! need no log. A key belongs to the organisation that uses it: the same UUID of another organisation is
 //! another key. See `docs/design/0020-at-most-once.md`.
 
+mod ages;
 mod batch;
 mod claims;
 mod config;
--- a/crates/core/src/once/state.rs
+++ b/crates/core/src/once/state.rs
@@ -1,7 +1,8 @@
 //! The claims of this router's requests.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
+use crate::once::ages::Ages;
 use crate::once::batch::Batch;
 use crate::once::issue::Origin;
 use crate::once::message::{ClaimBatch, Step, StepKind};
@@ -15,8 +16,6 @@
 const RELEASE_LIKELY: Duration = Duration::from_secs(60);
 /// The most claims that are remembered as let go of.
 const LET_GO_MAX: usize = 10_000;
-/// The distance of the marks by which the ages of records are known.
-const MARK: Duration = Duration::from_secs(10);
 
 /// Everything about requests that run at most once.
 #[derive(Debug)]
@@ -36,9 +35,7 @@
     /// Claims that are let go of, until the release is read.
     releasing: BTreeMap<u64, Releasing>,
     next_number: u64,
-    /// The ages of some records, in the order of the log.
-    marks: VecDeque<(Offset, Time)>,
-    newest: Option<Time>,
+    ages: Ages,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -101,8 +98,7 @@
             let_go: BTreeSet::new(),
             releasing: BTreeMap::new(),
             next_number: 0,
-            marks: VecDeque::new(),
-            newest: None,
+            ages: Ages::default(),
             cfg,
         }
     }
@@ -234,24 +230,14 @@
 
     /// Notes which records the log still keeps, before any record of the same read is applied.
     pub fn on_read(&mut self, now: Time, first: Offset, applied: Offset, next: Option<Time>) {
-        if first == Offset(0) {
-            return;
-        }
-        while self.marks.front().is_some_and(|&(at, _)| at < first) {
-            self.marks.pop_front();
+        if let Some(lost_until) = self.ages.lost_until(now, first, applied, next) {
+            self.claims.forget_until(lost_until + self.cfg.margin);
         }
-        let known = self.marks.front().map(|&(_, at)| at).or(next);
-        let all_read = self.newest.filter(|_| applied >= first);
-        let lost_until = known.or(all_read).unwrap_or(now);
-        self.claims.forget_until(lost_until + self.cfg.margin);
     }
 
     /// Notes the age of a record.
     pub fn on_age(&mut self, offset: Offset, at: Time) {
-        self.newest = Some(self.newest.unwrap_or(at).max(at));
-        if self.marks.back().is_none_or(|&(_, mark)| at >= mark + MARK) {
-            self.marks.push_back((offset, at));
-        }
+        self.ages.note(offset, at);
     }
 
     /// Applies a record and returns which claims of this router it decides.
