Tell peers of suspects only, not of all that breaks with a data centre

Change: an entry that a storm has cleared, or that is cleared already, is kept to this router.

Ruled out: sending entries with the periodic frames; a request that is sent again within half a second at another router would crash one more target.

Conclusion: the burst of a router is bounded by the storm's threshold.

--- a/crates/core/src/node/quarantine.rs
+++ b/crates/core/src/node/quarantine.rs
@@ -25,7 +25,7 @@
                 alone,
             });
             self.cx.count(Counter::Suspected);
-            self.carry_out(vec![task]);
+            self.carry_out(task.into_iter().collect());
         }
         self.let_go_of_suspect(ended.request);
     }
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -139,11 +139,13 @@
         trial.map_or_else(Vec::new, |trial| self.end(fleet, trial))
     }
 
-    /// Takes in that a connection broke under a request.
-    pub fn on_break(&mut self, new: Break) -> Task {
+    /// Takes in that a connection broke under a request. The peers are told of suspects only, so that
+    /// the loss of a data centre does not become a flood of messages.
+    pub fn on_break(&mut self, new: Break) -> Option<Task> {
         self.breaks.push(new);
         let entry = self.book.crash(new.at, new.fingerprint, new.target);
-        tell(entry)
+        self.is_suspect(new.at, new.fingerprint)
+            .then(|| tell(entry))
     }
 
     /// Takes in that a request ran to its end.
@@ -223,11 +225,17 @@
         let entries = findings.into_iter().filter_map(|finding| match finding {
             Finding::Crashed(one) if one.alone => Some(self.book.condemn(now, one.fingerprint)),
             Finding::Crashed(_) => None,
-            Finding::WentOn(one) => Some(self.book.excuse(now, one.fingerprint, one.target)),
+            Finding::WentOn(one) => self
+                .is_suspect(now, one.fingerprint)
+                .then(|| self.book.excuse(now, one.fingerprint, one.target)),
         });
         entries.map(tell).collect()
     }
 
+    fn is_suspect(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.book.standing(now, fingerprint) == Standing::Suspect
+    }
+
     /// Takes those out of the lane that need not wait there any more.
     fn sort_out(&mut self, now: Time, tasks: &mut Vec<Task>) {
         let tried = self.trial.map(|trial| trial.request);
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -312,3 +312,20 @@
         assert_eq!(quarantine.standing(later, F), Standing::Clear);
     }
 }
+
+#[test]
+fn peers_are_not_told_of_what_crashed_with_many_targets() {
+    let mut quarantine = Quarantine::new(RouterId(1), Config::default());
+    let told = (0..20_u32).map(|n| {
+        let task = quarantine.on_break(Break {
+            target: TargetId(n),
+            fingerprint: Fingerprint(u64::from(n)),
+            began: NOW,
+            at: NOW,
+            alone: false,
+        });
+        usize::from(task.is_some())
+    });
+    let told: usize = told.sum();
+    assert_eq!(told, Config::default().storm - 1);
+}
