--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -157,7 +157,8 @@
     fn on_finished(&mut self, attempt: AttemptId, tokens: u64) {
         self.count_tokens(attempt, tokens);
         if let Some(ended) = self.end_attempt(attempt) {
-            self.requests.remove(&ended.request);
+            self.clear_suspect(ended.request);
+            self.close(ended.request);
             self.cx.count(Counter::Completed);
         }
     }
@@ -166,6 +167,7 @@
         let Some(ended) = self.end_attempt(attempt) else {
             return;
         };
+        self.suspect(&ended, ending);
         if must_cancel(ending) {
             self.cx.out.push(Output::Abort(attempt));
         }
@@ -194,8 +196,11 @@
         }
     }
 
-    /// Puts a request back at the front of its queue.
-    fn retry(&mut self, request: RequestId) {
+    /// Puts a request back at the front of its queue, or among the suspects if it is one.
+    pub(super) fn retry(&mut self, request: RequestId) {
+        if self.holds_suspect(request) {
+            return;
+        }
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -1,7 +1,8 @@
 //! The settings of a node.
 
 use crate::prelude::*;
-use crate::{address, attempt, lease, membership, queue, share, slots, target, version};
+use crate::version;
+use crate::{address, attempt, lease, membership, once, quarantine, queue, share, slots, target};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -21,6 +22,10 @@
     pub log: LogConfig,
     /// Settings of attempts and retries.
     pub attempt: attempt::Config,
+    /// Settings of idempotency keys.
+    pub once: once::Config,
+    /// Settings of requests that crash targets.
+    pub quarantine: quarantine::Config,
     /// Settings of membership.
     pub membership: membership::Config,
     /// Settings of leases.
@@ -71,6 +76,8 @@
             requests_max: 10_000,
             log: LogConfig::default(),
             attempt: attempt::Config::default(),
+            once: once::Config::default(),
+            quarantine: quarantine::Config::default(),
             membership: membership::Config::default(),
             lease: lease::Config::default(),
             address: address::Config::default(),
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -30,6 +30,7 @@
         }
         if !met {
             self.send_heartbeat(from, Vec::new(), true);
+            self.send_quarantine(from);
         }
         for part in frame.parts {
             self.on_part(from, frame.incarnation, part);
@@ -104,7 +105,7 @@
             Part::Slots(part) => self.on_slots_part(from, run, part),
             Part::Target(part) => self.targets.on_part(&mut self.cx, from, &part),
             Part::Version(part) => self.moves.on_part(&mut self.cx, from, &part),
-            Part::Quarantine(_) => {}
+            Part::Quarantine(part) => self.on_quarantine_part(from, part),
         }
     }
 }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -95,6 +95,9 @@
             self.give_up(waiting.request, Reason::DeadlinePassed);
             return true;
         }
+        if self.holds_suspect(waiting.request) {
+            return true;
+        }
         let Some(target) = self.choose((pool, arm), waiting.request, turn) else {
             return false;
         };
@@ -230,7 +233,8 @@
         all.filter_map(move |(target, used, part)| {
             let view = self.catalogue.target(target)?;
             let usable = self.moves.takes(pool, arm, &view.entry.version)
-                && self.targets.usable(self.cx.now, &view);
+                && self.targets.usable(self.cx.now, &view)
+                && !self.quarantine.keeps_off(self.cx.now, target);
             usable.then(|| route::Candidate {
                 target,
                 used,
@@ -286,7 +290,13 @@
         }
     }
 
-    fn dispatch(&mut self, pool: PoolId, class: Class, waiting: Waiting, target: TargetId) {
+    pub(super) fn dispatch(
+        &mut self,
+        pool: PoolId,
+        class: Class,
+        waiting: Waiting,
+        target: TargetId,
+    ) {
         let Some(active) = self.requests.get_mut(&waiting.request) else {
             return;
         };
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::Life;
 use crate::node::Node;
+use crate::once::Admission;
 use crate::output::Output;
 use crate::prelude::*;
 use crate::queue::Waiting;
@@ -23,6 +24,8 @@
 /// Where a request is on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
+    /// It waits for its idempotency key to be claimed.
+    Claiming,
     /// It waits for a slot.
     Waiting,
     /// It is at a target.
@@ -44,6 +47,7 @@
         };
         let (pool, org) = (active.req.pool, active.req.organisation);
         match active.stage {
+            Stage::Claiming => {}
             Stage::Waiting => {
                 self.queues.remove(pool, org, request);
             }
@@ -52,7 +56,7 @@
                 self.cx.out.push(Output::Abort(attempt));
             }
         }
-        self.requests.remove(&request);
+        self.close(request);
         self.cx.count(Counter::Refused(Reason::CallerLeft));
     }
 
@@ -60,7 +64,11 @@
     pub(super) fn give_up(&mut self, request: RequestId, reason: Reason) {
         if let Some(active) = self.requests.get(&request) {
             let (pool, organisation) = (active.req.pool, active.req.organisation);
-            let verdict = active.life.verdict();
+            let unclaimed = self
+                .once
+                .refusal(self.cx.now, self.sight(), request)
+                .map(|refusal| refusal.verdict);
+            let verdict = unclaimed.unwrap_or(active.life.verdict());
             let wait = self.queues.retry_after(self.cx.now, organisation);
             self.queues.remove(pool, organisation, request);
             let retry_after = match reason {
@@ -78,11 +86,25 @@
 
     /// Gives a request its final answer and forgets it.
     pub(super) fn refuse(&mut self, request: RequestId, refusal: Refusal) {
-        self.requests.remove(&request);
+        self.close(request);
         self.cx.count(Counter::Refused(refusal.reason));
         self.cx.out.push(Output::Refuse(request, refusal));
     }
 
+    /// Forgets a request. Its key is let go of if it was certainly not sent.
+    pub(super) fn close(&mut self, request: RequestId) {
+        let Some(active) = self.requests.remove(&request) else {
+            return;
+        };
+        self.let_go_of_suspect(request);
+        if matches!(active.req.repeat, Repeat::Once(_)) {
+            match active.life.verdict() {
+                Verdict::NotRun => self.once.release(&mut self.cx, request),
+                Verdict::MayHaveRun => self.once.finish(request),
+            }
+        }
+    }
+
     fn admit(&mut self, req: Request) -> Result<(), Refusal> {
         let busy = |reason| Refusal::not_run(reason, Some(RETRY_AFTER));
         if !self.is_ready() {
@@ -101,7 +123,8 @@
             return Err(Refusal::not_run(Reason::UnknownPool, None));
         }
         let limits = organisation.limits;
-        if self.queues.waiting(req.organisation) >= limits.waiting as usize {
+        let waiting = self.queues.waiting(req.organisation) + self.once.pending(req.organisation);
+        if waiting >= limits.waiting as usize {
             let wait = self.queues.retry_after(self.cx.now, req.organisation);
             return Err(Refusal::not_run(Reason::QueueFull, wait));
         }
@@ -111,14 +134,41 @@
         if deadline <= now {
             return Err(busy(Reason::DeadlinePassed));
         }
-        self.budgets.earn(now, req.organisation);
         let class = req.class.unwrap_or(organisation.class);
+        let admission = self.admit_key(&req, deadline)?;
+        self.budgets.earn(now, req.organisation);
+        let active = Active {
+            class,
+            arrived: now,
+            deadline,
+            stage: Stage::Claiming,
+            life: Life::new(req.repeat),
+            req,
+        };
+        let id = active.req.id;
+        self.requests.insert(id, active);
+        if admission == Admission::Run {
+            self.enqueue(id);
+        }
+        Ok(())
+    }
+
+    /// Puts a request that may run at the end of its queue, if its content may run.
+    pub(super) fn enqueue(&mut self, request: RequestId) {
+        if self.refuses_quarantined(request) {
+            return;
+        }
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        active.stage = Stage::Waiting;
+        let deadline = active.deadline;
         let waiting = Waiting {
-            request: req.id,
-            since: now,
+            request,
+            since: active.arrived,
             deadline,
         };
-        let (pool, organisation) = (req.pool, req.organisation);
+        let (pool, organisation, class) = (active.req.pool, active.req.organisation, active.class);
         let enters = self.queues.lane_mut(pool, organisation).is_none();
         self.queues.push(pool, organisation, class, waiting);
         if enters {
@@ -127,15 +177,5 @@
         if self.queues.next_deadline() == Some(deadline) {
             self.cx.wake(deadline);
         }
-        let active = Active {
-            class,
-            arrived: now,
-            deadline,
-            stage: Stage::Waiting,
-            life: Life::new(req.repeat),
-            req,
-        };
-        self.requests.insert(active.req.id, active);
-        Ok(())
     }
 }
--- a/crates/core/src/node/slots.rs
+++ b/crates/core/src/node/slots.rs
@@ -119,10 +119,11 @@
     fn answer_holders(&mut self) {
         let now = self.cx.now;
         let (catalogue, targets) = (&self.catalogue, &self.targets);
+        let quarantine = &self.quarantine;
         let usable = |target| {
             catalogue
                 .target(target)
-                .is_some_and(|v| targets.usable(now, &v))
+                .is_some_and(|v| targets.usable(now, &v) && !quarantine.keeps_off(now, target))
         };
         let limit = |target| {
             if usable(target) {
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -16,8 +16,10 @@
 use crate::node::log::Reader;
 use crate::node::request::Active;
 use crate::node::stop::Stopping;
+use crate::once::Once;
 use crate::output::Output;
 use crate::prelude::*;
+use crate::quarantine::Quarantine;
 use crate::queue::{Queues, Running};
 use crate::route::Prefixes;
 use crate::share::Ledger;
@@ -65,6 +67,8 @@
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) budgets: Budgets,
+    pub(super) once: Once,
+    pub(super) quarantine: Quarantine,
     pub(super) next_attempt: u64,
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
@@ -82,6 +86,7 @@
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let mut cx = Context::new(cfg.me, cfg.incarnation, rng);
         cx.now = now;
+        let once = Once::new(&mut cx, cfg.once.clone());
         Self {
             cx,
             catalogue: Catalogue::new(),
@@ -109,6 +114,8 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             budgets: Budgets::new(cfg.attempt.clone()),
+            once,
+            quarantine: Quarantine::new(cfg.me, cfg.quarantine.clone()),
             next_attempt: 0,
             sequences: BTreeMap::new(),
             next_tick: now,
@@ -141,6 +148,7 @@
             Input::Report(target, report) => {
                 self.targets.on_report(&mut self.cx, target, report);
                 self.on_report(target, report);
+                self.on_report_after_break(target, report);
             }
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -12,6 +12,8 @@
     pub(super) fn on_time(&mut self) {
         self.read_if_due();
         self.give_up_expired();
+        self.give_up_unclaimed();
+        self.once.flush(&mut self.cx);
         if self.cx.now >= self.next_tick {
             self.next_tick = self.cx.now + TICK;
             self.find_silent_peers();
@@ -20,6 +22,7 @@
             self.catch_up_if_behind();
             self.refresh_if_due();
             self.note_late_starts();
+            self.try_suspects();
             self.finish_stop();
             if self.members.has_news() {
                 self.next_frame = self.cx.now;
