--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -1,6 +1,7 @@
 //! The loop of the control thread.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,7 +22,7 @@
 use crate::clock::Clock;
 use crate::control::handle::Handle;
 use crate::control::log::LogPump;
-use crate::control::message::{Addresses, Arrival, Ask, Decision, Identity, Note};
+use crate::control::message::{Addresses, Arrival, Ask, AttemptNames, Decision, Identity, Note};
 use crate::control::orders::Orders;
 use crate::control::peers::{self, Peers};
 use crate::control::watch::{Reports, Watched, watch_vms};
@@ -54,6 +55,17 @@
     (Handle::new(asks, notes), receivers)
 }
 
+/// An attempt under way.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Attempt {
+    pub(super) request: RequestId,
+    pub(super) address: SocketAddr,
+    /// What the target is.
+    pub(super) service: Service,
+    /// Whether it failed and the node is just deciding what follows.
+    pub(super) has_failed: bool,
+}
+
 /// Everything that the control thread holds.
 #[derive(Debug)]
 pub(crate) struct Control {
@@ -63,8 +75,9 @@
     pub(super) journal: Journal,
     /// Where decisions about a request go, from its arrival to its final answer.
     pub(super) decisions: HashMap<RequestId, mpsc::UnboundedSender<Decision>>,
-    /// The request of each attempt under way.
-    pub(super) attempts: HashMap<AttemptId, RequestId>,
+    /// The attempts under way.
+    pub(super) attempts: HashMap<AttemptId, Attempt>,
+    pub(super) names: AttemptNames,
     pub(super) wakes: BTreeSet<Time>,
     /// Inputs that follow from carrying out outputs.
     pub(super) follow_ups: VecDeque<Input>,
@@ -90,6 +103,7 @@
         clock: Clock,
         metrics: &Arc<Metrics>,
         listener: TcpListener,
+        names: AttemptNames,
         stopped: watch::Sender<bool>,
     ) -> Self {
         let (sender, inputs) = mpsc::unbounded_channel();
@@ -132,6 +146,7 @@
             journal: Journal::new(),
             decisions: HashMap::new(),
             attempts: HashMap::new(),
+            names,
             wakes: BTreeSet::new(),
             follow_ups: VecDeque::new(),
             log: LogPump::start(log, sender.clone(), Arc::clone(metrics)),
@@ -159,7 +174,7 @@
             }
             tokio::select! {
                 () = sleep_until(self.next_due().into()) => {}
-                Some(input) = self.inputs.recv() => self.on_input(input),
+                Some(input) = self.inputs.recv() => self.handle(input),
                 Some(note) = from.notes.recv() => self.on_note(note),
                 ask = from.asks.recv() => match ask {
                     Some(ask) => self.on_ask(ask),
@@ -178,8 +193,13 @@
     }
 
     fn handle_one(&mut self, input: Input) {
+        let has_vms = matches!(input, Input::Vms(_));
         let mut out = std::mem::take(&mut self.out);
         self.node.handle(self.clock.now(), input, &mut out);
+        if has_vms {
+            // The node may already send to routers that it has just learnt of.
+            self.peers.set_addresses(self.node.peer_addresses());
+        }
         for output in out.drain(..) {
             self.carry_out(output);
         }
@@ -211,14 +231,6 @@
         }
     }
 
-    fn on_input(&mut self, input: Input) {
-        let has_vms = matches!(input, Input::Vms(_));
-        self.handle(input);
-        if has_vms {
-            self.peers.set_addresses(self.node.peer_addresses());
-        }
-    }
-
     fn on_note(&mut self, note: Note) {
         match note {
             Note::Cancelled(request) => {
@@ -239,18 +251,21 @@
     }
 
     fn on_attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        if let (AttemptEvent::Failed(_), Some(failed)) = (event, self.attempts.get_mut(&attempt)) {
+            failed.has_failed = true;
+        }
+        self.handle(Input::Attempt(attempt, event));
         match event {
             AttemptEvent::Started | AttemptEvent::Progress { .. } => {}
             AttemptEvent::Finished { .. } => {
-                if let Some(request) = self.attempts.remove(&attempt) {
-                    self.decisions.remove(&request);
+                if let Some(finished) = self.attempts.remove(&attempt) {
+                    self.decisions.remove(&finished.request);
                 }
             }
             AttemptEvent::Declined | AttemptEvent::Failed(_) => {
                 self.attempts.remove(&attempt);
             }
         }
-        self.handle(Input::Attempt(attempt, event));
     }
 
     /// Answers a traffic thread. Who asked may have left meanwhile; then nobody takes the answer.
@@ -266,6 +281,10 @@
                 let status = serde_json::to_string(&self.node.status(self.clock.now()));
                 drop(reply.send(status.unwrap_or_default()));
             }
+            Ask::Catalogue { after, reply } => {
+                let page = self.node.catalogue_page(after);
+                drop(reply.send(page.and_then(|page| serde_json::to_string(&page).ok())));
+            }
             Ask::Ready { reply } => drop(reply.send(self.node.status(self.clock.now()).ready)),
         }
     }
@@ -328,7 +347,8 @@
     /// Returns the targets whose reports are read.
     fn watched(&self) -> Vec<Watched> {
         let catalogue = self.node.catalogue();
-        let targets = catalogue.targets().filter_map(|target| {
+        let targets = self.node.watched_targets().filter_map(|id| {
+            let target = catalogue.target(id)?;
             let (_, pool) = catalogue.pool_by_name(&target.entry.pool)?;
             Some(Watched {
                 id: target.id,
--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -9,7 +9,8 @@
 pub mod client;
 pub mod daemon;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry, Limits};
@@ -33,6 +34,9 @@
 /// How long anything may take that a test waits for.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Changes the settings of a router, given its number.
+pub type Tune = Box<dyn Fn(u32, &mut Value) + Send>;
+
 /// What a fleet consists of.
 pub struct Plan {
     pub routers: u32,
@@ -40,7 +44,7 @@
     pub plain: plain::Config,
     pub limits: Limits,
     /// Changes the settings of a router, given its number.
-    pub tune: fn(u32, &mut Value),
+    pub tune: Tune,
     /// Slots of each target.
     pub slots: u32,
 }
@@ -52,7 +56,7 @@
             engine: engine::Config::default(),
             plain: plain::Config::default(),
             limits: Limits::default(),
-            tune: |_, _| {},
+            tune: Box::new(|_, _| {}),
             slots: 64,
         }
     }
@@ -220,6 +224,50 @@
     client::request(method, router.callers, path, &all, body)
 }
 
+/// Returns a chat request of the organisation.
+pub fn chat_request(
+    router: &Daemon,
+    body: &Value,
+) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    as_organisation(
+        "POST",
+        router,
+        "/v1/chat/completions",
+        &[],
+        body.to_string(),
+    )
+}
+
+/// Asserts that an answer is a refusal that did not run, with all that belongs to it.
+pub fn assert_refused(answer: &Answer, status: u16, reason: &str, name: &str) {
+    assert_eq!(answer.status.as_u16(), status, "{name}: {}", answer.text());
+    let header = |name| {
+        answer
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    assert_eq!(
+        header("content-type"),
+        Some("application/problem+json"),
+        "{name}"
+    );
+    let problem = answer.json();
+    assert_eq!(problem["reason"], reason, "{name}");
+    assert_eq!(problem["verdict"], "not_run", "{name}");
+    assert_eq!(problem["status"], status, "{name}");
+    assert!(
+        problem["type"].as_str().is_some_and(|t| t.contains(reason)),
+        "{name}"
+    );
+    assert!(problem["title"].is_string(), "{name}");
+    let seconds = header("retry-after").and_then(|text| text.parse::<u64>().ok());
+    let whole = problem["retry_after_ms"]
+        .as_u64()
+        .map(|ms| ms.div_ceil(1_000));
+    assert_eq!(seconds, whole, "{name}");
+}
+
 /// Returns the body of a chat request for `tokens` tokens.
 pub fn chat_body(tokens: u32, stream: bool) -> Value {
     json!({
@@ -241,18 +289,17 @@
         .unwrap_or_else(|_| panic!("in {PATIENCE:?} it did not come true that {what}"));
 }
 
-/// Returns an address of loopback on which nobody listens now.
+/// Returns an address of loopback that no other test uses.
 ///
-/// It lies below the ports that the system gives to outgoing connections, so that it is still free when
-/// a daemon that was killed starts again.
+/// Each one has an IP number of its own, made of the process and a count. A port that was only looked at
+/// could be taken by another test before the daemon listens on it.
 pub fn free_address() -> SocketAddr {
-    const PORTS: std::ops::Range<u16> = 10_000..30_000;
-    loop {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    const PORT: u16 = 9_000;
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = NEXT.fetch_add(1, Ordering::Relaxed);
+    // 127.0.0.0/16 is left to everyone else.
+    SocketAddr::from(([127, high | 0x80, low, host], PORT))
 }
 
 /// Appends entries to the log.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,6 +4,9 @@
 #
 # It needs a Rust toolchain and a C compiler. The report and the plot are left in target/demo.
 #
+# It fails if an organisation got nothing, or if a request ended without a whole answer of its own and
+# without a refusal.
+#
 #   DEMO_SECONDS   for how long requests arrive (10)
 #   DEMO_PORT      the first of nine free ports of 127.0.0.1 (18200)
 set -euo pipefail
@@ -42,6 +45,7 @@
 start_standin() {
     local name=$1
     shift
+    : >"$work/$name.address"
     "$bin/examples/standin" "$@" >"$work/$name.address" 2>"$work/$name.err" &
     pids+=($!)
     for _ in {1..100}; do
@@ -72,7 +76,7 @@
   "router": $1,
   "data_centre": "$2",
   "stop_timeout_ms": 1000,
-  "callers": { "listen": "$(callers "$1")" },
+  "callers": { "listen": "$(callers "$1")", "addresses_valid_ms": 1000 },
   "peers": { "listen": "$(peers "$1")", "fleet_key": "$fleet_key" },
   "operators": {
     "listen": "$(operators "$1")",
@@ -169,16 +173,17 @@
   "seconds": $seconds,
   "organisations": [
     { "name": "federation", "token": "demo-federation", "streams": [
-      { "kind": "chat", "pool": "drafts", "per_second": 12, "answer_tokens": 40 }
+      { "kind": "chat", "pool": "drafts", "per_second": 12, "answer_tokens": 40, "echo": true }
     ] },
     { "name": "club", "token": "demo-club", "streams": [
-      { "kind": "chat", "pool": "drafts", "per_second": 6, "answer_tokens": 40 },
-      { "kind": "plain", "pool": "desk", "path": "/stock", "per_second": 5, "call_ms": 50 }
+      { "kind": "chat", "pool": "drafts", "per_second": 6, "answer_tokens": 40, "echo": true },
+      { "kind": "plain", "pool": "desk", "path": "/stock", "per_second": 5, "call_ms": 50,
+        "echo": true }
     ] },
     { "name": "school", "token": "demo-school", "streams": [
-      { "kind": "chat", "pool": "drafts", "per_second": 2, "answer_tokens": 10 },
+      { "kind": "chat", "pool": "drafts", "per_second": 2, "answer_tokens": 10, "echo": true },
       { "kind": "plain", "pool": "desk", "path": "/book", "per_second": 2, "call_ms": 50,
-        "once": true }
+        "once": true, "echo": true }
     ] }
   ]
 }
@@ -186,7 +191,7 @@
 
 echo "== sending traffic for $seconds s"
 # In the background, because the shell handles no signal while it runs a command in the foreground.
-"$bin/bulrushctl" load "$work/experiment.json" \
+"$bin/bulrushctl" load "$work/experiment.json" --strict \
     --report "$results/report.json" --plot "$results/plot.svg" &
 pids+=($!)
 wait "${pids[-1]}"
