--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -14,8 +14,6 @@
 
 /// A list from which more than one part in so many of the targets vanished at once is not believed.
 const VANISHED_PARTS: usize = 2;
-/// How long the slots that are left over from an even split stay with one router.
-const TURN_MILLIS: u64 = 2_000;
 /// How long a router that has become the owner heeds what the former owner tells.
 const HANDOVER: Duration = Duration::from_secs(5);
 /// How long a peer's word that a target is leaving holds without being repeated.
@@ -128,26 +126,6 @@
         }
     }
 
-    /// Returns the part of a target's limit that this router may use without asking its owner: an
-    /// even part of it, and what is left over goes to the routers in turn, so that none starves before
-    /// a cold target. Nothing is started late in a turn, so that the next one finds the slot free.
-    pub fn part(&self, now: Time, target: TargetId) -> u32 {
-        let routers = u32::try_from(self.users.len().max(1)).unwrap_or(u32::MAX);
-        let limit = self.limit(target);
-        let even = limit / routers;
-        let turn = now.as_millis() / TURN_MILLIS + u64::from(target.0);
-        let first = u32::try_from(turn % u64::from(routers)).unwrap_or(0);
-        let place = self
-            .users
-            .iter()
-            .filter(|&&router| router < self.me)
-            .count();
-        let place = u32::try_from(place).unwrap_or(u32::MAX);
-        let early = now.as_millis() % TURN_MILLIS < TURN_MILLIS / 4 * 3;
-        let in_turn = (place + routers - first) % routers < limit % routers;
-        even + u32::from(in_turn && (early || routers == 1))
-    }
-
     /// Returns the load of a target by its last report, for comparisons at like load.
     pub fn load(&self, target: TargetId) -> Load {
         self.known.get(&target).map_or(Load::Low, |known| {
