--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -26,8 +26,6 @@
     urgent: bool,
     /// Whether it goes before others because it is urgent.
     kept: bool,
-    /// The version that takes it.
-    arm: Arm,
 }
 
 /// An organisation that waits for a pool and may run another request.
@@ -63,14 +61,14 @@
     /// the others.
     fn pump_pool(&mut self, pool: PoolId) {
         let mut aside = Vec::new();
-        while let Some(turn) = self.next_turn(pool) {
+        while let Some((turn, arm)) = self.next_turn(pool) {
             let next = self
                 .queues
                 .pop(self.cx.now, pool, turn.organisation, turn.kept);
             let Some((class, waiting)) = next else {
                 break;
             };
-            let placed = self.place(pool, class, waiting, turn);
+            let placed = self.place((pool, arm), class, waiting, turn);
             aside.extend((!placed).then_some((turn.organisation, class, waiting)));
         }
         for (organisation, class, waiting) in aside.into_iter().rev() {
@@ -86,12 +84,18 @@
     /// with.
     ///
     /// The deadline is checked here again, because a router that was paused may decide late.
-    fn place(&mut self, pool: PoolId, class: Class, waiting: Waiting, turn: Turn) -> bool {
+    fn place(
+        &mut self,
+        (pool, arm): (PoolId, Arm),
+        class: Class,
+        waiting: Waiting,
+        turn: Turn,
+    ) -> bool {
         if waiting.deadline <= self.cx.now {
             self.give_up(waiting.request, Reason::DeadlinePassed);
             return true;
         }
-        let Some(target) = self.choose(pool, waiting.request, turn) else {
+        let Some(target) = self.choose((pool, arm), waiting.request, turn) else {
             return false;
         };
         self.dispatch(pool, class, waiting, target);
@@ -100,22 +104,17 @@
 
     /// Returns whose request is next, if there is a slot for it. A slot that is kept for urgent requests goes to
     /// the first of them if it is not the turn of one anyway.
-    fn next_turn(&mut self, pool: PoolId) -> Option<Turn> {
+    fn next_turn(&mut self, pool: PoolId) -> Option<(Turn, Arm)> {
         let (first, urgent) = self.turns(pool)?;
         let short = self.running.urgent_is_short(pool, self.queues.cfg().share);
         let turns = match urgent {
             Some(urgent) if short => [Some(urgent), Some(first)],
             urgent => [Some(first), urgent],
         };
-        let is_open = |turn: &Turn| self.open_targets(pool, *turn).any(has_room);
-        let turns = turns.into_iter().flatten();
-        if let Some(turn) = turns.clone().find(is_open) {
-            return Some(turn);
-        }
-        // The version whose turn it is has no slot here; the other one may stand in.
-        let arm = self.moves.other_arm(self.cx.now, pool, first.arm)?;
-        let is_open = |turn: &Turn| self.open_targets(pool, *turn).any(has_room);
-        turns.map(|turn| Turn { arm, ..turn }).find(is_open)
+        turns
+            .into_iter()
+            .flatten()
+            .find_map(|turn| Some((turn, self.open_arm(pool, turn)?)))
     }
 
     /// Returns the organisations that wait for a pool and may run another request, the lowest virtual
@@ -147,13 +146,11 @@
         let candidates = self.candidates(pool);
         let first = *candidates.first()?;
         self.keep_up(pool, first);
-        let arm = self.moves.next_arm(pool);
         let turn = |candidate: &Candidate, kept| Turn {
             organisation: candidate.organisation,
             lowest: first.time,
             urgent: candidate.urgent,
             kept,
-            arm,
         };
         let urgent = self.first_urgent(&candidates);
         let urgent = urgent.map(|candidate| turn(candidate, true));
@@ -186,32 +183,53 @@
     }
 
     /// Returns the target that gets a request, if one may.
-    fn choose(&self, pool: PoolId, request: RequestId, turn: Turn) -> Option<TargetId> {
+    fn choose(
+        &self,
+        (pool, arm): (PoolId, Arm),
+        request: RequestId,
+        turn: Turn,
+    ) -> Option<TargetId> {
         let active = self.requests.get(&request)?;
         let Wish { avoid, prefer } = active.life.wish();
-        let mut open = self.open_targets(pool, turn);
+        let mut open = self.open_targets(pool, arm, turn);
         if prefer.is_some() && open.any(|open| Some(open.target) == prefer && has_room(open)) {
             return prefer;
         }
         let rest = self
-            .open_targets(pool, turn)
+            .open_targets(pool, arm, turn)
             .filter(|open| !avoid.contains(&open.target));
         let salt = request.0 ^ (u64::from(self.cx.me.0) << 32);
         route::choose(rest, self.prefixes.holders(active.req.prefix), salt)
     }
 
+    /// Returns the version whose turn it is, or that may stand in, if it has a free slot.
+    fn open_arm(&mut self, pool: PoolId, turn: Turn) -> Option<Arm> {
+        let first = self.moves.next_arm(pool);
+        if self.open_targets(pool, first, turn).any(has_room) {
+            return Some(first);
+        }
+        let other = self.moves.other_arm(self.cx.now, pool, first)?;
+        let is_open = self.open_targets(pool, other, turn).any(has_room);
+        is_open.then_some(other)
+    }
+
     /// Returns the targets of a pool that this router may use now for the request whose turn it is.
-    fn open_targets(&self, pool: PoolId, turn: Turn) -> impl Iterator<Item = route::Candidate> {
+    fn open_targets(
+        &self,
+        pool: PoolId,
+        arm: Arm,
+        turn: Turn,
+    ) -> impl Iterator<Item = route::Candidate> {
         let split = self.slots.cfg.policy == Policy::FixedSplit;
         let parts = split.then(|| self.parts_of_split(pool));
-        let open = (!split).then(|| self.open_grants(pool, turn));
+        let open = (!split).then(|| self.open_grants(pool, arm, turn));
         let all = parts
             .into_iter()
             .flatten()
             .chain(open.into_iter().flatten());
         all.filter_map(move |(target, used, part)| {
             let view = self.catalogue.target(target)?;
-            let usable = self.moves.takes(pool, turn.arm, &view.entry.version)
+            let usable = self.moves.takes(pool, arm, &view.entry.version)
                 && self.targets.usable(self.cx.now, &view);
             usable.then(|| route::Candidate {
                 target,
@@ -223,9 +241,14 @@
     }
 
     /// Returns targets with the requests that this router has there and may have there.
-    fn open_grants(&self, pool: PoolId, turn: Turn) -> impl Iterator<Item = (TargetId, u32, u32)> {
+    fn open_grants(
+        &self,
+        pool: PoolId,
+        arm: Arm,
+        turn: Turn,
+    ) -> impl Iterator<Item = (TargetId, u32, u32)> {
         let holder = &self.slots.holder;
-        let lane = if turn.arm == Arm::New {
+        let lane = if arm == Arm::New {
             new_lane(pool)
         } else {
             pool
--- a/crates/core/src/node/slots.rs
+++ b/crates/core/src/node/slots.rs
@@ -136,7 +136,10 @@
             return;
         }
         self.slots.owner.hand_out(now, limit);
+        // In a large fleet frames are too rare for a renewal to wait for the next one.
+        let at_once = self.members.period() * 3 > self.slots.cfg.term;
         for (to, grants, urgency) in self.slots.owner.take_answers(now, limit) {
+            let urgency = if at_once { Urgency::Now } else { urgency };
             self.send_slots(to, SlotsPart::Grants(grants), urgency);
         }
     }
@@ -242,12 +245,11 @@
         let most = self.slots.cfg.want;
         let count = |n: usize| u32::try_from(n).unwrap_or(most).min(most);
         let arm = if is_new(lane) { Arm::New } else { Arm::Old };
-        let turns = |n: usize| self.moves.turns(self.cx.now, pool, arm, count(n));
-        let want = turns(waiting);
+        let want = self.moves.turns(self.cx.now, pool, arm, count(waiting));
         (want > 0).then_some(Demand {
             pool: lane,
             want,
-            urgent: turns(urgent),
+            urgent: count(urgent).min(want),
             lowest: first.time,
             step: self.ledger.cfg().start_charge.0 / u64::from(first.weight.max(1)),
             system: self.slots.system(pool),
