--- a/crates/core/benches/report/mod.rs
+++ b/crates/core/benches/report/mod.rs
@@ -39,7 +39,7 @@
         let (kept, text) = match bound {
             Bound::AtMost(limit) => (value <= limit, format!("<= {limit}")),
         };
-        let verdict = if kept { "" } else { "  PASSED THE BOUND" };
+        let verdict = if kept { "" } else { "  BROKEN" };
         println!("{name:<62} {value:>12.2} {unit:<8} {text} ({source}){verdict}");
         self.failed += u32::from(!kept);
     }
@@ -49,7 +49,7 @@
         if self.failed == 0 {
             return ExitCode::SUCCESS;
         }
-        println!("{} figures passed their bounds", self.failed);
+        println!("{} figures broke their bounds", self.failed);
         ExitCode::FAILURE
     }
 }
