--- a/crates/core/src/slots/owned.rs
+++ b/crates/core/src/slots/owned.rs
@@ -60,6 +60,11 @@
         i64::from(usable) - i64::from(self.bound())
     }
 
+    /// Says whether anybody holds slots. It is asked before the limit, which is dear to find.
+    pub(super) fn is_held(&self) -> bool {
+        !self.shares.is_empty()
+    }
+
     /// Takes over the target's limit and says whether it has fallen.
     pub(super) fn has_fallen(&mut self, limit: u32) -> bool {
         core::mem::replace(&mut self.limit, limit) > limit
--- a/crates/core/src/slots/owner.rs
+++ b/crates/core/src/slots/owner.rs
@@ -126,7 +126,7 @@
     /// Tells holders at once of targets whose limit has fallen.
     pub fn call_in(&mut self, limit: impl Limits) {
         for (&target, owned) in &mut self.targets {
-            if owned.has_fallen(limit(target)) {
+            if owned.is_held() && owned.has_fallen(limit(target)) {
                 let holders = owned.holders().map(|holder| (holder, Urgency::Now));
                 self.answers.extend(holders);
             }
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -46,6 +46,8 @@
     vms: BTreeMap<u32, Presence>,
     leaving_told: BTreeMap<TargetId, Time>,
     out: BTreeSet<String>,
+    /// The state of the catalogue that was followed last.
+    followed: Option<u64>,
     live: Vec<RouterId>,
     /// The routers that may use targets: those on the VM list, silent ones included, because a silent
     /// one may be on the other side of a partition.
@@ -93,6 +95,7 @@
             vms: BTreeMap::new(),
             leaving_told: BTreeMap::new(),
             out: BTreeSet::new(),
+            followed: None,
             live: Vec::new(),
             users: Vec::new(),
             unsettled: Some(now),
@@ -262,8 +265,11 @@
             return;
         }
         self.next = cx.now + self.cfg.period;
-        self.follow_catalogue(cx.now, catalogue);
-        self.follow_data_centres(cx, catalogue);
+        if self.followed != Some(catalogue.changes()) {
+            self.followed = Some(catalogue.changes());
+            self.follow_catalogue(cx.now, catalogue);
+            self.follow_data_centres(cx, catalogue);
+        }
         self.follow_members(cx.now, members);
         for (&target, known) in &mut self.known {
             let cause = known.health.on_silence(cx.now, &self.cfg);
@@ -278,6 +284,11 @@
         self.is_listed_as_leaving(view) || self.leaving_told.contains_key(&view.id)
     }
 
+    fn any_leaving(&self) -> bool {
+        let gone = |presence: &Presence| *presence != Presence::Listed;
+        !self.leaving_told.is_empty() || self.vms.values().any(gone)
+    }
+
     fn is_listed_as_leaving(&self, view: &TargetView<'_>) -> bool {
         let state = self.vms.get(&view.entry.vm);
         matches!(state, Some(Presence::Leaving | Presence::Vanished))
@@ -379,7 +390,9 @@
     /// Queues reports to owners, limits to standbys, and word of leaving targets to their owners.
     fn tell(&mut self, cx: &mut Context, catalogue: &Catalogue, members: &Members) {
         let mut parts: BTreeMap<RouterId, TargetPart> = BTreeMap::new();
-        for view in catalogue.targets() {
+        // Looking every target up costs more than everything else here, and nearly always none is leaving.
+        let views = self.any_leaving().then(|| catalogue.targets());
+        for view in views.into_iter().flatten() {
             for to in self.hear_of_leaving(&view) {
                 parts.entry(to).or_default().leaving.push(view.id);
             }
--- /dev/null
+++ b/crates/core/tests/pages.rs
@@ -0,0 +1,12 @@
+//! Tests that the pages keep up with the code.
+
+use bulrushtrestle_core::verdict::Reason;
+
+#[test]
+fn callers_find_every_reason() {
+    let page = include_str!("../../../docs/CALLERS.md");
+    for reason in Reason::ALL {
+        let row = format!("| `{reason}` | {} |", reason.status());
+        assert!(page.contains(&row), "no row for {reason}");
+    }
+}
