--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -156,7 +156,7 @@
     pub from: String,
     /// The version that shall serve.
     pub to: String,
-    /// When all traffic shall have moved, in milliseconds since the Unix epoch.
+    /// When all traffic shall have moved, in microseconds since the Unix epoch.
     pub finish_at: Time,
 }
 
