Let the demonstration wait until slots are handed out

Cause: right after all routers start, owners wait out what former ones may have granted, so a demonstration of a few seconds showed mostly that wait: first token at p50 after 5 to 7 s. Ruled out: shorter terms at a start, which would let a restarted owner hand out what is still held. Change: the script waits 6 s and says why.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -165,6 +165,9 @@
 for router in 1 2 3; do
     await_router "$router"
 done
+# Routers that start wait out the terms that former owners of targets may have granted, and ask for reports.
+echo "== waiting 6 s until the targets' slots are handed out"
+sleep 6
 
 # Two engines of four slots make 400 tokens a second. The federation alone asks for more.
 cat >"$work/experiment.json" <<JSON
