--- a/crates/core/src/placement/mod.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Duty: placement.
