Drop a list of routers that nothing reads

Cause: the even split of targets went when grants came, and left the list of routers that shared them; it was collected anew four times a second over all peers. Ruled out: keeping it for the fixed split, which counts live routers itself. Change: the field and its upkeep are gone, nothing else.

--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -49,9 +49,6 @@
     /// The state of the catalogue that was followed last.
     followed: Option<u64>,
     live: Vec<RouterId>,
-    /// The routers that may use targets: those on the VM list, silent ones included, because a silent
-    /// one may be on the other side of a partition.
-    users: Vec<RouterId>,
     /// When this router started, until it knows who owns what.
     unsettled: Option<Time>,
     next: Time,
@@ -97,7 +94,6 @@
             out: BTreeSet::new(),
             followed: None,
             live: Vec::new(),
-            users: Vec::new(),
             unsettled: Some(now),
             next: Time(0),
         }
@@ -362,8 +358,6 @@
     /// Ranks the routers for each target again if the set of live ones has changed.
     fn follow_members(&mut self, now: Time, members: &Members) {
         let live: Vec<RouterId> = members.live(now).collect();
-        let others = members.peers().map(|(id, _)| id);
-        self.users = others.chain([self.me]).collect();
         let listed = members.peers().filter(|(_, peer)| !peer.leaving).count() + 1;
         let lost = listed.saturating_sub(live.len());
         let waits = |since: Time| lost > 0 && now.since(since) < members.timeout();
