--- a/crates/bulrushctl/src/args/value.rs
+++ b/crates/bulrushctl/src/args/value.rs
@@ -71,6 +71,7 @@
         Kind::Target => "target",
         Kind::DataCentre => "data-centre",
         Kind::Move => "version",
+        Kind::Route => "route",
     }
 }
 
--- a/crates/bulrushctl/src/catalogue/build.rs
+++ b/crates/bulrushctl/src/catalogue/build.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 
 use bulrushtrestle_core::catalogue::entry::{
-    DataCentre, DataCentreState, Entry, Kind, Limits, Move, Organisation, Pool, Service, Target,
+    Bounds, DataCentre, DataCentreState, Entry, Kind, Limits, Move, Organisation, Pool, Service,
+    Target,
 };
 use bulrushtrestle_core::catalogue::message::Change;
 use bulrushtrestle_core::catalogue::{Catalogue, check};
@@ -79,7 +80,16 @@
     name: String,
     service: Service,
 ) -> Result<Option<Changed>, Error> {
-    changed(catalogue, Entry::Pool(Pool { name, service }))
+    let bounds = match present(catalogue, Kind::Pool, &name) {
+        Some(Entry::Pool(entry)) => entry.bounds,
+        _ => Bounds::default(),
+    };
+    let entry = Pool {
+        name,
+        service,
+        bounds,
+    };
+    changed(catalogue, Entry::Pool(entry))
 }
 
 /// Returns the change that gives a target what the operator asked for.
--- a/crates/bulrushctl/src/catalogue/tests.rs
+++ b/crates/bulrushctl/src/catalogue/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of how the outcome of an edit is read from the log.
 
 use bulrushtrestle_core::catalogue::Applied;
-use bulrushtrestle_core::catalogue::entry::{Entry, Pool, Service};
+use bulrushtrestle_core::catalogue::entry::{Bounds, Entry, Pool, Service};
 use bulrushtrestle_core::catalogue::message::Edit;
 use bulrushtrestle_core::key::Offset;
 use bulrushtrestle_core::record::Record;
@@ -25,6 +25,7 @@
     let entry = Entry::Pool(Pool {
         name: "m".to_owned(),
         service: Service::Model,
+        bounds: Bounds::default(),
     });
     Edit::put(Uuid::from_u128(id), replaces.map(Offset), entry)
 }
--- a/crates/bulrushctl/src/load/experiment.rs
+++ b/crates/bulrushctl/src/load/experiment.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use bulrushtrestle_core::catalogue;
-use bulrushtrestle_core::catalogue::entry::{Entry, Pool, Service};
+use bulrushtrestle_core::catalogue::entry::{Bounds, Entry, Pool, Service};
 use bulrushtrestle_core::request::Class;
 use serde::{Deserialize, Serialize};
 
@@ -275,6 +275,7 @@
     let pool = Pool {
         name: text.to_owned(),
         service: Service::Model,
+        bounds: Bounds::default(),
     };
     catalogue::check(&Entry::Pool(pool)).is_ok()
 }
--- a/crates/bulrushctl/src/output.rs
+++ b/crates/bulrushctl/src/output.rs
@@ -108,6 +108,16 @@
             };
             format!("region {}, {state}", entry.region)
         }
+        Entry::Route(entry) => {
+            let pools: Vec<&str> = entry.pools.iter().map(|part| part.pool.as_str()).collect();
+            format!(
+                "{}{} to {}, timeout {} ms",
+                entry.host,
+                entry.path_prefix,
+                pools.join(" and "),
+                entry.timeout_ms,
+            )
+        }
         Entry::Move(entry) => format!(
             "from {} to {}, to finish at {} s since the epoch",
             entry.from,
--- a/crates/bulrushctl/tests/ctl/race.rs
+++ b/crates/bulrushctl/tests/ctl/race.rs
@@ -1,6 +1,6 @@
 //! What becomes of an edit in races, after lost answers and in outages.
 
-use bulrushtrestle_core::catalogue::entry::{Entry, Pool, Service};
+use bulrushtrestle_core::catalogue::entry::{Bounds, Entry, Pool, Service};
 use bulrushtrestle_core::catalogue::message::Edit;
 use bulrushtrestle_core::key::Offset;
 use bulrushtrestle_core::record::Record;
@@ -15,6 +15,7 @@
     let entry = Entry::Pool(Pool {
         name: "m".to_owned(),
         service,
+        bounds: Bounds::default(),
     });
     let mut edit = Edit::put(Uuid::now_v7(), replaces.map(Offset), entry);
     edit.author = "bob".to_owned();
--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use bulrushtrestle_core::input::AttemptEvent;
+use bulrushtrestle_core::input::{AttemptEvent, TargetLoad};
 use bulrushtrestle_core::key::{AttemptId, Offset, OrganisationId, RequestId};
 use bulrushtrestle_core::verdict::Refusal;
-use tokio::sync::{mpsc, oneshot};
+use bulrushtrestle_platform::operator::CallerLimits;
+use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::control::message::{Addresses, Arrival, Ask, Decision, Identity, Note};
+use crate::control::message::{Addresses, Arrival, Ask, Decision, HostedCall, Identity, Note};
 
 /// The control thread does not take more now, or has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -20,18 +21,29 @@
 pub(crate) struct Handle {
     asks: mpsc::Sender<Ask>,
     notes: mpsc::UnboundedSender<Note>,
+    limits: watch::Receiver<Option<CallerLimits>>,
     next_request: Arc<AtomicU64>,
 }
 
 impl Handle {
-    pub(super) fn new(asks: mpsc::Sender<Ask>, notes: mpsc::UnboundedSender<Note>) -> Self {
+    pub(super) fn new(
+        asks: mpsc::Sender<Ask>,
+        notes: mpsc::UnboundedSender<Note>,
+        limits: watch::Receiver<Option<CallerLimits>>,
+    ) -> Self {
         Self {
             asks,
             notes,
+            limits,
             next_request: Arc::default(),
         }
     }
 
+    /// Returns what operators of a hosting platform allow callers, once that is known.
+    pub(crate) fn limits(&self) -> Option<CallerLimits> {
+        *self.limits.borrow()
+    }
+
     /// Draws the identity of a request.
     pub(crate) fn next_request(&self) -> RequestId {
         RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
@@ -81,6 +93,30 @@
         Ok(receiver)
     }
 
+    /// Hands over a request of a hosting platform. The decisions about it end with its final answer.
+    pub(crate) fn call(&self, call: HostedCall) -> Result<mpsc::UnboundedReceiver<Decision>, Busy> {
+        let (decisions, receiver) = mpsc::unbounded_channel();
+        self.asks
+            .try_send(Ask::Call { call, decisions })
+            .map_err(|_| Busy)?;
+        Ok(receiver)
+    }
+
+    /// Asks which routers callers near a data centre should use.
+    pub(crate) async fn near(&self, data_centre: Option<String>) -> Result<Vec<String>, Busy> {
+        self.ask(|reply| Ask::Near { data_centre, reply }).await
+    }
+
+    /// Tells that the longest time for a request has passed.
+    pub(crate) fn timed_out(&self, request: RequestId) {
+        self.note(Note::TimedOut(request));
+    }
+
+    /// Tells the load of the target of an attempt.
+    pub(crate) fn load(&self, attempt: AttemptId, load: TargetLoad) {
+        self.note(Note::Load(attempt, load));
+    }
+
     /// Tells that a caller has left.
     pub(crate) fn cancelled(&self, request: RequestId) {
         self.note(Note::Cancelled(request));
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -1,10 +1,11 @@
 //! What the traffic threads and the control thread tell each other.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{Limits, Service};
-use bulrushtrestle_core::input::AttemptEvent;
+use bulrushtrestle_core::input::{AttemptEvent, TargetLoad};
 use bulrushtrestle_core::key::{
     AttemptId, Fingerprint, Incarnation, Offset, OrganisationId, RequestId,
 };
@@ -37,6 +38,20 @@
         /// Takes what is decided about it, until the final answer.
         decisions: mpsc::UnboundedSender<Decision>,
     },
+    /// A caller of a hosting platform wants a request to be run.
+    Call {
+        /// The request.
+        call: HostedCall,
+        /// Takes what is decided about it, until the final answer.
+        decisions: mpsc::UnboundedSender<Decision>,
+    },
+    /// Which routers should callers near a data centre use?
+    Near {
+        /// The data centre, if the caller names one.
+        data_centre: Option<String>,
+        /// Takes the addresses.
+        reply: oneshot::Sender<Vec<String>>,
+    },
     /// What do operators see?
     Status {
         /// Takes the answer, as JSON.
@@ -101,6 +116,44 @@
     pub(crate) prefix: Option<Fingerprint>,
 }
 
+/// A request of a hosting platform before its route is looked up.
+#[derive(Debug)]
+pub(crate) struct HostedCall {
+    /// The identity that events about this request carry.
+    pub(crate) id: RequestId,
+    /// The host that the caller names.
+    pub(crate) host: String,
+    /// The path, without the query.
+    pub(crate) path: String,
+    /// The SHA-256 sum of the caller's token, if it shows one.
+    pub(crate) token: Option<[u8; 32]>,
+    /// When the request was there.
+    pub(crate) arrived: Time,
+    /// What else its head says.
+    pub(crate) said: bulrushtrestle_platform::request::Said,
+    /// The size of the body, in bytes.
+    pub(crate) body_bytes: u32,
+    /// The hash of path and content.
+    pub(crate) fingerprint: Fingerprint,
+}
+
+/// How a request of a hosting platform goes on to targets.
+#[derive(Debug, Clone)]
+pub(crate) struct Passage {
+    /// The name of the route, for logs.
+    pub(crate) route: String,
+    /// The caller's organisation, if the route's callers show a token.
+    pub(crate) organisation: Option<String>,
+    /// When the final answer has to be there.
+    pub(crate) until: Time,
+    /// When the caller gives up, if it says.
+    pub(crate) deadline: Option<Time>,
+    /// Whether answers are streams of events.
+    pub(crate) streams: bool,
+    /// Whether the request may run again, and its stream be resumed.
+    pub(crate) repeatable: bool,
+}
+
 /// The names by which targets know attempts, distinct in the whole fleet.
 #[derive(Debug, Clone)]
 pub(crate) struct AttemptNames(String);
@@ -118,14 +171,20 @@
 }
 
 /// What is decided about a request.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) enum Decision {
+    /// It is taken in, and goes on like this. Only requests of a hosting platform are told.
+    Taken(Arc<Passage>),
     /// Send it to a target.
     Dispatch {
         /// The attempt.
         attempt: AttemptId,
         /// Where the target is.
         address: SocketAddr,
+        /// The name of the target.
+        target: String,
+        /// How much of the answer the caller has already.
+        resume_from: u64,
     },
     /// Stop an attempt.
     Abort(AttemptId),
@@ -138,6 +197,10 @@
 pub(crate) enum Note {
     /// The caller has left.
     Cancelled(RequestId),
+    /// The longest time that a request may take has passed, and the caller has its final answer.
+    TimedOut(RequestId),
+    /// A target told of its load along with an answer.
+    Load(AttemptId, TargetLoad),
     /// Something was learnt about an attempt.
     Attempt(AttemptId, AttemptEvent),
     /// How far the answers of attempts have come.
--- a/crates/bulrushtrestled/src/control/mod.rs
+++ b/crates/bulrushtrestled/src/control/mod.rs
@@ -7,7 +7,9 @@
 //! Requests come in over a bounded channel, so that a flood is refused at the door; what is learnt of
 //! requests that were taken in is never dropped, and grows only with their number.
 
+mod follow;
 mod handle;
+mod hosting;
 mod log;
 mod message;
 mod orders;
@@ -17,5 +19,5 @@
 mod watch;
 
 pub(crate) use self::handle::Handle;
-pub(crate) use self::message::{Arrival, AttemptNames, Decision, Identity};
-pub(crate) use self::run::{Control, Receivers, channels};
+pub(crate) use self::message::{Arrival, AttemptNames, Decision, HostedCall, Identity, Passage};
+pub(crate) use self::run::{Control, Ends, Receivers, channels};
--- a/crates/bulrushtrestled/src/control/orders.rs
+++ b/crates/bulrushtrestled/src/control/orders.rs
@@ -61,11 +61,6 @@
             drop(inputs.send(Input::Ordered(id, event)));
         });
     }
-
-    /// Answers an order to a target that is not in the catalogue any more.
-    pub(super) fn unknown(&self, id: TargetId) {
-        drop(self.inputs.send(Input::Ordered(id, OrderEvent::Unknown)));
-    }
 }
 
 /// Says whether the weight store would hand out what an order needs.
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bulrushtrestle_core::catalogue::entry::Service;
-use bulrushtrestle_core::input::{AttemptEvent, Failure, FailureKind, Input};
+use bulrushtrestle_core::input::{AttemptEvent, Failure, FailureKind, Input, LogEvent, OrderEvent};
 use bulrushtrestle_core::key::{AttemptId, Fence, RequestId, TargetId};
 use bulrushtrestle_core::output::{Dispatch, Order, Output};
 use bulrushtrestle_core::verdict::Refusal;
@@ -18,9 +18,23 @@
             Output::Dispatch(dispatch) => self.dispatch(dispatch),
             Output::Abort(attempt) => self.abort(attempt),
             Output::Refuse(request, refusal) => self.refuse(request, refusal),
-            Output::Peer { to, bytes } => self.peers.send(to, bytes),
-            Output::Append { id, bytes } => self.log.append(id, bytes),
-            Output::Read { from } => self.log.read(from),
+            Output::Peer { to, bytes } => {
+                if let Some(peers) = &self.peers {
+                    peers.send(to, bytes);
+                }
+            }
+            Output::Append { id, bytes } => match &self.log {
+                Some(log) => log.append(id, bytes),
+                None => self
+                    .follow_ups
+                    .push_back(Input::Log(LogEvent::AppendFailed(id))),
+            },
+            Output::Read { from } => {
+                if let Some(log) = &self.log {
+                    log.read(from);
+                }
+            }
+            Output::Moved(stand) => self.tell_operators(stand),
             Output::Order {
                 target,
                 order,
@@ -38,7 +52,7 @@
     }
 
     fn dispatch(&mut self, dispatch: Dispatch) {
-        let Some((address, service)) = self.address(dispatch.target) else {
+        let Some((address, service, name)) = self.address(dispatch.target) else {
             let failed = AttemptEvent::Failed(Failure {
                 kind: FailureKind::Connect,
                 sent: false,
@@ -50,6 +64,7 @@
         };
         let attempt = Attempt {
             request: dispatch.request,
+            target: dispatch.target,
             address,
             service,
             has_failed: false,
@@ -58,6 +73,8 @@
         let decision = Decision::Dispatch {
             attempt: dispatch.attempt,
             address,
+            target: name,
+            resume_from: dispatch.resume_from,
         };
         if !self.decide(dispatch.request, decision) {
             // Whoever served the request has gone meanwhile.
@@ -69,11 +86,12 @@
     }
 
     /// Returns where a target is and what it is.
-    fn address(&self, id: TargetId) -> Option<(SocketAddr, Service)> {
+    fn address(&self, id: TargetId) -> Option<(SocketAddr, Service, String)> {
         let catalogue = self.node.catalogue();
         let target = catalogue.target(id)?;
         let (_, pool) = catalogue.pool_by_name(&target.entry.pool)?;
-        Some((target.entry.address.parse().ok()?, pool.service))
+        let address = target.entry.address.parse().ok()?;
+        Some((address, pool.service, target.entry.name.clone()))
     }
 
     /// Stops an attempt. Closing its connection cancels it at the target; one that has failed already
@@ -83,8 +101,10 @@
             return;
         };
         self.decide(attempt.request, Decision::Abort(id));
-        // To a plain service the same path would be a call like any other.
-        if !attempt.has_failed || attempt.service != Service::Model {
+        // To a plain service the same path would be a call like any other, and a hosting platform's targets
+        // are cancelled by their connections alone.
+        let by_name = attempt.service == Service::Model && self.log.is_some();
+        if !attempt.has_failed || !by_name {
             return;
         }
         let target = HttpTarget {
@@ -102,7 +122,7 @@
     }
 
     /// Tells the traffic threads, and returns whether anybody there still serves the request.
-    fn decide(&self, request: RequestId, decision: Decision) -> bool {
+    pub(super) fn decide(&self, request: RequestId, decision: Decision) -> bool {
         self.decisions
             .get(&request)
             .is_some_and(|decisions| decisions.send(decision).is_ok())
@@ -114,13 +134,20 @@
             Some((address, target.entry.checks_fence))
         });
         let Some((address, checks_fence)) = found else {
-            self.orders.unknown(id);
+            let unknown = Input::Ordered(id, OrderEvent::Unknown);
+            self.follow_ups.push_back(unknown);
             return;
         };
         let target = HttpTarget {
             http: self.http.clone(),
             address,
         };
-        self.orders.give(id, target, order, fence, checks_fence);
+        match &mut self.orders {
+            Some(orders) => orders.give(id, target, order, fence, checks_fence),
+            // A hosting platform's targets take no orders from here.
+            None => self
+                .follow_ups
+                .push_back(Input::Ordered(id, OrderEvent::Unknown)),
+        }
     }
 }
--- a/crates/bulrushtrestled/src/control/peers.rs
+++ b/crates/bulrushtrestled/src/control/peers.rs
@@ -13,7 +13,7 @@
 
 use bulrushtrestle_core::input::Input;
 use bulrushtrestle_core::key::RouterId;
-use bulrushtrestle_wire::{Event, Limits, Link, Refused};
+use bulrushtrestle_wire::{Event, FleetKey, Limits, Link, Refused};
 use futures::stream::{FuturesUnordered, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, mpsc};
@@ -38,10 +38,20 @@
 const IDLE_HEARTBEATS: u32 = 5;
 
 /// What all connections share.
+/// Where peers connect to, and by which limits.
+#[derive(Debug)]
+pub(super) struct PeerListener {
+    pub(super) listener: TcpListener,
+    /// This router's number.
+    pub(super) router: u32,
+    pub(super) cfg: settings::Peers,
+}
+
 #[derive(Debug)]
 struct Shared {
     me: u32,
     cfg: settings::Peers,
+    key: FleetKey,
     metrics: Arc<Metrics>,
 }
 
@@ -69,9 +79,20 @@
 
 impl Peers {
     /// Returns the connections of a router that knows no others yet.
-    pub(super) fn new(me: u32, cfg: settings::Peers, metrics: Arc<Metrics>) -> Self {
+    pub(super) fn new(
+        me: u32,
+        cfg: settings::Peers,
+        key: &FleetKey,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let key = key.clone();
         Self {
-            shared: Rc::new(Shared { me, cfg, metrics }),
+            shared: Rc::new(Shared {
+                me,
+                cfg,
+                key,
+                metrics,
+            }),
             outboxes: HashMap::new(),
         }
     }
@@ -173,7 +194,7 @@
         stream
             .set_nodelay(true)
             .map_err(|_| Edge::PeerConnectFailed)?;
-        bulrushtrestle_wire::connect(stream.compat(), shared.me, state.to, &shared.cfg.key)
+        bulrushtrestle_wire::connect(stream.compat(), shared.me, state.to, &shared.key)
             .await
             .map_err(|error| match error.is_credentials() {
                 true => Edge::PeerUnproved,
@@ -215,12 +236,16 @@
 
 /// Accepts connections from peers for as long as the thread lives.
 pub(super) async fn accept(
-    listener: TcpListener,
-    me: u32,
-    cfg: settings::Peers,
+    at: PeerListener,
+    key: FleetKey,
     inputs: mpsc::UnboundedSender<Input>,
     metrics: Arc<Metrics>,
 ) {
+    let PeerListener {
+        listener,
+        router: me,
+        cfg,
+    } = at;
     let strangers = Arc::new(Semaphore::new(cfg.strangers_max));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -236,7 +261,7 @@
             handshake: cfg.connect_timeout,
             idle: cfg.heartbeat * IDLE_HEARTBEATS + cfg.call_timeout,
         };
-        let key = cfg.key.clone();
+        let key = key.clone();
         let inputs = inputs.clone();
         let metrics = Arc::clone(&metrics);
         spawn_local(async move {
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -8,12 +8,14 @@
 use bulrushtrestle_core::catalogue::entry::Service;
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::input::{AttemptEvent, Input};
-use bulrushtrestle_core::key::{AttemptId, OrganisationId, PoolId, RequestId};
+use bulrushtrestle_core::key::{AttemptId, OrganisationId, PoolId, RequestId, TargetId};
 use bulrushtrestle_core::node::Node;
 use bulrushtrestle_core::output::Output;
-use bulrushtrestle_core::request::Request;
+use bulrushtrestle_core::request::{Request, Terms};
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
+use bulrushtrestle_platform::operator::CallerLimits;
+use bulrushtrestle_wire::FleetKey;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
@@ -21,15 +23,16 @@
 
 use crate::clock::Clock;
 use crate::control::handle::Handle;
+use crate::control::hosting::{Hosting, hosted_event};
 use crate::control::log::LogPump;
 use crate::control::message::{Addresses, Arrival, Ask, AttemptNames, Decision, Identity, Note};
 use crate::control::orders::Orders;
-use crate::control::peers::{self, Peers};
+use crate::control::peers::{self, PeerListener, Peers};
 use crate::control::watch::{Reports, Watched, watch_vms};
 use crate::logging::Journal;
 use crate::metrics::Metrics;
 use crate::platform::{Http, HttpLog, HttpVmList, HttpWeights};
-use crate::settings::Settings;
+use crate::settings::{self, Platform, Settings};
 
 /// The time between two measurements of how late the thread is.
 const LAG_TICK: Duration = Duration::from_millis(20);
@@ -37,28 +40,52 @@
 /// The wait that is proposed while the router does not know the whole catalogue.
 const NOT_CURRENT_RETRY: Duration = Duration::from_secs(1);
 
+/// What the control thread is started with besides its settings.
+#[derive(Debug)]
+pub(crate) struct Ends {
+    /// Where peers connect to.
+    pub(crate) listener: TcpListener,
+    /// The names by which targets know attempts.
+    pub(crate) names: AttemptNames,
+    /// Shows that a planned stop is complete.
+    pub(crate) stopped: watch::Sender<bool>,
+    /// Takes what operators of a hosting platform allow callers.
+    pub(crate) limits: watch::Sender<Option<CallerLimits>>,
+}
+
 /// The control thread's ends of the channels.
 #[derive(Debug)]
 pub(crate) struct Receivers {
     asks: mpsc::Receiver<Ask>,
     notes: mpsc::UnboundedReceiver<Note>,
+    limits: watch::Sender<Option<CallerLimits>>,
+}
+
+impl Receivers {
+    /// Returns where the callers' limits go.
+    pub(crate) fn limits(&self) -> watch::Sender<Option<CallerLimits>> {
+        self.limits.clone()
+    }
 }
 
 /// Returns both ends of the channels between the traffic threads and the control thread.
 pub(crate) fn channels(handover_max: usize) -> (Handle, Receivers) {
     let (asks, asks_receiver) = mpsc::channel(handover_max);
     let (notes, notes_receiver) = mpsc::unbounded_channel();
+    let (limits, limits_receiver) = watch::channel(None);
     let receivers = Receivers {
         asks: asks_receiver,
         notes: notes_receiver,
+        limits,
     };
-    (Handle::new(asks, notes), receivers)
+    (Handle::new(asks, notes, limits_receiver), receivers)
 }
 
 /// An attempt under way.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Attempt {
     pub(super) request: RequestId,
+    pub(super) target: TargetId,
     pub(super) address: SocketAddr,
     /// What the target is.
     pub(super) service: Service,
@@ -81,17 +108,22 @@
     pub(super) wakes: BTreeSet<Time>,
     /// Inputs that follow from carrying out outputs.
     pub(super) follow_ups: VecDeque<Input>,
-    pub(super) log: LogPump<HttpLog>,
-    pub(super) peers: Peers,
-    pub(super) orders: Orders,
+    /// The log; nothing where a store keeps the catalogue.
+    pub(super) log: Option<LogPump<HttpLog>>,
+    /// The peers; nothing until the fleet's key is known.
+    pub(super) peers: Option<Peers>,
+    pub(super) orders: Option<Orders>,
+    /// What a hosting platform needs.
+    pub(super) hosting: Option<Hosting>,
     pub(super) http: Http,
     pub(super) stopped: watch::Sender<bool>,
-    reports: Reports,
+    reports: Option<Reports>,
     next_lag_tick: Instant,
     next_report: Instant,
     report_every: Duration,
     stop_timeout: Duration,
     inputs: mpsc::UnboundedReceiver<Input>,
+    sender: mpsc::UnboundedSender<Input>,
     out: Vec<Output>,
 }
 
@@ -102,44 +134,19 @@
         settings: &Settings,
         clock: Clock,
         metrics: &Arc<Metrics>,
-        listener: TcpListener,
-        names: AttemptNames,
-        stopped: watch::Sender<bool>,
+        ends: Ends,
     ) -> Self {
+        let Ends {
+            listener,
+            names,
+            stopped,
+            limits,
+        } = ends;
         let (sender, inputs) = mpsc::unbounded_channel();
-        let platform = &settings.platform;
-        let http = Http::new(platform.token.as_deref());
-        let log = HttpLog {
-            http: http.clone(),
-            address: platform.log,
-            append_timeout: platform.append_timeout,
-            read_wait: platform.read_wait,
-        };
-        let vms = HttpVmList {
-            http: http.clone(),
-            address: platform.vms,
-        };
-        let weights = HttpWeights {
-            http,
-            address: platform.weights,
-        };
         // The platform's token is not for targets.
         let http = Http::new(None);
-        spawn_local(watch_vms(
-            vms,
-            platform.vms_every,
-            sender.clone(),
-            Arc::clone(metrics),
-        ));
-        spawn_local(peers::accept(
-            listener,
-            settings.router,
-            settings.peers.clone(),
-            sender.clone(),
-            Arc::clone(metrics),
-        ));
         let now = Instant::now();
-        Self {
+        let mut control = Self {
             node,
             clock,
             metrics: Arc::clone(metrics),
@@ -149,10 +156,11 @@
             names,
             wakes: BTreeSet::new(),
             follow_ups: VecDeque::new(),
-            log: LogPump::start(log, sender.clone(), Arc::clone(metrics)),
-            peers: Peers::new(settings.router, settings.peers.clone(), Arc::clone(metrics)),
-            orders: Orders::new(weights, sender.clone(), Arc::clone(metrics)),
-            reports: Reports::new(http.clone(), sender, Arc::clone(metrics)),
+            log: None,
+            peers: None,
+            orders: None,
+            hosting: None,
+            reports: None,
             http,
             stopped,
             next_lag_tick: now + LAG_TICK,
@@ -160,7 +168,82 @@
             report_every: settings.targets.report_every,
             stop_timeout: settings.stop_timeout,
             inputs,
+            sender,
             out: Vec::new(),
+        };
+        let peers = PeerListener {
+            listener,
+            router: settings.router,
+            cfg: settings.peers.clone(),
+        };
+        match &settings.platform {
+            Platform::Services(services) => {
+                control.start_services(services);
+                if let Some(key) = &settings.peers.key {
+                    control.start_peers(peers, key);
+                }
+            }
+            Platform::Hosting(cfg) => {
+                control.hosting = Some(Hosting::start(
+                    cfg,
+                    &settings.data_centre,
+                    clock,
+                    Arc::clone(metrics),
+                    peers,
+                    limits,
+                ));
+            }
+        }
+        control
+    }
+
+    /// Starts what reads from and writes to a log, a VM list and a weight store.
+    fn start_services(&mut self, cfg: &settings::Services) {
+        let http = Http::new(cfg.token.as_deref());
+        let log = HttpLog {
+            http: http.clone(),
+            address: cfg.log,
+            append_timeout: cfg.append_timeout,
+            read_wait: cfg.read_wait,
+        };
+        let vms = HttpVmList {
+            http: http.clone(),
+            address: cfg.vms,
+        };
+        let weights = HttpWeights {
+            http,
+            address: cfg.weights,
+        };
+        let (sender, metrics) = (&self.sender, &self.metrics);
+        spawn_local(watch_vms(
+            vms,
+            cfg.vms_every,
+            sender.clone(),
+            Arc::clone(metrics),
+        ));
+        self.log = Some(LogPump::start(log, sender.clone(), Arc::clone(metrics)));
+        self.orders = Some(Orders::new(weights, sender.clone(), Arc::clone(metrics)));
+        let reports = Reports::new(self.http.clone(), sender.clone(), Arc::clone(metrics));
+        self.reports = Some(reports);
+    }
+
+    /// Lets peers in and calls them, now that the key of the fleet is known.
+    pub(super) fn start_peers(&mut self, at: PeerListener, key: &FleetKey) {
+        let metrics = &self.metrics;
+        let peers = Peers::new(at.router, at.cfg.clone(), key, Arc::clone(metrics));
+        self.peers = Some(peers);
+        spawn_local(peers::accept(
+            at,
+            key.clone(),
+            self.sender.clone(),
+            Arc::clone(metrics),
+        ));
+        self.set_peer_addresses();
+    }
+
+    fn set_peer_addresses(&mut self) {
+        if let Some(peers) = &mut self.peers {
+            peers.set_addresses(self.node.peer_addresses());
         }
     }
 
@@ -176,6 +259,7 @@
                 () = sleep_until(self.next_due().into()) => {}
                 Some(input) = self.inputs.recv() => self.handle(input),
                 Some(note) = from.notes.recv() => self.on_note(note),
+                event = hosted_event(&mut self.hosting) => self.on_hosted(event),
                 ask = from.asks.recv() => match ask {
                     Some(ask) => self.on_ask(ask),
                     None => return,
@@ -185,7 +269,7 @@
     }
 
     /// Hands an event to the node and carries out what it asks for.
-    fn handle(&mut self, input: Input) {
+    pub(super) fn handle(&mut self, input: Input) {
         self.handle_one(input);
         while let Some(next) = self.follow_ups.pop_front() {
             self.handle_one(next);
@@ -198,7 +282,7 @@
         self.node.handle(self.clock.now(), input, &mut out);
         if has_vms {
             // The node may already send to routers that it has just learnt of.
-            self.peers.set_addresses(self.node.peer_addresses());
+            self.set_peer_addresses();
         }
         for output in out.drain(..) {
             self.carry_out(output);
@@ -222,7 +306,9 @@
         }
         if now >= self.next_report {
             self.next_report = now + self.report_every;
-            self.reports.read(&self.watched());
+            if let Some(reports) = &self.reports {
+                reports.read(&self.watched());
+            }
         }
         let time = self.clock.now();
         if self.wakes.first().is_some_and(|&wake| wake <= time) {
@@ -237,6 +323,15 @@
                 self.decisions.remove(&request);
                 self.handle(Input::Cancelled(request));
             }
+            Note::TimedOut(request) => {
+                self.decisions.remove(&request);
+                self.handle(Input::TimedOut(request));
+            }
+            Note::Load(attempt, load) => {
+                if let Some(attempt) = self.attempts.get(&attempt) {
+                    self.handle(Input::Load(attempt.target, load));
+                }
+            }
             Note::Attempt(attempt, event) => self.on_attempt(attempt, event),
             Note::Progress(all) => {
                 for (attempt, tokens) in all {
@@ -277,6 +372,10 @@
                 reply,
             } => drop(reply.send(self.addresses(organisation))),
             Ask::Request { arrival, decisions } => self.on_request(arrival, decisions),
+            Ask::Call { call, decisions } => self.on_call(call, decisions),
+            Ask::Near { data_centre, reply } => {
+                drop(reply.send(self.node.addresses_near(data_centre.as_deref())));
+            }
             Ask::Status { reply } => {
                 let status = serde_json::to_string(&self.node.status(self.clock.now()));
                 drop(reply.send(status.unwrap_or_default()));
@@ -310,7 +409,7 @@
     }
 
     /// Refuses for want of an entry, unless the entry may only not have been read yet.
-    fn not_found(&self, reason: Reason) -> Refusal {
+    pub(super) fn not_found(&self, reason: Reason) -> Refusal {
         match self.node.is_ready() {
             true => Refusal::not_run(reason, None),
             false => Refusal::not_run(Reason::NotCurrent, Some(NOT_CURRENT_RETRY)),
@@ -336,6 +435,7 @@
             hint_tokens: arrival.hint_tokens,
             fingerprint: arrival.fingerprint,
             prefix: arrival.prefix,
+            terms: Terms::default(),
         }));
     }
 
--- a/crates/bulrushtrestled/src/logging.rs
+++ b/crates/bulrushtrestled/src/logging.rs
@@ -1,28 +1,56 @@
-//! Lines for changes of state. Everything else is counted.
+//! Structured lines on the standard output: one for each decision about a request, each change of what the process
+//! believes, each dependency that is lost or back, and the start and stop of the process.
+//!
+//! A line has the time, the level, what it is about, and `key=value` pairs. Writing never blocks a request: lines go
+//! through a bounded queue to a thread of their own. The number of lines in a second is bounded too; what is left
+//! out is counted, and the next second begins with a line that says how many there were.
 
-use std::time::UNIX_EPOCH;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use bulrushtrestle_core::output::{Notice, NoticeKind};
-use logforth::append::Stderr;
-use logforth::core::Logger;
-use logforth::record::{Level, Record};
-use logforth::{Diagnostic, Layout};
+use logforth::record::Record;
+use logforth::{Append, Diagnostic};
 
-/// Writes one line for each change of state to the standard error stream.
-#[derive(Debug)]
-pub(crate) struct Journal(Logger);
+/// Lines that wait to be written. At a fifth of a KiB each they take no more than 1 MiB.
+const QUEUE_LINES: usize = 4_096;
+/// Lines in a second. A router at the size to design for answers fewer requests in a second than that.
+const LINES_PER_SECOND: u32 = 1_000;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Starts to write lines. It has to be called once, before anything is logged.
+pub(crate) fn start() -> std::io::Result<()> {
+    let (lines, waiting) = sync_channel(QUEUE_LINES);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_all(&waiting))?;
+    let append = Bounded {
+        lines,
+        window: Mutex::new(Window {
+            since: Instant::now(),
+            count: 0,
+        }),
+        left_out: AtomicU64::new(0),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .apply();
+    log::set_max_level(log::LevelFilter::Info);
+    Ok(())
+}
 
-/// Lines of the time in milliseconds since the Unix epoch, the level, the kind and the subject.
+/// Writes changes of state that the node saw.
 #[derive(Debug)]
-struct Lines;
+pub(crate) struct Journal;
 
 impl Journal {
     /// Opens the journal.
-    pub(crate) fn new() -> Self {
-        let logger = logforth::core::builder()
-            .dispatch(|dispatch| dispatch.append(Stderr::default().with_layout(Lines)))
-            .build();
-        Self(logger)
+    pub(crate) const fn new() -> Self {
+        Self
     }
 
     /// Writes a change of state that the node saw.
@@ -32,30 +60,95 @@
 
     /// Writes a change of state of the process itself.
     pub(crate) fn line(&self, kind: &str, subject: &str) {
-        let builder = Record::builder().level(Level::Info).target(kind);
-        self.0
-            .log(&builder.payload(format_args!("{subject}")).build());
+        log::info!(target: kind, "{subject}");
     }
 }
 
-impl Layout for Lines {
-    fn format(
+/// Hands lines to the thread that writes them, as far as there is room.
+#[derive(Debug)]
+struct Bounded {
+    lines: SyncSender<String>,
+    window: Mutex<Window>,
+    /// Lines that were left out since the last line that said so.
+    left_out: AtomicU64,
+}
+
+/// How many lines there were in this second.
+#[derive(Debug)]
+struct Window {
+    since: Instant,
+    count: u32,
+}
+
+impl Append for Bounded {
+    fn append(
         &self,
         record: &Record<'_>,
         _diagnostics: &[Box<dyn Diagnostic>],
-    ) -> Result<Vec<u8>, logforth::Error> {
-        let time = record.time().duration_since(UNIX_EPOCH);
-        let line = format!(
-            "{} {} {}: {}",
-            time.unwrap_or_default().as_millis(),
-            record.level().name(),
-            record.target(),
-            record.payload(),
-        );
-        Ok(line.into_bytes())
+    ) -> Result<(), logforth::Error> {
+        if !self.admits() || self.lines.try_send(format(record)).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        Ok(())
     }
 }
 
+impl Bounded {
+    /// Says whether there may be another line in this second.
+    fn admits(&self) -> bool {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        if window.since.elapsed() >= SECOND {
+            window.since = Instant::now();
+            window.count = 0;
+            let left_out = self.left_out.swap(0, Ordering::Relaxed);
+            if left_out > 0 {
+                let line = format!("{} WARN log: left_out={left_out}\n", millis());
+                // A queue that is full has no room for this line either.
+                if self.lines.try_send(line).is_err() {
+                    self.left_out.fetch_add(left_out, Ordering::Relaxed);
+                }
+            }
+        }
+        window.count += 1;
+        window.count <= LINES_PER_SECOND
+    }
+}
+
+/// Writes lines for as long as the process lives, all that wait at once.
+fn write_all(waiting: &Receiver<String>) {
+    let mut out = std::io::stdout();
+    while let Ok(mut text) = waiting.recv() {
+        while let Ok(next) = waiting.try_recv() {
+            text.push_str(&next);
+        }
+        // There is nowhere to report that the standard output is closed.
+        if out.write_all(text.as_bytes()).is_err() || out.flush().is_err() {
+            return;
+        }
+    }
+}
+
+fn format(record: &Record<'_>) -> String {
+    format!(
+        "{} {} {}: {}\n",
+        millis(),
+        record.level().name(),
+        record.target(),
+        record.payload(),
+    )
+}
+
+/// Returns the time of day in milliseconds since the Unix epoch. A clock before the epoch reads zero.
+fn millis() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis())
+}
+
 const fn name(kind: NoticeKind) -> &'static str {
     match kind {
         NoticeKind::Readiness => "readiness",
--- a/crates/bulrushtrestled/src/main.rs
+++ b/crates/bulrushtrestled/src/main.rs
@@ -55,6 +55,10 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
+    if let Err(error) = logging::start() {
+        eprintln!("cannot start: {error}");
+        return ExitCode::from(EXIT_FAILURE);
+    }
     match process::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -73,6 +73,8 @@
     AppendUnknown = "append_unknown";
     /// A read of the log failed.
     ReadFailed = "read_failed";
+    /// A record of a hosting platform's store could not be decoded and was passed over.
+    RecordUnusable = "record_unusable";
     /// A read of the VM list failed.
     VmsFailed = "vms_failed";
     /// An order to a target failed or was not answered.
--- a/crates/bulrushtrestled/src/metrics/mod.rs
+++ b/crates/bulrushtrestled/src/metrics/mod.rs
@@ -13,8 +13,8 @@
 use bulrushtrestle_core::verdict::Reason;
 use bulrushtrestle_wire::Refused;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 pub(crate) use self::edge::Edge;
@@ -24,6 +24,11 @@
     0.000_1, 0.000_25, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0,
 ];
 
+/// The bounds of the histograms of requests, in seconds.
+const REQUEST_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0, 16.0,
+];
+
 /// All counters, gauges and histograms of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -32,6 +37,8 @@
     edge: BTreeMap<Edge, IntCounter>,
     peers_refused: IntCounterVec,
     timer_lag: Histogram,
+    first_answer: Histogram,
+    requests_took: HistogramVec,
     memory: IntGauge,
     /// Connections of callers.
     pub(crate) connections: IntGauge,
@@ -94,6 +101,8 @@
             edge,
             peers_refused,
             timer_lag: lag_histogram(&registry),
+            first_answer: first_answer_histogram(&registry),
+            requests_took: took_histograms(&registry),
             memory: gauge(
                 &registry,
                 "bulrushtrestle_resident_bytes",
@@ -149,6 +158,15 @@
         self.timer_lag.observe(lag.as_secs_f64());
     }
 
+    /// Notes how long a request took, and after how long its caller got the first of the answer.
+    pub(crate) fn took(&self, outcome: &str, took: Duration, first: Option<Duration>) {
+        let histogram = self.requests_took.with_label_values(&[outcome]);
+        histogram.observe(took.as_secs_f64());
+        if let Some(first) = first {
+            self.first_answer.observe(first.as_secs_f64());
+        }
+    }
+
     /// Returns everything in the text format.
     pub(crate) fn render(&self) -> String {
         self.memory.set(memory::resident_bytes());
@@ -176,6 +194,32 @@
     gauge
 }
 
+fn first_answer_histogram(registry: &Registry) -> Histogram {
+    let opts = HistogramOpts::new(
+        "bulrushtrestle_first_answer_seconds",
+        "From the arrival of a request to the first of its answer.",
+    );
+    let histogram =
+        Histogram::with_opts(opts.buckets(REQUEST_BOUNDS.to_vec())).expect("the name is valid");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("names are registered once");
+    histogram
+}
+
+fn took_histograms(registry: &Registry) -> HistogramVec {
+    let opts = HistogramOpts::new(
+        "bulrushtrestle_request_seconds",
+        "From the arrival of a request to its end, by outcome.",
+    );
+    let opts = opts.buckets(REQUEST_BOUNDS.to_vec());
+    let histograms = HistogramVec::new(opts, &["outcome"]).expect("the name is valid");
+    registry
+        .register(Box::new(histograms.clone()))
+        .expect("names are registered once");
+    histograms
+}
+
 fn lag_histogram(registry: &Registry) -> Histogram {
     let opts = HistogramOpts::new(
         "bulrushtrestle_control_timer_lag_seconds",
--- a/crates/bulrushtrestled/src/operators.rs
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' listener: metrics, health, readiness, status and the catalogue.
 //!
-//! Every path needs one of the operators' tokens.
+//! Every path needs one of the operators' tokens, but for the metrics if the settings open them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +27,9 @@
 use crate::metrics::{Edge, Metrics};
 use crate::settings;
 
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Requests of operators at a time.
 const REQUESTS_MAX: usize = 16;
 
@@ -50,6 +53,7 @@
 #[derive(Debug)]
 pub(crate) struct App {
     tokens: Vec<[u8; 32]>,
+    metrics_open: bool,
     control: Handle,
     metrics: Arc<Metrics>,
 }
@@ -59,6 +63,7 @@
     pub(crate) fn new(cfg: &settings::Operators, control: Handle, metrics: Arc<Metrics>) -> Self {
         Self {
             tokens: cfg.tokens.clone(),
+            metrics_open: cfg.metrics_open,
             control,
             metrics,
         }
@@ -77,7 +82,7 @@
         .layer(tower::limit::GlobalConcurrencyLimitLayer::new(REQUESTS_MAX))
         .timeout(ANSWER_TIMEOUT);
     let router = Router::new()
-        .route("/metrics", get(metrics))
+        .route(METRICS_PATH, get(metrics))
         .route("/healthz", get(health))
         .route("/readyz", get(ready))
         .route("/status", get(status))
@@ -103,7 +108,8 @@
 }
 
 async fn authorise(State(app): State<Arc<App>>, req: Request, next: Next) -> Response {
-    if is_allowed(req.headers(), &app.tokens) {
+    let is_open = app.metrics_open && req.uri().path() == METRICS_PATH;
+    if is_open || is_allowed(req.headers(), &app.tokens) {
         return next.run(req).await;
     }
     app.metrics.edge(Edge::OperatorRefused);
--- a/crates/bulrushtrestled/src/platform/http.rs
+++ b/crates/bulrushtrestled/src/platform/http.rs
@@ -111,6 +111,22 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Bytes, HttpError> {
+        let (status, body) = self.call(method, at, path, body, limit).await?;
+        match status.is_success() {
+            true => Ok(body),
+            false => Err(HttpError::Status(status)),
+        }
+    }
+
+    /// Sends a request and returns status and body of the whole answer.
+    pub(super) async fn call(
+        &self,
+        method: Method,
+        at: SocketAddr,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), HttpError> {
         let mut req = Request::builder()
             .method(method)
             .uri(format!("http://{at}{path}"))
@@ -127,7 +143,7 @@
         }
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), HttpError> {
         let answer = self.client.request(req).await.map_err(|error| {
             if error.is_connect() {
                 HttpError::NotSent
@@ -136,10 +152,8 @@
             }
         })?;
         let (head, body) = answer.into_parts();
-        if !head.status.is_success() {
-            return Err(HttpError::Status(head.status));
-        }
         let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
-        Ok(body.map_err(|_| HttpError::Unanswered)?.to_bytes())
+        let body = body.map_err(|_| HttpError::Unanswered)?;
+        Ok((head.status, body.to_bytes()))
     }
 }
--- a/crates/bulrushtrestled/src/platform/mod.rs
+++ b/crates/bulrushtrestled/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 mod http;
 mod log;
+mod store;
 mod target;
 #[cfg(test)]
 mod tests;
@@ -17,6 +18,7 @@
 
 pub(crate) use self::http::Http;
 pub(crate) use self::log::HttpLog;
+pub(crate) use self::store::{Store, StoreError};
 pub(crate) use self::target::HttpTarget;
 pub(crate) use self::vms::HttpVmList;
 pub(crate) use self::weights::HttpWeights;
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -6,8 +6,10 @@
 use std::thread;
 use std::time::Duration;
 
+use bulrushtrestle_core::attempt::PaidBy;
 use bulrushtrestle_core::key::{Incarnation, RouterId};
-use bulrushtrestle_core::node::{Config, Node};
+use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
+use bulrushtrestle_core::slots;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::runtime;
@@ -17,11 +19,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::clock::Clock;
-use crate::control::{self, AttemptNames, Control};
+use crate::control::{self, AttemptNames, Control, Ends};
 use crate::logging::Journal;
 use crate::metrics::Metrics;
 use crate::operators;
-use crate::settings::Settings;
+use crate::settings::{self, Platform, Settings};
 use crate::traffic::{self, Traffic};
 
 /// By how much a planned stop may exceed its deadline before the process ends anyway.
@@ -30,6 +32,14 @@
 /// The time between two looks at whether all answers have left.
 const DRAIN_TICK: Duration = Duration::from_millis(20);
 
+/// The largest number of other routers with which everyone keeps contact with everyone on a hosting platform: the
+/// users' small fleets with all their spare VMs.
+const HOSTED_MESH_MAX: usize = 15;
+
+/// The part of the fleet's retries that is used, in hundredths. The rest covers requests that were counted by
+/// a router that has died.
+const RETRY_SHARE: u32 = 75;
+
 /// Why the process cannot start or has to end.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -57,6 +67,8 @@
     callers: TcpListener,
     peers: std::net::TcpListener,
     operators: TcpListener,
+    /// Where a hosting platform and its callers ask which routers to use.
+    directory: Vec<TcpListener>,
 }
 
 /// Runs a router until it is asked to stop.
@@ -114,11 +126,20 @@
         clock,
         names,
     ));
-    tokio::spawn(traffic::serve(
-        listeners.callers,
-        Arc::clone(&traffic),
-        draining,
-    ));
+    match settings.platform.clone() {
+        Platform::Services(_) => {
+            let serve = traffic::serve(listeners.callers, Arc::clone(&traffic), draining);
+            tokio::spawn(serve);
+        }
+        Platform::Hosting(cfg) => {
+            let serve = traffic::serve_hosted(listeners.callers, Arc::clone(&traffic), draining);
+            tokio::spawn(serve);
+            for listener in listeners.directory {
+                let serve = traffic::serve_directory(listener, Arc::clone(&traffic), cfg.clone());
+                tokio::spawn(serve);
+            }
+        }
+    }
     tokio::spawn(operators::serve(
         listeners.operators,
         operators::App::new(&settings.operators, handle.clone(), Arc::clone(&metrics)),
@@ -172,18 +193,42 @@
     config.caller_address = settings.callers.advertise.unwrap_or(callers).to_string();
     config.requests_max = settings.callers.requests_max;
     config.address.valid = settings.callers.addresses_valid;
-    config.log.retention = settings.platform.log_retention;
+    match &settings.platform {
+        Platform::Services(services) => config.log.retention = services.log_retention,
+        Platform::Hosting(hosting) => host(&mut config, hosting),
+    }
     config
 }
 
+/// Sets what differs where a hosting platform keeps the catalogue.
+fn host(config: &mut Config, hosting: &settings::Hosting) {
+    config.log.source = CatalogueSource::Store;
+    config.slots.policy = slots::Policy::Local;
+    config.membership.mesh_max = HOSTED_MESH_MAX;
+    config.attempt.paid_by = PaidBy::Pool;
+    config.attempt.retry_millis_per_request = hosting.retry_millis * RETRY_SHARE / 100;
+    config.attempt.retry_millis_per_second = 0;
+    config.attempt.fleet_burst = Some(hosting.retry_burst * RETRY_SHARE / 100);
+    config.version.margin = hosting.move_margin;
+    config.version.share_max = hosting.move_share_max;
+}
+
 impl Listeners {
     async fn open(settings: &Settings) -> Result<Self, Error> {
+        let mut directory = Vec::new();
+        if let Platform::Hosting(cfg) = &settings.platform {
+            directory.push(listen("readiness", cfg.ready).await?);
+            if let Some(address) = cfg.directory {
+                directory.push(listen("directory", address).await?);
+            }
+        }
         let peers = listen("peers", settings.peers.listen).await?;
         Ok(Self {
             callers: listen("callers", settings.callers.listen).await?,
             // The control thread registers it with its own runtime.
             peers: peers.into_std()?,
             operators: listen("operators", settings.operators.listen).await?,
+            directory,
         })
     }
 
@@ -229,15 +274,13 @@
         LocalSet::new().block_on(&runtime, async move {
             let listener = TcpListener::from_std(self.listener)?;
             let node = Node::new(self.config, self.clock.now(), seed);
-            let control = Control::start(
-                node,
-                &self.settings,
-                self.clock,
-                &self.metrics,
+            let ends = Ends {
                 listener,
-                self.names,
-                self.stopped,
-            );
+                names: self.names,
+                stopped: self.stopped,
+                limits: self.receivers.limits(),
+            };
+            let control = Control::start(node, &self.settings, self.clock, &self.metrics, ends);
             control.run(self.receivers).await;
             Ok(())
         })
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 
 pub(crate) use self::error::Error;
 use self::section::Section;
+pub(crate) use self::section::parse_fleet_key;
 
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
@@ -38,7 +40,7 @@
     pub(crate) peers: Peers,
     /// The operators' listener.
     pub(crate) operators: Operators,
-    /// Where the platform is.
+    /// What keeps the catalogue and tells which VMs there are.
     pub(crate) platform: Platform,
     /// How targets are spoken to.
     pub(crate) targets: Targets,
@@ -81,8 +83,8 @@
 pub(crate) struct Peers {
     /// Where to listen.
     pub(crate) listen: SocketAddr,
-    /// The key that every router of the fleet holds.
-    pub(crate) key: FleetKey,
+    /// The key that every router of the fleet holds; nothing where the fleet keeps it on the platform.
+    pub(crate) key: Option<FleetKey>,
     /// The time for connecting and proving. Default: 2 s.
     pub(crate) connect_timeout: Duration,
     /// The time for one call. Default: 2 s.
@@ -100,11 +102,45 @@
     pub(crate) listen: SocketAddr,
     /// The SHA-256 sums of the tokens that are let in.
     pub(crate) tokens: Vec<[u8; 32]>,
+    /// Whether metrics are shown without a token. Default: no.
+    pub(crate) metrics_open: bool,
 }
 
-/// Where the platform is.
+/// What keeps the catalogue and tells which VMs there are.
 #[derive(Debug, Clone)]
-pub(crate) struct Platform {
+pub(crate) enum Platform {
+    /// A log, a VM list and a weight store.
+    Services(Services),
+    /// A hosting platform with one store for everything.
+    Hosting(Hosting),
+}
+
+/// A hosting platform. Its own messages are translated by `bulrushtrestle-platform`.
+#[derive(Debug, Clone)]
+pub(crate) struct Hosting {
+    /// The store.
+    pub(crate) store: SocketAddr,
+    /// Where the platform asks whether the router takes requests.
+    pub(crate) ready: SocketAddr,
+    /// Where callers ask which router to use, if this router answers that.
+    pub(crate) directory: Option<SocketAddr>,
+    /// The region of each data centre.
+    pub(crate) regions: BTreeMap<String, String>,
+    /// For how long callers may keep an answer of the directory.
+    pub(crate) addresses_valid: Duration,
+    /// The retries that the fleet may make of a pool's requests, in thousandths of these.
+    pub(crate) retry_millis: u32,
+    /// Retries that the fleet may make beyond that, in any time of its window.
+    pub(crate) retry_burst: u32,
+    /// How long before its finishing time a version move has to be final.
+    pub(crate) move_margin: Duration,
+    /// The largest share of a new version before its move is final, in thousandths.
+    pub(crate) move_share_max: u32,
+}
+
+/// Where the services of the platform are.
+#[derive(Debug, Clone)]
+pub(crate) struct Services {
     /// The log service.
     pub(crate) log: SocketAddr,
     /// The VM list.
@@ -150,15 +186,16 @@
     /// Fails if the file cannot be read or a setting cannot be used.
     pub(crate) fn load(path: &Path) -> Result<Self, Error> {
         let mut root = Section::load(path)?;
+        let hosted = root.has("hosting");
         let settings = Self {
-            router: root.required_int("router", 1..=u64::from(u32::MAX))?,
+            router: router(&mut root)?,
             data_centre: root.required_text("data_centre", 1..=64)?,
             traffic_threads: root.int("traffic_threads", 1..=256, 2)?,
             stop_timeout: root.millis("stop_timeout_ms", 1_000..=3_600_000, 60_000)?,
             callers: Callers::read(&mut root.section("callers")?)?,
-            peers: Peers::read(&mut root.section("peers")?)?,
+            peers: Peers::read(&mut root.section("peers")?, hosted)?,
             operators: Operators::read(&mut root.section("operators")?)?,
-            platform: Platform::read(&mut root.section("platform")?)?,
+            platform: Platform::read(&mut root)?,
             targets: Targets::read(&mut root.optional_section("targets")?)?,
         };
         root.finish()?;
@@ -197,10 +234,10 @@
 }
 
 impl Peers {
-    fn read(s: &mut Section) -> Result<Self, Error> {
+    fn read(s: &mut Section, hosted: bool) -> Result<Self, Error> {
         let peers = Self {
             listen: s.required_address("listen")?,
-            key: s.fleet_key("fleet_key", "fleet_key_file")?,
+            key: s.fleet_key("fleet_key", "fleet_key_file", hosted)?,
             connect_timeout: s.millis("connect_timeout_ms", 100..=60_000, 2_000)?,
             call_timeout: s.millis("call_timeout_ms", 100..=60_000, 2_000)?,
             heartbeat: s.millis("heartbeat_ms", 100..=60_000, 1_000)?,
@@ -213,9 +250,11 @@
 
 impl Operators {
     fn read(s: &mut Section) -> Result<Self, Error> {
+        let metrics_open = s.bool("metrics_open", false)?;
         let operators = Self {
             listen: s.required_address("listen")?,
-            tokens: s.sha256_list("tokens_sha256", 1..=64)?,
+            tokens: s.sha256_list("tokens_sha256", usize::from(!metrics_open)..=64)?,
+            metrics_open,
         };
         s.finish()?;
         Ok(operators)
@@ -223,6 +262,43 @@
 }
 
 impl Platform {
+    fn read(root: &mut Section) -> Result<Self, Error> {
+        match root.has("hosting") {
+            true => Ok(Self::Hosting(Hosting::read(&mut root.section("hosting")?)?)),
+            false => Ok(Self::Services(Services::read(
+                &mut root.section("platform")?,
+            )?)),
+        }
+    }
+}
+
+impl Hosting {
+    fn read(s: &mut Section) -> Result<Self, Error> {
+        let hosting = Self {
+            store: s.required_address("store")?,
+            ready: s.required_address("ready")?,
+            directory: s.address("directory")?,
+            regions: s.texts("regions")?,
+            addresses_valid: s.millis("addresses_valid_ms", 100..=600_000, 2_000)?,
+            retry_millis: s.thousandths("retry_ratio", 0.0..=1.0)?,
+            retry_burst: s.int("retry_burst", 0..=1_000_000, 0)?,
+            move_margin: s.millis("move_margin_ms", 0..=600_000, 1_500)?,
+            move_share_max: s.int("move_share_max_millis", 1..=1_000, 80)?,
+        };
+        s.finish()?;
+        Ok(hosting)
+    }
+}
+
+/// Reads the number of the router's VM. An IP number of version 4 stands for the number that it is.
+fn router(root: &mut Section) -> Result<u32, Error> {
+    match root.ipv4("router_ip")? {
+        Some(ip) => Ok(u32::from(ip)),
+        None => root.required_int("router", 1..=u64::from(u32::MAX)),
+    }
+}
+
+impl Services {
     fn read(s: &mut Section) -> Result<Self, Error> {
         let platform = Self {
             log: s.required_address("log")?,
--- a/crates/bulrushtrestled/src/settings/section.rs
+++ b/crates/bulrushtrestled/src/settings/section.rs
@@ -2,9 +2,10 @@
 //!
 //! Each key is taken out when it is read, so that whatever is left at the end is unknown.
 
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -199,14 +200,75 @@
         &mut self,
         key: &'static str,
         file_key: &'static str,
-    ) -> Result<FleetKey, Error> {
+        optional: bool,
+    ) -> Result<Option<FleetKey>, Error> {
         let allowed = format!("{} or more hexadecimal digits", 2 * FLEET_KEY_BYTES_MIN);
-        let Some(text) = self.secret(key, file_key, 1..=4_096)? else {
-            return Err(self.missing(key, format!("{allowed}, or {} set", self.path(file_key))));
+        match self.secret(key, file_key, 1..=4_096)? {
+            None if optional => Ok(None),
+            None => Err(self.missing(key, format!("{allowed}, or {} set", self.path(file_key)))),
+            Some(text) => match parse_fleet_key(&text) {
+                Some(key) => Ok(Some(key)),
+                None => Err(self.wrong(key, HIDDEN, allowed)),
+            },
+        }
+    }
+
+    /// Says whether there is a value under a key.
+    pub(super) fn has(&self, key: &str) -> bool {
+        self.left.contains_key(key)
+    }
+
+    /// Returns whether something is on.
+    pub(super) fn bool(&mut self, key: &'static str, default: bool) -> Result<bool, Error> {
+        match self.take(key) {
+            None => Ok(default),
+            Some(Value::Bool(on)) => Ok(on),
+            Some(other) => Err(self.wrong(key, describe(&other), "true or false")),
+        }
+    }
+
+    /// Returns an IP number of version 4, if there is one.
+    pub(super) fn ipv4(&mut self, key: &'static str) -> Result<Option<Ipv4Addr>, Error> {
+        const ALLOWED: &str = "an IP number of version 4, such as \"10.0.0.1\"";
+        match self.take(key) {
+            None => Ok(None),
+            Some(Value::String(text)) => match text.parse() {
+                Ok(ip) => Ok(Some(ip)),
+                Err(_) => Err(self.wrong(key, format!("{text:?}"), ALLOWED)),
+            },
+            Some(other) => Err(self.wrong(key, describe(&other), ALLOWED)),
+        }
+    }
+
+    /// Returns a number within a range under a key that has to be there, in thousandths.
+    pub(super) fn thousandths(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<f64>,
+    ) -> Result<u32, Error> {
+        let allowed = format!("a number from {} to {}", range.start(), range.end());
+        let Some(value) = self.take(key) else {
+            return Err(self.missing(key, allowed));
         };
-        parse_hex(&text)
-            .and_then(|bytes| FleetKey::new(&bytes).ok())
-            .ok_or_else(|| self.wrong(key, HIDDEN, allowed))
+        match value.as_f64().filter(|number| range.contains(number)) {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "the ranges that are asked for are small and not negative"
+            )]
+            Some(number) => Ok((number * 1_000.0).round() as u32),
+            None => Err(self.wrong(key, describe(&value), allowed)),
+        }
+    }
+
+    /// Returns an object whose values are texts.
+    pub(super) fn texts(&mut self, key: &'static str) -> Result<BTreeMap<String, String>, Error> {
+        const ALLOWED: &str = "an object whose values are texts";
+        match self.take(key) {
+            None => Err(self.missing(key, ALLOWED)),
+            Some(value) => serde_json::from_value(value.clone())
+                .map_err(|_| self.wrong(key, describe(&value), ALLOWED)),
+        }
     }
 
     /// Refuses a duration that is shorter than another.
@@ -311,6 +373,11 @@
     Ok((bytes.len() as u64 <= max).then_some(bytes))
 }
 
+/// Reads the fleet's key from hexadecimal digits.
+pub(crate) fn parse_fleet_key(text: &str) -> Option<FleetKey> {
+    parse_hex(text).and_then(|bytes| FleetKey::new(&bytes).ok())
+}
+
 fn parse_hex(text: &str) -> Option<Vec<u8>> {
     if !text.is_ascii() || !text.len().is_multiple_of(2) {
         return None;
--- a/crates/bulrushtrestled/src/settings/tests.rs
+++ b/crates/bulrushtrestled/src/settings/tests.rs
@@ -4,9 +4,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use serde_json::{Value, json};
 
-use crate::settings::Settings;
+use crate::settings::{Platform, Settings};
 
 /// A change to good settings that makes them bad.
 struct Case {
@@ -282,7 +283,10 @@
     assert_eq!(settings.traffic_threads, 2);
     assert_eq!(settings.stop_timeout, Duration::from_secs(60));
     assert_eq!(settings.targets.gap_timeout, Duration::from_secs(5));
-    assert_eq!(settings.platform.token.as_deref(), Some("secret-value"));
+    assert_matches!(
+        &settings.platform,
+        Platform::Services(services) if services.token.as_deref() == Some("secret-value")
+    );
 }
 
 fn good() -> Value {
--- a/crates/bulrushtrestled/src/traffic/callers.rs
+++ b/crates/bulrushtrestled/src/traffic/callers.rs
@@ -282,7 +282,7 @@
     }
 }
 
-async fn read_body(
+pub(super) async fn read_body(
     traffic: &Arc<Traffic>,
     mut body: Body,
     limit: usize,
--- a/crates/bulrushtrestled/src/traffic/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/drive.rs
@@ -128,12 +128,14 @@
                 }
                 Some(Decision::Refuse(refusal)) => return End::Refused(refusal),
                 Some(Decision::Abort(_)) => {}
-                Some(Decision::Dispatch { attempt, address }) => {
-                    match self.attempt(attempt, address).await {
-                        Step::Next(decision) => next = decision,
-                        Step::End(end) => return end,
-                    }
-                }
+                // Only calls of a hosting platform are told how they go on.
+                Some(Decision::Taken(_)) => {}
+                Some(Decision::Dispatch {
+                    attempt, address, ..
+                }) => match self.attempt(attempt, address).await {
+                    Step::Next(decision) => next = decision,
+                    Step::End(end) => return end,
+                },
             }
         }
     }
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod callers;
 mod chat;
 mod drive;
+mod hosted;
 mod parse;
 mod plain;
 mod pool;
@@ -38,6 +39,8 @@
 use crate::metrics::{Edge, Metrics};
 use crate::settings::Settings;
 
+pub(crate) use self::hosted::{serve as serve_hosted, serve_directory};
+
 /// Serves callers until `draining` is set, then finishes what is open.
 pub(crate) async fn serve(
     listener: TcpListener,
@@ -45,17 +48,22 @@
     draining: watch::Receiver<bool>,
 ) {
     tokio::spawn(progress::flush(Arc::clone(&traffic)));
+    let limits = limits(&traffic);
+    let router = callers::router(Arc::clone(&traffic));
+    let events = move |event| traffic.note(event);
+    listener::serve(listener, router, limits, events, draining).await;
+}
+
+/// Returns the limits of the callers' listener.
+fn limits(traffic: &Traffic) -> Limits {
     let cfg = &traffic.settings.callers;
-    let limits = Limits {
+    Limits {
         connections_max: cfg.connections_max,
         per_address_max: cfg.per_address_max,
         header_bytes_max: cfg.header_bytes_max,
         header_timeout: cfg.header_timeout,
         turned_away: refusal::raw(&TURNED_AWAY),
-    };
-    let router = callers::router(Arc::clone(&traffic));
-    let events = move |event| traffic.note(event);
-    listener::serve(listener, router, limits, events, draining).await;
+    }
 }
 
 /// The answer to a connection over the limit.
--- a/crates/bulrushtrestled/src/traffic/sse.rs
+++ b/crates/bulrushtrestled/src/traffic/sse.rs
@@ -38,6 +38,11 @@
         Ok(())
     }
 
+    /// Says whether there is the beginning of an event.
+    pub(super) fn has_rest(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
     /// Takes out the next whole event.
     pub(super) fn next(&mut self) -> Option<Event> {
         let Some(end) = end_of_event(&self.buf, self.scanned) else {
--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -13,8 +13,8 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use bulrushtrestle_core::catalogue::entry::{Bounds, Organisation, Pool, Service, Target};
 use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry, Limits};
-use bulrushtrestle_core::catalogue::entry::{Organisation, Pool, Service, Target};
 use bulrushtrestle_core::catalogue::message::{Change, Edit};
 use bulrushtrestle_core::record::Record;
 use bulrushtrestle_standin::{Handle, engine, log, plain, vms};
@@ -360,6 +360,7 @@
     Entry::Pool(Pool {
         name: name.to_owned(),
         service,
+        bounds: Bounds::default(),
     })
 }
 
--- a/crates/core/benches/control.rs
+++ b/crates/core/benches/control.rs
@@ -8,7 +8,7 @@
 
 use std::process::ExitCode;
 
-use bulrushtrestle_core::catalogue::entry::{Entry, Kind, Pool, Service};
+use bulrushtrestle_core::catalogue::entry::{Bounds, Entry, Kind, Pool, Service};
 use bulrushtrestle_core::prelude::*;
 
 use self::fixture::{Fleet, Setup, setup};
@@ -83,6 +83,7 @@
     let entry = Pool {
         name: "new".to_owned(),
         service: Service::Plain,
+        bounds: Bounds::default(),
     };
     fleet.publish(Entry::Pool(entry), None);
     let time = until(&mut fleet, |fleet| {
--- a/crates/core/benches/memory.rs
+++ b/crates/core/benches/memory.rs
@@ -5,7 +5,9 @@
 
 use std::fs;
 
-use bulrushtrestle_core::catalogue::entry::{Entry, Limits, Organisation, Pool, Service, Target};
+use bulrushtrestle_core::catalogue::entry::{
+    Bounds, Entry, Limits, Organisation, Pool, Service, Target,
+};
 use bulrushtrestle_core::catalogue::message::Edit;
 use bulrushtrestle_core::input::{Input, LogEvent, LogRecord, Vm, VmRole};
 use bulrushtrestle_core::node::{Config, Node};
@@ -71,6 +73,7 @@
     bench.entry(Entry::Pool(Pool {
         name: "m".to_owned(),
         service: Service::Model,
+        bounds: Bounds::default(),
     }));
     bench.measure("organisation", 22_000, |bench, n| {
         bench.entry(Entry::Organisation(Organisation {
@@ -95,6 +98,7 @@
             hint_tokens: None,
             fingerprint: Fingerprint(n),
             prefix: None,
+            terms: Terms::default(),
         }));
     });
     let requests = bench.node.status(NOW).requests;
--- a/crates/core/benches/size.rs
+++ b/crates/core/benches/size.rs
@@ -6,8 +6,8 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
+use bulrushtrestle_core::catalogue::entry::{Bounds, Organisation, Pool, Service, Target};
 use bulrushtrestle_core::catalogue::entry::{DataCentre, DataCentreState, Entry, Limits};
-use bulrushtrestle_core::catalogue::entry::{Organisation, Pool, Service, Target};
 use bulrushtrestle_core::catalogue::message::Edit;
 use bulrushtrestle_core::input::{Input, LogEvent, LogRecord, Vm, VmRole};
 use bulrushtrestle_core::membership::message::{Condition, Heartbeat, Row};
@@ -153,6 +153,7 @@
     let pools = (0..11).map(|index| {
         Entry::Pool(Pool {
             name: format!("p{index}"),
+            bounds: Bounds::default(),
             service: Service::Model,
         })
     });
--- a/crates/core/src/address/mod.rs
+++ b/crates/core/src/address/mod.rs
@@ -60,6 +60,32 @@
         .collect()
 }
 
+/// The fewest routers of one data centre that callers are sent to without others.
+const NEAR_MIN: usize = 2;
+/// The most addresses in an answer for callers that pick one at random.
+const NEAR_MAX: usize = 64;
+
+/// Returns the addresses of the routers that serve in a data centre, or of all that serve if there are fewer
+/// than two of them. `own` is the data centre of this router.
+pub fn near(members: &Members, now: Time, data_centre: Option<&str>, own: &str) -> Vec<String> {
+    let all = candidates(members, now, OrganisationId(0));
+    let is_near = |router: &&RouterId| {
+        let at = members.data_centre(**router).unwrap_or(own);
+        data_centre.is_none_or(|wanted| wanted == at)
+    };
+    let near: Vec<&RouterId> = all.iter().filter(is_near).collect();
+    let pick = match near.len() >= NEAR_MIN {
+        true => near,
+        false => all.iter().collect(),
+    };
+    pick.into_iter()
+        .filter_map(|router| members.row(*router))
+        .map(|row| row.address.clone())
+        .filter(|address| !address.is_empty())
+        .take(NEAR_MAX)
+        .collect()
+}
+
 /// Returns the routers that serve now in the order in which the organisation prefers them; those that
 /// are alive but do not serve only if there are no others.
 fn candidates(members: &Members, now: Time, organisation: OrganisationId) -> Vec<RouterId> {
--- a/crates/core/src/attempt/life.rs
+++ b/crates/core/src/attempt/life.rs
@@ -1,6 +1,6 @@
 //! What became of the attempts of one request, and what follows from it.
 
-use crate::attempt::Budgets;
+use crate::attempt::{Budgets, Payer};
 use crate::input::{Failure, FailureKind};
 use crate::prelude::*;
 
@@ -12,6 +12,8 @@
 pub struct Life {
     repeatable: bool,
     attempts: u32,
+    /// Attempts that a target may have run.
+    runs: u32,
     /// Whether a byte of an attempt that is over may have reached a target that ran it.
     exposed: bool,
     /// Where an attempt is under way.
@@ -43,8 +45,10 @@
     pub deadline: Time,
     /// How often a request is sent to a target at most.
     pub attempts_max: u32,
+    /// How many targets may run it, if that is bounded.
+    pub runs_max: Option<u32>,
     /// Who pays for retries.
-    pub organisation: OrganisationId,
+    pub payer: Payer,
     /// What is paid from.
     pub budgets: &'a mut Budgets,
 }
@@ -73,6 +77,7 @@
         Self {
             repeatable: matches!(repeat, Repeat::Allowed),
             attempts: 0,
+            runs: 0,
             exposed: false,
             at: None,
             delivered: 0,
@@ -101,6 +106,7 @@
         let target = self.at.take();
         if let Ending::Failed(failure) = ending {
             self.exposed |= failure.sent;
+            self.runs += u32::from(failure.sent);
             self.deliver(failure.tokens);
         }
         if self.exposed && !self.repeatable {
@@ -152,12 +158,13 @@
         if limits.now >= limits.deadline {
             return Err(refusal(Reason::DeadlinePassed, RETRY_AFTER));
         }
-        if self.attempts >= limits.attempts_max {
+        let has_run_enough = limits.runs_max.is_some_and(|max| self.runs >= max);
+        if self.attempts >= limits.attempts_max || has_run_enough {
             return Err(refusal(reason_of(ending), RETRY_AFTER));
         }
         limits
             .budgets
-            .pay(limits.now, limits.organisation)
+            .pay(limits.now, limits.payer)
             .map_err(|wait| refusal(Reason::RetryBudgetSpent, wait))
     }
 
--- a/crates/core/src/attempt/mod.rs
+++ b/crates/core/src/attempt/mod.rs
@@ -19,6 +19,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::budget::Budgets;
-pub use self::config::Config;
+pub use self::budget::{Budgets, Payer};
+pub use self::config::{Config, PaidBy};
 pub use self::life::{Ending, Life, Limits, Next, Wish};
--- a/crates/core/src/attempt/tests.rs
+++ b/crates/core/src/attempt/tests.rs
@@ -6,7 +6,7 @@
 
 const A: TargetId = TargetId(1);
 const B: TargetId = TargetId(2);
-const ORG: OrganisationId = OrganisationId(1);
+const PAYER: Payer = Payer::Organisation(OrganisationId(1));
 
 /// An attempt that ended, and where the next one should go.
 struct Step {
@@ -189,18 +189,25 @@
     let cfg = Config::default();
     let mut budgets = Budgets::new(cfg.clone());
     for _ in 0..cfg.retry_burst {
-        assert_eq!(budgets.pay(Time(0), ORG), Ok(()));
+        assert_eq!(budgets.pay(Time(0), PAYER), Ok(()));
     }
-    assert_eq!(budgets.pay(Time(0), ORG), Err(Duration::from_secs(1)));
-    assert_eq!(budgets.pay(Time(0), OrganisationId(2)), Ok(()));
+    assert_eq!(budgets.pay(Time(0), PAYER), Err(Duration::from_secs(1)));
+    assert_eq!(
+        budgets.pay(Time(0), Payer::Organisation(OrganisationId(2))),
+        Ok(())
+    );
     for _ in 0..10 {
-        budgets.earn(Time(0), ORG);
+        budgets.earn(Time(0), PAYER);
     }
-    assert_eq!(budgets.pay(Time(0), ORG), Ok(()), "earned by ten requests");
+    assert_eq!(
+        budgets.pay(Time(0), PAYER),
+        Ok(()),
+        "earned by ten requests"
+    );
     let later = Time(0) + Duration::from_secs(1);
-    assert_eq!(budgets.pay(later, ORG), Ok(()), "earned by one second");
+    assert_eq!(budgets.pay(later, PAYER), Ok(()), "earned by one second");
     let much_later = Time(0) + Duration::from_secs(60);
-    budgets.earn(much_later, ORG);
+    budgets.earn(much_later, PAYER);
     assert_eq!(budgets.len(), 1, "a full bucket is not stored");
 }
 
@@ -209,7 +216,8 @@
         now,
         deadline: Time::MAX,
         attempts_max: 3,
-        organisation: ORG,
+        payer: PAYER,
+        runs_max: None,
         budgets,
     }
 }
--- /dev/null
+++ b/crates/core/src/balance/config.rs
@@ -0,0 +1,56 @@
+//! The settings of this duty.
+
+use crate::prelude::*;
+
+/// How targets are compared.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Prompt tokens that a model engine reads in a millisecond while it generates too. Default: 80, three
+    /// quarters of what the users' sheets state for an idle engine.
+    pub read_per_ms: u32,
+    /// For how long a target may have unread prompts ahead of a request. Default: 250 ms, a little less
+    /// than the shortest objective of the users' requests.
+    pub ahead: Duration,
+    /// How often a token that has to be read again counts. Default: 2, because it takes memory as well.
+    pub reread_weight: u32,
+    /// What a running request counts, in prompt tokens. Default: 60.
+    pub running_tokens: u32,
+    /// What a byte of a request's body counts, in hundredths of a prompt token, if the target is in another data
+    /// centre. Default: 10.
+    pub far_byte_centitokens: u32,
+    /// For how long a part of a prompt is presumed to stay in a target's memory. Default: 30 s.
+    pub keep: Duration,
+    /// The part of the objective that a request may wait in the router before it is refused, in hundredths.
+    /// Default: 60, so that the rest suffices for the answer to start.
+    pub patience: u32,
+    /// The age at which what a peer told no longer counts. Default: 2 s, four heartbeats.
+    pub stale_after: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            read_per_ms: 80,
+            ahead: Duration::from_millis(250),
+            reread_weight: 2,
+            running_tokens: 60,
+            far_byte_centitokens: 10,
+            keep: Duration::from_secs(30),
+            patience: 60,
+            stale_after: Duration::from_secs(2),
+        }
+    }
+}
+
+impl Config {
+    /// Returns how many unread tokens a target may have ahead of a request.
+    pub fn ahead_tokens(&self) -> u64 {
+        self.tokens_in(self.ahead)
+    }
+
+    /// Returns how many tokens a target reads in a time.
+    pub fn tokens_in(&self, time: Duration) -> u64 {
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        millis.saturating_mul(u64::from(self.read_per_ms))
+    }
+}
--- /dev/null
+++ b/crates/core/src/balance/message.rs
@@ -0,0 +1,23 @@
+//! Peer messages of this duty.
+
+use serde::{Deserialize, Serialize};
+
+use crate::key::TargetId;
+
+/// What one router has at all targets now. It replaces what the router told before.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadPart {
+    /// The targets at which the router has requests.
+    pub rows: Vec<LoadRow>,
+}
+
+/// What one router has at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadRow {
+    /// The target.
+    pub target: TargetId,
+    /// Prompt tokens that the target has still to read for the router.
+    pub unread: u32,
+    /// Requests of the router that wait or run there.
+    pub requests: u32,
+}
--- /dev/null
+++ b/crates/core/src/balance/score.rs
@@ -0,0 +1,147 @@
+//! How well a target suits a request.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::balance::holdings::{Chain, shared};
+use crate::balance::state::Balance;
+use crate::prelude::*;
+use crate::route::Distance;
+
+/// A target that may take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// The target.
+    pub target: TargetId,
+    /// The most requests that it runs at the same time.
+    pub slots: u32,
+    /// How far it is from this router.
+    pub distance: Distance,
+}
+
+/// What a request wants of a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u32,
+    /// The parts of the prompt.
+    pub parts: &'a [PromptPart],
+    /// The size of the body.
+    pub body_bytes: u32,
+}
+
+impl<'a> Wanted<'a> {
+    /// Returns what a request wants.
+    pub fn of(req: &'a Request) -> Self {
+        Self {
+            prompt_tokens: req.prompt_tokens,
+            parts: &req.terms.parts,
+            body_bytes: req.terms.body_bytes,
+        }
+    }
+}
+
+/// The choice that was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetId,
+    /// Prompt tokens that it will have to read.
+    pub unread: u32,
+}
+
+impl Balance {
+    /// Returns the best target with room for a request.
+    pub fn choose(
+        &self,
+        now: Time,
+        wanted: Wanted<'_>,
+        candidates: impl Iterator<Item = Candidate>,
+    ) -> Option<Choice> {
+        let candidates: Vec<Candidate> = candidates.collect();
+        let parts: Vec<(Chain, u32)> = shared(wanted.parts).collect();
+        let presumed = parts
+            .last()
+            .and_then(|&(chain, _)| preferred(chain, &candidates));
+        let choices = candidates.iter().filter_map(|candidate| {
+            let known = self.unread(now, wanted.prompt_tokens, &parts, candidate.target);
+            let is_presumed = presumed == Some(candidate.target);
+            let unread = if is_presumed {
+                known.min(own_tokens(wanted.prompt_tokens, &parts))
+            } else {
+                known
+            };
+            let load = self.load(now, candidate.target);
+            self.has_room(load, candidate.slots, unread).then(|| {
+                let score = self.score(wanted, *candidate, load, unread);
+                (
+                    score,
+                    tie(candidate.target, wanted),
+                    candidate.target,
+                    known,
+                )
+            })
+        });
+        let (_, _, target, unread) = choices.min()?;
+        Some(Choice { target, unread })
+    }
+
+    /// Returns how many tokens of a prompt a target would have to read, by what this router sent it.
+    fn unread(&self, now: Time, prompt: u32, parts: &[(Chain, u32)], target: TargetId) -> u32 {
+        let since = now - self.cfg.keep;
+        let held = parts
+            .iter()
+            .take_while(|(chain, _)| self.holdings.has(since, *chain, target));
+        let held: u32 = held.map(|(_, tokens)| *tokens).sum();
+        prompt.saturating_sub(held)
+    }
+
+    fn has_room(&self, load: crate::balance::Load, slots: u32, unread: u32) -> bool {
+        let ahead = load.unread + u64::from(unread);
+        let reads_soon = load.unread == 0 || ahead <= self.cfg.ahead_tokens();
+        load.requests < slots && reads_soon
+    }
+
+    fn score(
+        &self,
+        wanted: Wanted<'_>,
+        candidate: Candidate,
+        load: crate::balance::Load,
+        unread: u32,
+    ) -> u64 {
+        let cfg = &self.cfg;
+        let way = match candidate.distance {
+            Distance::Near => 0,
+            Distance::Region | Distance::Far => {
+                u64::from(wanted.body_bytes) * u64::from(cfg.far_byte_centitokens) / 100
+            }
+        };
+        // Targets of plain services have few slots, and what runs is all that counts.
+        let running = match wanted.prompt_tokens {
+            0 => u64::from(load.requests) * 1_000 / u64::from(candidate.slots.max(1)),
+            _ => u64::from(load.requests) * u64::from(cfg.running_tokens),
+        };
+        let reread = u64::from(unread) * u64::from(cfg.reread_weight);
+        load.unread + reread + running + way
+    }
+}
+
+/// Returns the tokens of a prompt that no other request shares.
+fn own_tokens(prompt: u32, parts: &[(Chain, u32)]) -> u32 {
+    let shared: u32 = parts.iter().map(|(_, tokens)| *tokens).sum();
+    prompt.saturating_sub(shared)
+}
+
+/// Returns the target that every router takes for the holder of a part.
+fn preferred(chain: Chain, candidates: &[Candidate]) -> Option<TargetId> {
+    let score = |target: TargetId| xxh3_64_with_seed(&target.0.to_le_bytes(), chain.key());
+    candidates
+        .iter()
+        .map(|candidate| candidate.target)
+        .max_by_key(|&target| (score(target), target))
+}
+
+/// Orders targets that suit a request alike, differently for different requests.
+fn tie(target: TargetId, wanted: Wanted<'_>) -> u64 {
+    let own = wanted.parts.last().map_or(0, |part| part.content.0);
+    xxh3_64_with_seed(&target.0.to_le_bytes(), own)
+}
--- /dev/null
+++ b/crates/core/src/balance/state.rs
@@ -0,0 +1,109 @@
+//! What is known of the load of targets.
+
+use std::collections::BTreeMap;
+
+use crate::balance::message::{LoadPart, LoadRow};
+use crate::balance::{Config, Holdings};
+use crate::prelude::*;
+
+/// What routers have at a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Prompt tokens that the target has still to read.
+    pub unread: u64,
+    /// Requests that wait or run there.
+    pub requests: u32,
+}
+
+/// The load of every target, as far as this router knows.
+#[derive(Debug)]
+pub struct Balance {
+    pub(super) cfg: Config,
+    pub(super) holdings: Holdings,
+    own: BTreeMap<TargetId, Load>,
+    told: BTreeMap<RouterId, (Time, BTreeMap<TargetId, Load>)>,
+}
+
+impl Balance {
+    /// Returns the state of a router that has sent nothing.
+    pub fn new(cfg: Config) -> Self {
+        Self {
+            cfg,
+            holdings: Holdings::default(),
+            own: BTreeMap::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the settings.
+    pub const fn cfg(&self) -> &Config {
+        &self.cfg
+    }
+
+    /// Returns what the fleet has at a target.
+    pub fn load(&self, now: Time, target: TargetId) -> Load {
+        let mut sum = self.own.get(&target).copied().unwrap_or_default();
+        for (at, loads) in self.told.values() {
+            let fresh = now.since(*at) < self.cfg.stale_after;
+            if let Some(load) = loads.get(&target).filter(|_| fresh) {
+                sum.unread += load.unread;
+                sum.requests += load.requests;
+            }
+        }
+        sum
+    }
+
+    /// Notes that a request went to a target that has to read `unread` tokens for it.
+    pub fn on_dispatch(&mut self, now: Time, target: TargetId, unread: u32, parts: &[PromptPart]) {
+        let load = self.own.entry(target).or_default();
+        load.unread += u64::from(unread);
+        load.requests += 1;
+        self.holdings.note(now, target, parts);
+    }
+
+    /// Notes that a target has read what it had to read for a request.
+    pub fn on_read(&mut self, target: TargetId, unread: u32) {
+        if let Some(load) = self.own.get_mut(&target) {
+            load.unread = load.unread.saturating_sub(u64::from(unread));
+        }
+    }
+
+    /// Notes that a request is no longer at a target.
+    pub fn on_end(&mut self, target: TargetId) {
+        if let Some(load) = self.own.get_mut(&target) {
+            load.requests = load.requests.saturating_sub(1);
+            if load.requests == 0 {
+                self.own.remove(&target);
+            }
+        }
+    }
+
+    /// Forgets what a target held, because it began anew.
+    pub fn on_restart(&mut self, target: TargetId) {
+        self.holdings.forget(target);
+    }
+
+    /// Takes in what a peer has at targets.
+    pub fn on_part(&mut self, now: Time, from: RouterId, part: &LoadPart) {
+        let load = |row: &LoadRow| Load {
+            unread: u64::from(row.unread),
+            requests: row.requests,
+        };
+        let rows = part.rows.iter().map(|row| (row.target, load(row)));
+        self.told.insert(from, (now, rows.collect()));
+    }
+
+    /// Returns what is told to peers, and forgets peers that fell silent.
+    pub fn report(&mut self, now: Time) -> LoadPart {
+        let stale = self.cfg.stale_after;
+        self.told.retain(|_, (at, _)| now.since(*at) < stale);
+        let rows = self.own.iter().map(|(&target, load)| LoadRow {
+            target,
+            unread: u32::try_from(load.unread).unwrap_or(u32::MAX),
+            requests: load.requests,
+        });
+        LoadPart {
+            rows: rows.collect(),
+        }
+    }
+}
--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -19,6 +19,8 @@
     DataCentre(DataCentre),
     /// A move of a pool from one version to another.
     Move(Move),
+    /// A way from a host and path to pools.
+    Route(Route),
 }
 
 /// The kinds of entries.
@@ -35,6 +37,8 @@
     DataCentre,
     /// See [`Move`].
     Move,
+    /// See [`Route`].
+    Route,
 }
 
 /// An organisation that shares the capacity with the others.
@@ -89,6 +93,31 @@
     pub name: String,
     /// What its targets are.
     pub service: Service,
+    /// What its targets bear beyond their slots.
+    #[serde(default, skip_serializing_if = "Bounds::is_default")]
+    pub bounds: Bounds,
+}
+
+/// What each target of a pool bears beyond its slots, as far as it is known. Zero stands for unknown.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bounds {
+    /// Connections that a target accepts from the whole fleet. From 0 to 65535.
+    pub connections: u32,
+    /// Requests that the whole fleet may start in a second at a cold target. From 0 to 10000.
+    pub cold_starts_per_s: u32,
+    /// For how long a target stays cold after its start, in milliseconds. From 0 to 3600000.
+    pub cold_ms: u32,
+    /// Tokens that a target holds in memory.
+    pub memory_tokens: u64,
+    /// Tokens in one event of a stream. From 0 to 4096.
+    pub tokens_per_event: u32,
+}
+
+impl Bounds {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 /// What the targets of a pool are.
@@ -160,6 +189,52 @@
     pub finish_at: Time,
 }
 
+/// A way from a host and the beginning of a path to pools, with the terms of its requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The name, unique among routes.
+    pub name: String,
+    /// The host that callers name.
+    pub host: String,
+    /// The beginning of the path, from slash to slash. The longest that fits is taken.
+    pub path_prefix: String,
+    /// The pools that share the requests, by weight.
+    pub pools: Vec<PoolShare>,
+    /// What may be repeated.
+    pub repeat: RouteRepeat,
+    /// Whether answers are streams of events.
+    pub streams: bool,
+    /// The longest time in milliseconds until the final answer. From 1 to 3600000.
+    pub timeout_ms: u32,
+    /// The time in milliseconds within which an answer is on time. From 0 to 3600000.
+    pub objective_ms: u32,
+    /// How many targets may run one request. From 1 to 100.
+    pub attempts_max: u32,
+    /// Whether callers need no token.
+    pub anonymous: bool,
+}
+
+/// A pool's part of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolShare {
+    /// The name of the pool.
+    pub pool: String,
+    /// Its part relative to the others of the route. From 0 to 1000000.
+    pub weight: u32,
+}
+
+/// Whether the requests of a route may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteRepeat {
+    /// They may run any number of times; streams may be resumed.
+    Allowed,
+    /// They run once at most.
+    Once,
+}
+
 impl Entry {
     /// Returns the kind of the entry.
     pub const fn kind(&self) -> Kind {
@@ -169,6 +244,7 @@
             Self::Target(_) => Kind::Target,
             Self::DataCentre(_) => Kind::DataCentre,
             Self::Move(_) => Kind::Move,
+            Self::Route(_) => Kind::Route,
         }
     }
 
@@ -180,18 +256,20 @@
             Self::Target(entry) => &entry.name,
             Self::DataCentre(entry) => &entry.name,
             Self::Move(entry) => &entry.pool,
+            Self::Route(entry) => &entry.name,
         }
     }
 }
 
 impl Kind {
     /// Every kind, in the order in which entries may refer to one another.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::DataCentre,
         Self::Pool,
         Self::Target,
         Self::Organisation,
         Self::Move,
+        Self::Route,
     ];
 
     /// Returns the stable name of the kind.
@@ -202,6 +280,7 @@
             Self::Target => "target",
             Self::DataCentre => "data_centre",
             Self::Move => "move",
+            Self::Route => "route",
         }
     }
 }
--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -15,6 +15,12 @@
 //! that it has not met is a conflict, so it holds such edits back ([`Applied::Undecided`]) and settles them
 //! in log order when the entry's copy appears or the tail is reached.
 //!
+//! # Entries from a store
+//!
+//! Where the platform itself keeps the newest content of each record, [`Catalogue::replace`] takes it over
+//! as it is. The store's offsets are the revisions, and identities are derived from names
+//! ([`derived_id`]), so that routers that have read different parts of the history still agree.
+//!
 //! See `docs/OPERATIONS.md` for how operators edit the catalogue.
 
 pub mod entry;
@@ -26,5 +32,5 @@
 mod validate;
 
 pub use self::retention::Retention;
-pub use self::state::{Applied, Catalogue, TargetView};
+pub use self::state::{Applied, Catalogue, Scope, TargetView, derived_id};
 pub use self::validate::{InvalidError, check};
--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -2,8 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::catalogue::entry::{DataCentre, DataCentreState, Entry, Kind};
-use crate::catalogue::entry::{Move, Organisation, Pool, Target};
+use crate::catalogue::entry::{Move, Organisation, Pool, Route, Target};
 use crate::catalogue::message::{Change, Edit, Stored};
 use crate::catalogue::validate::{InvalidError, check, parse_sha256};
 use crate::key::{DataCentreId, Offset, OrganisationId, PoolId, TargetId};
@@ -35,12 +37,13 @@
 /// # Examples
 ///
 /// ```
-/// use bulrushtrestle_core::catalogue::entry::{Entry, Pool, Service};
+/// use bulrushtrestle_core::catalogue::entry::{Bounds, Entry, Pool, Service};
 /// use bulrushtrestle_core::catalogue::message::{Change, Edit};
 /// use bulrushtrestle_core::catalogue::{Applied, Catalogue};
 /// use bulrushtrestle_core::key::Offset;
 ///
-/// let entry = Entry::Pool(Pool { name: "drafts".into(), service: Service::Model });
+/// let bounds = Bounds::default();
+/// let entry = Entry::Pool(Pool { name: "drafts".into(), service: Service::Model, bounds });
 /// let edit = Edit {
 ///     id: uuid::Uuid::from_u128(1),
 ///     replaces: None,
@@ -57,6 +60,8 @@
     entries: BTreeMap<Kind, BTreeMap<String, Stored>>,
     names: BTreeMap<Offset, (Kind, String)>,
     targets_by_pool: BTreeMap<String, BTreeSet<TargetId>>,
+    /// The routes of each host, by the beginning of the path, with their names.
+    routes_by_host: BTreeMap<String, BTreeMap<String, String>>,
     tokens: BTreeMap<[u8; 32], OrganisationId>,
     /// Whether records below the first one that was read may have been lost.
     unsettled: bool,
@@ -191,6 +196,15 @@
         self.tokens.get(sha256).copied()
     }
 
+    /// Returns the key and the entry of the organisation of this name.
+    pub fn organisation_by_name(&self, name: &str) -> Option<(OrganisationId, &Organisation)> {
+        let stored = self.stored(Kind::Organisation, name)?;
+        match stored.entry.as_ref()? {
+            Entry::Organisation(entry) => Some((OrganisationId(short(stored.created)), entry)),
+            _ => None,
+        }
+    }
+
     /// Returns a pool's entry.
     pub fn pool(&self, id: PoolId) -> Option<&Pool> {
         match self.by_id(id.0)? {
@@ -269,6 +283,84 @@
         }
     }
 
+    /// Says whether there is any route.
+    pub fn has_routes(&self) -> bool {
+        self.routes_by_host
+            .values()
+            .any(|routes| !routes.is_empty())
+    }
+
+    /// Returns the route with the longest beginning that fits a path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.routes_by_host.get(host)?;
+        let slashes = path.match_indices('/').map(|(at, _)| at);
+        let name = slashes.rev().find_map(|at| routes.get(&path[..=at]))?;
+        match self.stored(Kind::Route, name)?.entry.as_ref()? {
+            Entry::Route(route) => Some(route),
+            _ => None,
+        }
+    }
+
+    /// Takes over what one record of a store holds now, at the store's `revision` of the record, and
+    /// says whether anything changed. Entries that the record held before and holds no more are removed.
+    /// A revision that is not newer changes nothing, entry by entry, so that a peer's copies and own
+    /// reads may come in any order.
+    pub fn replace(&mut self, revision: Offset, scope: &Scope, entries: Vec<Entry>) -> bool {
+        let before = self.changes;
+        let names: BTreeSet<(Kind, &str)> = entries.iter().map(|e| (e.kind(), e.name())).collect();
+        let gone: Vec<(Kind, String)> = self
+            .in_scope(scope)
+            .filter(|stored| stored.entry.is_some())
+            .map(|stored| (stored.kind, stored.name.clone()))
+            .filter(|(kind, name)| !names.contains(&(*kind, name.as_str())))
+            .collect();
+        for (kind, name) in gone {
+            self.renew(kind, name, revision, None);
+        }
+        for entry in entries {
+            let (kind, name) = (entry.kind(), entry.name().to_owned());
+            self.renew(kind, name, revision, Some(entry));
+        }
+        self.changes != before
+    }
+
+    fn in_scope<'a>(&'a self, scope: &'a Scope) -> Box<dyn Iterator<Item = &'a Stored> + 'a> {
+        match scope {
+            Scope::One(kind, name) => Box::new(self.stored(*kind, name).into_iter()),
+            Scope::All(kinds) => Box::new(
+                kinds
+                    .iter()
+                    .filter_map(|kind| self.entries.get(kind))
+                    .flat_map(BTreeMap::values),
+            ),
+        }
+    }
+
+    /// Puts a newer content in place. An entry that reads as before gets the newer revision only, so
+    /// that followers have nothing to do.
+    fn renew(&mut self, kind: Kind, name: String, revision: Offset, entry: Option<Entry>) {
+        if let Some(present) = self.entries.get_mut(&kind).and_then(|e| e.get_mut(&name)) {
+            if present.revision >= revision {
+                return;
+            }
+            if present.entry == entry {
+                present.revision = revision;
+                return;
+            }
+        }
+        let created = self
+            .stored(kind, &name)
+            .map_or_else(|| derived_id(kind, &name), |stored| stored.created);
+        self.put(Stored {
+            created,
+            revision,
+            edit: uuid::Uuid::nil(),
+            entry,
+            kind,
+            name,
+        });
+    }
+
     /// Applies the undecided edits that `wanted` picks, in log order.
     fn decide(&mut self, wanted: impl Fn(&Edit) -> bool) {
         let all = core::mem::take(&mut self.undecided);
@@ -317,6 +409,10 @@
                 let targets = self.targets_by_pool.entry(target.pool.clone()).or_default();
                 targets.insert(TargetId(id));
             }
+            Some(Entry::Route(route)) => {
+                let routes = self.routes_by_host.entry(route.host.clone()).or_default();
+                routes.insert(route.path_prefix.clone(), route.name.clone());
+            }
             Some(Entry::Organisation(organisation)) => {
                 let sums = organisation
                     .tokens_sha256
@@ -344,6 +440,15 @@
                     targets.remove(&TargetId(id));
                 }
             }
+            Some(Entry::Route(route)) => {
+                let routes = self.routes_by_host.get_mut(&route.host);
+                // Another route may have taken the place meanwhile.
+                if let Some(routes) = routes
+                    && routes.get(&route.path_prefix) == Some(&route.name)
+                {
+                    routes.remove(&route.path_prefix);
+                }
+            }
             Some(Entry::Organisation(_)) => {
                 self.tokens.retain(|_, owner| *owner != OrganisationId(id));
             }
@@ -352,6 +457,22 @@
     }
 }
 
+/// Which entries one record of a store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Scope {
+    /// One entry.
+    One(Kind, String),
+    /// All entries of these kinds.
+    All(Vec<Kind>),
+}
+
+/// Returns the identity of an entry that no log created: a hash of its kind and name, equal on every
+/// router. The highest bit stays free, because [`lane`](crate::slots::lane) marks lanes with it.
+pub fn derived_id(kind: Kind, name: &str) -> Offset {
+    let hash = xxh3_64_with_seed(name.as_bytes(), kind as u64);
+    Offset(hash >> 33)
+}
+
 /// Shortens the offset that serves as an identity. The validator of appends keeps it in range.
 fn short(created: Offset) -> u32 {
     u32::try_from(created.0).unwrap_or(u32::MAX)
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -3,7 +3,7 @@
 use assert_matches::assert_matches;
 use uuid::Uuid;
 
-use super::entry::{Entry, Kind, Pool, Service};
+use super::entry::{Bounds, Entry, Kind, Pool, Service};
 use super::message::{Change, Edit};
 use super::{Applied, Catalogue};
 use crate::key::Offset;
@@ -12,6 +12,7 @@
     let entry = Entry::Pool(Pool {
         name: "p".to_owned(),
         service,
+        bounds: Bounds::default(),
     });
     Edit::put(Uuid::from_u128(id), replaces.map(Offset), entry)
 }
--- a/crates/core/src/catalogue/validate.rs
+++ b/crates/core/src/catalogue/validate.rs
@@ -3,7 +3,7 @@
 use core::net::SocketAddr;
 use core::ops::RangeInclusive;
 
-use crate::catalogue::entry::{Entry, Limits, Move, Organisation, Target};
+use crate::catalogue::entry::{Bounds, Entry, Limits, Move, Organisation, Route, Target};
 
 /// The longest name, in bytes.
 const NAME_BYTES: usize = 100;
@@ -15,6 +15,22 @@
 const WAIT_MS: RangeInclusive<u64> = 100..=3_600_000;
 /// The range of slots of a target.
 const SLOTS: RangeInclusive<u64> = 1..=4_096;
+/// The range of connections of a target.
+const CONNECTIONS: RangeInclusive<u64> = 0..=65_535;
+/// The range of starts in a second at a cold target.
+const STARTS_PER_S: RangeInclusive<u64> = 0..=10_000;
+/// The range of times in milliseconds that may be zero.
+const MILLIS: RangeInclusive<u64> = 0..=3_600_000;
+/// The range of timeouts, in milliseconds.
+const TIMEOUT_MS: RangeInclusive<u64> = 1..=3_600_000;
+/// The range of tokens in one event of a stream.
+const TOKENS_PER_EVENT: RangeInclusive<u64> = 0..=4_096;
+/// The range of attempts of a request.
+const ATTEMPTS: RangeInclusive<u64> = 1..=100;
+/// The range of weights of pools in a route.
+const POOL_WEIGHTS: RangeInclusive<u64> = 0..=1_000_000;
+/// The longest host or beginning of a path, in bytes.
+const PATH_BYTES: usize = 1_024;
 /// The most tokens of one organisation.
 const TOKENS: usize = 16;
 
@@ -36,6 +52,12 @@
     Address,
     #[error("must be 64 hexadecimal digits")]
     Sha256,
+    #[error("must begin and end with a slash and have at most {PATH_BYTES} bytes")]
+    Path,
+    #[error("must have 1 to {PATH_BYTES} bytes")]
+    Host,
+    #[error("must have at least one element")]
+    Empty,
     #[error("must have at most {TOKENS} elements")]
     TooMany,
     #[error("must differ from `from`")]
@@ -61,7 +83,8 @@
         Entry::Target(entry) => target(entry),
         Entry::Move(entry) => version_move(entry),
         Entry::DataCentre(entry) => name("region", &entry.region),
-        Entry::Pool(_) => Ok(()),
+        Entry::Pool(entry) => bounds(&entry.bounds),
+        Entry::Route(entry) => route(entry),
     }
 }
 
@@ -113,6 +136,41 @@
     }
 }
 
+fn bounds(bounds: &Bounds) -> Result<(), InvalidError> {
+    range("bounds.connections", bounds.connections, CONNECTIONS)?;
+    range(
+        "bounds.cold_starts_per_s",
+        bounds.cold_starts_per_s,
+        STARTS_PER_S,
+    )?;
+    range("bounds.cold_ms", bounds.cold_ms, MILLIS)?;
+    range(
+        "bounds.tokens_per_event",
+        bounds.tokens_per_event,
+        TOKENS_PER_EVENT,
+    )
+}
+
+fn route(entry: &Route) -> Result<(), InvalidError> {
+    let slashed = entry.path_prefix.starts_with('/') && entry.path_prefix.ends_with('/');
+    if !slashed || entry.path_prefix.len() > PATH_BYTES {
+        return error("path_prefix", InvalidErrorKind::Path);
+    }
+    if entry.host.is_empty() || entry.host.len() > PATH_BYTES {
+        return error("host", InvalidErrorKind::Host);
+    }
+    if entry.pools.is_empty() {
+        return error("pools", InvalidErrorKind::Empty);
+    }
+    for part in &entry.pools {
+        name("pools.pool", &part.pool)?;
+        range("pools.weight", part.weight, POOL_WEIGHTS)?;
+    }
+    range("timeout_ms", entry.timeout_ms, TIMEOUT_MS)?;
+    range("objective_ms", entry.objective_ms, MILLIS)?;
+    range("attempts_max", entry.attempts_max, ATTEMPTS)
+}
+
 fn version_move(entry: &Move) -> Result<(), InvalidError> {
     name("from", &entry.from)?;
     name("to", &entry.to)?;
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -2,7 +2,10 @@
 
 use core::time::Duration;
 
+use crate::catalogue::Scope;
+use crate::catalogue::entry::Entry;
 use crate::key::{AppendId, AttemptId, Fingerprint, Offset, RequestId, RouterId, TargetId};
+use crate::output::MoveStand;
 use crate::request::Request;
 use crate::time::Time;
 
@@ -13,6 +16,8 @@
     Request(Request),
     /// The caller of a request has left.
     Cancelled(RequestId),
+    /// The longest time that a request may take has passed; the embedding has given the final answer.
+    TimedOut(RequestId),
     /// Something was learnt about an attempt.
     Attempt(AttemptId, AttemptEvent),
     /// A message arrived from a peer that has proved who it is.
@@ -24,6 +29,10 @@
     },
     /// Something was learnt from the platform's log.
     Log(LogEvent),
+    /// Something was learnt from the store that holds the catalogue, where the log does not.
+    Store(StoreEvent),
+    /// A target told of its load along with an answer.
+    Load(TargetId, TargetLoad),
     /// The VM list was read.
     Vms(Vec<Vm>),
     /// A target reported its load; the report may lag.
@@ -112,6 +121,61 @@
     AppendUnknown(AppendId),
 }
 
+/// What was learnt from a store that keeps the newest content of each of its records.
+#[derive(Debug, Clone)]
+pub enum StoreEvent {
+    /// Records of the store changed, or were read for the first time.
+    Changed(Vec<StoreChange>),
+    /// The records of operators were read up to their end.
+    Current {
+        /// Every record below this offset has been handed over.
+        known: Offset,
+        /// When the read was sent.
+        asked: Time,
+    },
+    /// A read of the records of operators failed or timed out.
+    Failed,
+    /// Targets wrote of themselves.
+    Targets(Vec<TargetState>),
+    /// Operators were told how a version move stands, by this router or another.
+    Moved(MoveStand),
+}
+
+/// A record of the store that changed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreChange {
+    /// Where the record stands in its topic.
+    pub revision: Offset,
+    /// The entries that the record stands for.
+    pub scope: Scope,
+    /// What they are now.
+    pub entries: Vec<Entry>,
+}
+
+/// What a target says of itself from time to time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetState {
+    /// The target.
+    pub target: TargetId,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// For how much longer it is cold.
+    pub cold_for: Duration,
+    /// When its present run began, by its own clock in milliseconds; it differs from run to run.
+    pub started_ms: Option<u64>,
+    /// Counts what it says in one run.
+    pub sequence: u64,
+}
+
+/// A target's own view of its load, along with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests being run.
+    pub running: u32,
+    /// Requests admitted and waiting.
+    pub waiting: u32,
+}
+
 /// A record as read from the log.
 #[derive(Debug, Clone)]
 pub struct LogRecord {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 //!     hint_tokens: None,
 //!     fingerprint: Fingerprint(99),
 //!     prefix: None,
+//!     terms: Terms::default(),
 //! };
 //! node.handle(now, Input::Request(req.clone()), &mut out);
 //! let refused = |out: &[Output]| {
@@ -61,6 +62,7 @@
 //! - [`share`], [`queue`], [`slots`]: whose turn it is, what waits, and who may use which part of a target.
 //! - [`target`], [`route`], [`version`]: what a target can bear, which one is chosen, and how traffic moves between
 //!   versions.
+//! - [`balance`], [`starts`]: the same where routers choose for themselves and nobody hands out slots.
 //! - [`attempt`], [`once`], [`quarantine`]: what becomes of one request, also if it may run only once or crashes
 //!   what runs it.
 //!
@@ -74,6 +76,7 @@
 
 pub mod address;
 pub mod attempt;
+pub mod balance;
 pub mod catalogue;
 pub mod context;
 pub mod cost;
@@ -94,6 +97,7 @@
 pub mod route;
 pub mod share;
 pub mod slots;
+pub mod starts;
 pub mod target;
 pub mod time;
 pub mod verdict;
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -265,6 +265,12 @@
         self.peers.get(&router)?.row.as_ref()
     }
 
+    /// Returns the data centre of another router, if the VM list has named it.
+    pub fn data_centre(&self, router: RouterId) -> Option<&str> {
+        let name = &self.peers.get(&router)?.data_centre;
+        (!name.is_empty()).then_some(name.as_str())
+    }
+
     /// Returns the last sequence that was taken from a peer.
     pub fn last_sequence(&self, peer: RouterId) -> u64 {
         self.peers.get(&peer).map_or(0, |peer| peer.sequence)
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,6 +4,7 @@
 //! counts more than its content. The codec is `postcard`; see
 //! `docs/design/0003-peer-messages.md`.
 
+use crate::balance::message::LoadPart;
 use crate::catalogue::message::CataloguePart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
@@ -47,6 +48,8 @@
     Version(VersionPart),
     /// Requests that crash targets.
     Quarantine(QuarantinePart),
+    /// What the sender has at targets.
+    Load(LoadPart),
 }
 
 /// Why bytes are not a frame.
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -14,6 +14,9 @@
 use crate::target::Sign;
 use crate::version::evidence::Route;
 
+/// For how long a request that is sent again may wait for a target, if its first wait is over.
+const RETRY_WAIT: Duration = Duration::from_millis(100);
+
 /// A request at a target.
 #[derive(Debug)]
 pub(super) struct Attempt {
@@ -31,6 +34,10 @@
     /// Where it counts as running.
     pub(super) runs_as: (PoolId, OrganisationId, Class),
     pub(super) trial: Trial,
+    /// Prompt tokens that the target has still to read for it, as far as they are counted.
+    pub(super) unread: u32,
+    /// Whether it counts in the balance of targets.
+    pub(super) is_balanced: bool,
 }
 
 /// How far the answer of an attempt has come, as far as the target's health is concerned.
@@ -64,6 +71,8 @@
             charged_until: now,
             runs_as: <(PoolId, OrganisationId, Class)>::default(),
             trial: Trial::new(route),
+            unread: 0,
+            is_balanced: false,
         }
     }
 }
@@ -116,6 +125,8 @@
         let unstarted = matches!(attempt.flow, Flow::Pending | Flow::Late);
         if unstarted && starts(event) {
             attempt.flow = Flow::Started(now);
+            let unread = core::mem::take(&mut attempt.unread);
+            self.balance.on_read(target, unread);
             let after = now.since(attempt.sent);
             self.targets
                 .on_sign(&mut self.cx, target, Sign::Started { after });
@@ -136,6 +147,9 @@
             (AttemptEvent::Failed(failure), _) => Some(failed(failure)),
         };
         if let Some(sign) = sign {
+            if matches!(sign, Sign::Broken | Sign::Unanswered | Sign::Silent) {
+                self.starts.doubt(now, target);
+            }
             self.targets.on_sign(&mut self.cx, target, sign);
         }
     }
@@ -148,6 +162,10 @@
         self.ledger.refund(organisation, ended.bill.unused());
         self.running.remove(pool, organisation, class);
         self.slots.holder.give_back(ended.target);
+        if ended.is_balanced {
+            self.balance.on_read(ended.target, ended.unread);
+            self.balance.on_end(ended.target);
+        }
         if self.slots.cfg.policy == Policy::Forwarded {
             self.slots.holder.return_slot(ended.target);
         }
@@ -184,7 +202,8 @@
             now: self.cx.now,
             deadline: active.deadline,
             attempts_max: self.cfg.attempt.attempts_max,
-            organisation: active.req.organisation,
+            runs_max: active.req.terms.attempts_max,
+            payer: self.cfg.attempt.payer(&active.req),
             budgets: &mut self.budgets,
         };
         match active.life.end(ending, limits) {
@@ -209,7 +228,9 @@
         let waiting = Waiting {
             request,
             since: active.arrived,
-            deadline: active.deadline,
+            deadline: active
+                .deadline
+                .min(active.wait_until.max(self.cx.now + RETRY_WAIT)),
         };
         let avoid = active.life.wish().avoid;
         let tried = |target: TargetView<'_>| target.out || avoid.contains(&target.id);
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -2,7 +2,9 @@
 
 use crate::prelude::*;
 use crate::version;
-use crate::{address, attempt, lease, membership, once, quarantine, queue, share, slots, target};
+use crate::{
+    address, attempt, balance, lease, membership, once, quarantine, queue, share, slots, target,
+};
 
 /// The settings of a node. Every duty has its own, with every default stated.
 #[derive(Debug, Clone)]
@@ -42,11 +44,26 @@
     pub slots: slots::Config,
     /// Settings of version moves.
     pub version: version::Config,
+    /// Settings of the choice of targets, where routers choose for themselves.
+    pub balance: balance::Config,
+}
+
+/// Where the catalogue is kept.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CatalogueSource {
+    /// On the log, as edits, together with what the fleet itself has to keep.
+    #[default]
+    Log,
+    /// In a store that keeps the newest content of its records. The embedding reads it and hands over what
+    /// changed; there is no log, so leases, claims and steps of moves are not kept.
+    Store,
 }
 
 /// Settings of reading the log.
 #[derive(Debug, Clone)]
 pub struct LogConfig {
+    /// Where the catalogue is kept. Default: on the log.
+    pub source: CatalogueSource,
     /// The wait before a failed read is repeated. Default: 250 ms.
     pub retry: Duration,
     /// For how long a router gives out new work after it last knew that it was current. Default: 3 s.
@@ -58,6 +75,7 @@
 impl Default for LogConfig {
     fn default() -> Self {
         Self {
+            source: CatalogueSource::Log,
             retry: Duration::from_millis(250),
             stale_after: Duration::from_secs(3),
             retention: Duration::from_secs(7 * 24 * 3_600),
@@ -86,6 +104,7 @@
             queue: queue::Config::default(),
             slots: slots::Config::default(),
             version: version::Config::default(),
+            balance: balance::Config::default(),
         }
     }
 }
--- a/crates/core/src/node/currency.rs
+++ b/crates/core/src/node/currency.rs
@@ -16,8 +16,8 @@
 
 use crate::catalogue::message::{CataloguePart, Stored};
 use crate::membership::message::Condition;
-use crate::node::Node;
 use crate::node::request::Stage;
+use crate::node::{CatalogueSource, Node};
 use crate::prelude::*;
 
 /// The time without progress after which entries are asked for from a peer.
@@ -57,6 +57,11 @@
 
 impl Node {
     pub(super) fn currency(&self) -> Currency {
+        let from_store = self.cfg.log.source == CatalogueSource::Store;
+        if from_store && !self.catalogue.has_routes() {
+            // The operators' first configuration has not come; nobody can be told what there is.
+            return Currency::Stale;
+        }
         let limit = self.cx.now - self.cfg.log.stale_after;
         if self.reader.current.is_some_and(|current| current >= limit) {
             return Currency::Current;
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -5,7 +5,7 @@
 use crate::input::{LogEvent, LogRecord};
 use crate::lease::message::Lease;
 use crate::membership;
-use crate::node::Node;
+use crate::node::{CatalogueSource, Node};
 use crate::output::Output;
 use crate::prelude::*;
 use crate::record::Record;
@@ -77,7 +77,8 @@
     }
 
     pub(super) fn read_if_due(&mut self) {
-        if self.reader.next.is_some_and(|next| next <= self.cx.now) {
+        let on_log = self.cfg.log.source == CatalogueSource::Log;
+        if on_log && self.reader.next.is_some_and(|next| next <= self.cx.now) {
             self.reader.next = None;
             self.reader.sent = self.cx.now;
             self.cx.out.push(Output::Read {
@@ -139,10 +140,7 @@
             self.once.on_age(record.offset, record.at);
             self.apply(record);
         }
-        if self.reader.down {
-            self.reader.down = false;
-            self.cx.notice(NoticeKind::Log, "the log is back");
-        }
+        self.on_read_answered();
         if self.reader.applied >= tail {
             self.catalogue.settle();
             self.reader.current = Some(self.reader.sent);
@@ -151,6 +149,13 @@
         self.reader.next = Some(self.cx.now);
     }
 
+    pub(super) fn on_read_answered(&mut self) {
+        if self.reader.down {
+            self.reader.down = false;
+            self.cx.notice(NoticeKind::Log, "the log is back");
+        }
+    }
+
     /// Forgets the catalogue, because edits that were never read have aged out.
     fn start_over(&mut self, first: Offset) {
         self.reader.applied = first;
@@ -163,7 +168,7 @@
         );
     }
 
-    fn on_read_failed(&mut self) {
+    pub(super) fn on_read_failed(&mut self) {
         if !self.reader.down {
             self.reader.down = true;
             self.cx.notice(NoticeKind::Log, "the log cannot be read");
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod config;
 mod currency;
+mod local;
 mod log;
 mod once;
 mod page;
@@ -18,11 +19,12 @@
 mod state;
 mod status;
 mod stop;
+mod store;
 #[cfg(test)]
 mod tests;
 mod timer;
 mod version;
 
-pub use self::config::{Config, LogConfig};
+pub use self::config::{CatalogueSource, Config, LogConfig};
 pub use self::state::Node;
 pub use self::status::{Status, TargetStatus};
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -106,6 +106,7 @@
             Part::Target(part) => self.targets.on_part(&mut self.cx, from, &part),
             Part::Version(part) => self.moves.on_part(&mut self.cx, from, &part),
             Part::Quarantine(part) => self.on_quarantine_part(from, part),
+            Part::Load(part) => self.balance.on_part(self.cx.now, from, &part),
         }
     }
 }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -19,13 +19,13 @@
 
 /// Whose request is next for a pool.
 #[derive(Debug, Clone, Copy)]
-struct Turn {
-    organisation: OrganisationId,
+pub(super) struct Turn {
+    pub(super) organisation: OrganisationId,
     /// The lowest virtual time of all that wait here for the pool.
     lowest: u64,
     urgent: bool,
     /// Whether it goes before others because it is urgent.
-    kept: bool,
+    pub(super) kept: bool,
 }
 
 /// An organisation that waits for a pool and may run another request.
@@ -45,7 +45,10 @@
         for _ in 0..ROUNDS {
             if self.gives_out_work() {
                 for pool in self.queues.pools() {
-                    self.pump_pool(pool);
+                    match self.slots.cfg.policy {
+                        Policy::Local => self.pump_locally(pool),
+                        _ => self.pump_pool(pool),
+                    }
                 }
             }
             self.deal();
@@ -145,7 +148,7 @@
 
     /// Returns the turn of the lowest virtual time, and that of the lowest with an urgent request as far
     /// as it may go ahead.
-    fn turns(&mut self, pool: PoolId) -> Option<(Turn, Option<Turn>)> {
+    pub(super) fn turns(&mut self, pool: PoolId) -> Option<(Turn, Option<Turn>)> {
         let candidates = self.candidates(pool);
         let first = *candidates.first()?;
         self.keep_up(pool, first);
@@ -274,7 +277,7 @@
         })
     }
 
-    fn distance(&self, view: &TargetView<'_>) -> Distance {
+    pub(super) fn distance(&self, view: &TargetView<'_>) -> Distance {
         let mine = &self.cfg.data_centre;
         if view.entry.data_centre == *mine {
             return Distance::Near;
@@ -319,6 +322,7 @@
         self.slots.holder.take(target, lane, owner);
         self.running.add(pool, organisation, class);
         self.targets.on_dispatch(self.cx.now, target);
+        self.starts.on_dispatch(self.cx.now, target);
         if let Some(prefix) = prefix {
             self.prefixes.store(target, prefix);
         }
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -17,6 +17,8 @@
     pub(super) class: Class,
     pub(super) arrived: Time,
     pub(super) deadline: Time,
+    /// Until when it may wait for a target.
+    pub(super) wait_until: Time,
     pub(super) stage: Stage,
     pub(super) life: Life,
 }
@@ -41,7 +43,8 @@
         }
     }
 
-    pub(super) fn on_cancelled(&mut self, request: RequestId) {
+    /// Lets go of a request whose caller needs no answer any more.
+    pub(super) fn on_left(&mut self, request: RequestId, reason: Reason) {
         let Some(active) = self.requests.get(&request) else {
             return;
         };
@@ -57,7 +60,7 @@
             }
         }
         self.close(request);
-        self.cx.count(Counter::Refused(Reason::CallerLeft));
+        self.cx.count(Counter::Refused(reason));
     }
 
     /// Gives up a request that waits, with the verdict of all its attempts.
@@ -72,7 +75,7 @@
             let wait = self.queues.retry_after(self.cx.now, organisation);
             self.queues.remove(pool, organisation, request);
             let retry_after = match reason {
-                Reason::DeadlinePassed => wait,
+                Reason::DeadlinePassed | Reason::QueueFull => wait,
                 _ => Some(RETRY_AFTER),
             };
             let refusal = Refusal {
@@ -135,9 +138,14 @@
             return Err(busy(Reason::DeadlinePassed));
         }
         let class = req.class.unwrap_or(organisation.class);
+        self.check_wait(&req)?;
         let admission = self.admit_key(&req, deadline)?;
-        self.budgets.earn(now, req.organisation);
+        self.budgets.earn(now, self.cfg.attempt.payer(&req));
+        let wait_until = self
+            .patience(&req)
+            .map_or(deadline, |wait| deadline.min(now + wait));
         let active = Active {
+            wait_until,
             class,
             arrived: now,
             deadline,
@@ -162,7 +170,7 @@
             return;
         };
         active.stage = Stage::Waiting;
-        let deadline = active.deadline;
+        let deadline = active.wait_until;
         let waiting = Waiting {
             request,
             since: active.arrived,
--- a/crates/core/src/node/slots.rs
+++ b/crates/core/src/node/slots.rs
@@ -43,6 +43,9 @@
 
     /// Takes over which routers are alive and which targets there are.
     pub(super) fn watch_owners(&mut self) {
+        if self.slots.cfg.policy == Policy::Local {
+            return;
+        }
         let now = self.cx.now;
         let live: Vec<RouterId> = self.members.live(now).collect();
         let listed: BTreeSet<RouterId> = self
@@ -75,13 +78,14 @@
     /// counted. Before that every organisation would seem to have received nothing.
     pub(super) fn gives_out_work(&self) -> bool {
         let heard = self.started + self.members.period() * 3;
-        self.is_ready() && self.cx.now >= heard
+        let local = self.slots.cfg.policy == Policy::Local;
+        self.is_ready() && (local || self.cx.now >= heard)
     }
 
     /// Tells every owner how things stand, so that terms go on and lost messages do no harm.
     pub(super) fn renew_slots(&mut self) {
         self.slots.owner.lose_silent(self.cx.now);
-        if self.slots.cfg.policy == Policy::FixedSplit {
+        if matches!(self.slots.cfg.policy, Policy::FixedSplit | Policy::Local) {
             return;
         }
         for owner in self.slots.holder.dealings() {
@@ -91,7 +95,7 @@
 
     /// Returns slots, asks for slots and hands out slots, as far as there is a reason to.
     pub(super) fn deal(&mut self) {
-        if self.slots.cfg.policy == Policy::FixedSplit {
+        if matches!(self.slots.cfg.policy, Policy::FixedSplit | Policy::Local) {
             return;
         }
         let keep = self.slots.cfg.policy != Policy::Forwarded;
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::attempt::Budgets;
+use crate::balance::Balance;
 use crate::catalogue::Catalogue;
 use crate::input::Input;
 use crate::lease::Leases;
@@ -21,9 +22,10 @@
 use crate::prelude::*;
 use crate::quarantine::Quarantine;
 use crate::queue::{Queues, Running};
-use crate::route::Prefixes;
+use crate::route::{Prefixes, Splits};
 use crate::share::Ledger;
 use crate::slots::Slots;
+use crate::starts::Starts;
 use crate::target::Targets;
 use crate::version::Moves;
 
@@ -67,6 +69,9 @@
     pub(super) requests: BTreeMap<RequestId, Active>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) budgets: Budgets,
+    pub(super) balance: Balance,
+    pub(super) starts: Starts,
+    pub(super) splits: Splits,
     pub(super) once: Once,
     pub(super) quarantine: Quarantine,
     pub(super) next_attempt: u64,
@@ -114,6 +119,9 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             budgets: Budgets::new(cfg.attempt.clone()),
+            balance: Balance::new(cfg.balance.clone()),
+            starts: Starts::default(),
+            splits: Splits::default(),
             once,
             quarantine: Quarantine::new(cfg.me, cfg.quarantine.clone()),
             next_attempt: 0,
@@ -137,12 +145,14 @@
         self.cx.now = self.cx.now.max(now);
         match input {
             Input::Request(req) => self.on_request(req),
-            Input::Cancelled(request) => self.on_cancelled(request),
+            Input::Cancelled(request) => self.on_left(request, Reason::CallerLeft),
+            Input::TimedOut(request) => self.on_left(request, Reason::DeadlinePassed),
             Input::Attempt(attempt, event) => self.on_attempt(attempt, event),
             Input::Peer { from, bytes } => self.on_peer(from, &bytes),
             Input::Log(event) => self.on_log(event),
             Input::Vms(vms) => {
                 self.members.on_vms(self.cx.now, &vms);
+                self.share_fleet_burst();
                 self.targets.on_vms(&vms);
             }
             Input::Report(target, report) => {
@@ -150,6 +160,8 @@
                 self.on_report(target, report);
                 self.on_report_after_break(target, report);
             }
+            Input::Store(event) => self.on_store(event),
+            Input::Load(target, load) => self.targets.on_load(target, load),
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
             Input::Timer => {}
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -37,13 +37,21 @@
             self.send_heartbeats();
             self.report_service();
             self.renew_slots();
+            self.report_load();
             self.flush_all = true;
         }
     }
 
     fn give_up_expired(&mut self) {
         for request in self.queues.expired(self.cx.now) {
-            self.give_up(request, Reason::DeadlinePassed);
+            let active = self.requests.get(&request);
+            let passed = active.is_none_or(|active| active.deadline <= self.cx.now);
+            let reason = match passed {
+                true => Reason::DeadlinePassed,
+                // The caller would go on waiting, but an answer could only be late.
+                false => Reason::QueueFull,
+            };
+            self.give_up(request, reason);
         }
     }
 }
--- a/crates/core/src/node/version.rs
+++ b/crates/core/src/node/version.rs
@@ -3,8 +3,9 @@
 use crate::input::{AttemptEvent, Failure, FailureKind};
 use crate::lease::message::Lease;
 use crate::membership;
-use crate::node::Node;
 use crate::node::attempt::{Attempt, Flow};
+use crate::node::{CatalogueSource, Node};
+use crate::output::Output;
 use crate::prelude::*;
 use crate::version::evidence::{Measure, Route};
 use crate::version::{Arm, Decider};
@@ -45,7 +46,8 @@
         let pools = self.moves.pools();
         let open = self.moves.open();
         let partners: Vec<RouterId> = self.members.partners().collect();
-        let log_down = self.reader.down;
+        // Without a log there are no leases: the preferred router decides, and facts only merge.
+        let log_down = self.reader.down || self.cfg.log.source == CatalogueSource::Store;
         for pool in pools {
             let best = membership::owner(move_key(pool), self.members.live(now));
             let best = best.unwrap_or(self.cx.me);
@@ -55,6 +57,18 @@
             }
             self.moves
                 .spread(&mut self.cx, pool, is_best, log_down, &partners);
+            if is_best {
+                self.tell_operators(pool);
+            }
+        }
+    }
+
+    /// Asks the embedding to record how a move stands, whenever that changed.
+    fn tell_operators(&mut self, pool: PoolId) {
+        if self.cfg.log.source == CatalogueSource::Store
+            && let Some(stand) = self.moves.news_for_operators(pool)
+        {
+            self.cx.out.push(Output::Moved(stand));
         }
     }
 
@@ -120,7 +134,8 @@
     fn take_steps(&mut self, pool: PoolId, best: RouterId) {
         let now = self.cx.now;
         let lease = Lease::Move(pool);
-        if best == self.cx.me && !self.reader.down {
+        let log_down = self.reader.down || self.cfg.log.source == CatalogueSource::Store;
+        if best == self.cx.me && !log_down {
             self.leases.want(&mut self.cx, lease);
         }
         let usable = self.catalogue.targets_of(pool).any(|view| {
@@ -130,7 +145,7 @@
         let decider = Decider {
             best,
             fence: self.leases.held(now, lease),
-            log_down: self.reader.down,
+            log_down,
             has_target: usable,
         };
         self.moves.step(&mut self.cx, pool, decider);
--- a/crates/core/src/once/tests.rs
+++ b/crates/core/src/once/tests.rs
@@ -290,6 +290,7 @@
         hint_tokens: None,
         fingerprint: Fingerprint(0),
         prefix: None,
+        terms: Terms::default(),
     }
 }
 
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -48,10 +48,34 @@
     Count(Counter),
     /// A change of state that operators want to see in the log.
     Notice(Notice),
+    /// A version move of a catalogue that is kept in a store stands like this now, for operators.
+    Moved(MoveStand),
     /// Everything is finished after a stop; the process may end.
     Stopped,
 }
 
+/// How a version move stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveStand {
+    /// The name of the pool.
+    pub pool: String,
+    /// The version that traffic moves to.
+    pub version: String,
+    /// How far it is.
+    pub phase: MovePhase,
+}
+
+/// How far a version move is. The last two are final.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MovePhase {
+    /// Traffic is moving.
+    Running,
+    /// All traffic has moved.
+    Finished,
+    /// All traffic went back.
+    TakenBack,
+}
+
 /// A request on its way to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Dispatch {
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -11,6 +11,6 @@
 };
 pub use crate::message::Part;
 pub use crate::output::NoticeKind;
-pub use crate::request::{Class, Repeat, Request};
+pub use crate::request::{Class, PromptPart, Repeat, Request, Terms};
 pub use crate::time::Time;
 pub use crate::verdict::{Reason, Refusal, Verdict};
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -1,5 +1,7 @@
 //! A request as the decisions see it. The body stays with the embedding.
 
+use core::time::Duration;
+
 use crate::key::{Fingerprint, OrganisationId, PoolId, RequestId};
 use crate::time::Time;
 
@@ -51,6 +53,28 @@
     Unkeyed,
 }
 
+/// A part of a prompt that other requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// What it contains, hashed.
+    pub content: Fingerprint,
+    /// How many tokens it has.
+    pub tokens: u32,
+}
+
+/// What is known of a request besides who asks for what. An embedding that knows less leaves the defaults.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// The parts of the prompt, in order; the last is the request's own.
+    pub parts: Vec<PromptPart>,
+    /// How many targets may run it; the node's own limit if there is none.
+    pub attempts_max: Option<u32>,
+    /// Within which time the first of the answer is on time.
+    pub objective: Option<Duration>,
+    /// The size of its body, in bytes.
+    pub body_bytes: u32,
+}
+
 /// A request that arrived at this router.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -74,4 +98,6 @@
     pub fingerprint: Fingerprint,
     /// The hash of the leading part of the prompt, for prefix affinity.
     pub prefix: Option<Fingerprint>,
+    /// What else is known of it.
+    pub terms: Terms,
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -8,8 +8,10 @@
 
 mod choose;
 mod prefixes;
+mod split;
 #[cfg(test)]
 mod tests;
 
 pub use self::choose::{Candidate, Distance, choose};
 pub use self::prefixes::Prefixes;
+pub use self::split::Splits;
--- a/crates/core/src/slots/config.rs
+++ b/crates/core/src/slots/config.rs
@@ -32,7 +32,7 @@
     pub fan: usize,
 }
 
-/// The ways of sharing slots. All but the first serve to be measured against.
+/// The ways of sharing slots. All but the first and the last serve to be measured against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
     /// Owners hand out slots for a term, ordered by the ledger of the fleet.
@@ -43,6 +43,9 @@
     LocalLedger,
     /// Every request asks for a slot of its own, which is given back when the request ends.
     Forwarded,
+    /// Nobody hands out slots: each router chooses by what it and its peers have at targets; see
+    /// [`balance`](crate::balance).
+    Local,
 }
 
 impl Default for Config {
--- a/crates/core/src/target/health.rs
+++ b/crates/core/src/target/health.rs
@@ -1,6 +1,6 @@
 //! What one target can bear.
 
-use crate::input::Report;
+use crate::input::{Report, TargetLoad};
 use crate::prelude::*;
 use crate::target::Config;
 
@@ -103,6 +103,8 @@
     broken: Option<(Time, u32)>,
     answered: Option<Time>,
     report: Option<(Time, Report)>,
+    /// What it said of its load along with its last answer.
+    told: Option<TargetLoad>,
     start: Baseline,
     pace: Baseline,
     slow: u32,
@@ -124,15 +126,20 @@
             broken: None,
             answered: None,
             report: None,
+            told: None,
             start: Baseline::default(),
             pace: Baseline::default(),
             slow: 0,
         }
     }
 
-    /// Returns how many requests the target ran at its last report.
+    /// Returns how many requests the target ran by what it said last.
     pub(super) fn running(&self) -> u32 {
-        self.report.map_or(0, |(_, report)| report.running)
+        match (self.told, self.report) {
+            (Some(load), _) => load.running,
+            (None, Some((_, report))) => report.running,
+            (None, None) => 0,
+        }
     }
 
     /// Says whether the target is not held back.
@@ -186,6 +193,11 @@
         None
     }
 
+    /// Takes in a load that came along with an answer.
+    pub(super) const fn on_load(&mut self, load: TargetLoad) {
+        self.told = Some(load);
+    }
+
     /// Makes the target cold if nothing has been heard of it for too long.
     pub(super) fn on_silence(&mut self, now: Time, cfg: &Config) -> Option<Cause> {
         let (reported, _) = self.report?;
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -4,7 +4,7 @@
 
 use crate::catalogue::entry::{DataCentreState, Entry};
 use crate::catalogue::{Catalogue, TargetView};
-use crate::input::{Report, Vm, VmRole};
+use crate::input::{Report, TargetLoad, Vm, VmRole};
 use crate::membership::{Members, best};
 use crate::prelude::*;
 use crate::target::health::Health;
@@ -212,6 +212,13 @@
         report_cold(cx, target, cause);
     }
 
+    /// Takes in a target's load that came along with an answer.
+    pub fn on_load(&mut self, target: TargetId, load: TargetLoad) {
+        if let Some(known) = self.known.get_mut(&target) {
+            known.health.on_load(load);
+        }
+    }
+
     /// Takes in the VM list. A VM that was listed and is not any more has gone, unless so many went
     /// at once that the list itself is in doubt.
     pub fn on_vms(&mut self, vms: &[Vm]) {
--- a/crates/core/src/version/config.rs
+++ b/crates/core/src/version/config.rs
@@ -28,6 +28,11 @@
     pub refresh: Duration,
     /// The shortest time in a stage. Default: 1 s.
     pub stage_min: Duration,
+    /// The largest share of the new version before the move is final, in thousandths. Default: 1000, so
+    /// that the stages alone decide.
+    pub share_max: u32,
+    /// How long before the finishing time a move ends. Default: none.
+    pub margin: Duration,
 }
 
 impl Default for Config {
@@ -39,6 +44,8 @@
             append_retry: Duration::from_secs(5),
             refresh: Duration::from_secs(24 * 3_600),
             stage_min: Duration::from_secs(1),
+            share_max: 1_000,
+            margin: Duration::ZERO,
         }
     }
 }
--- a/crates/core/src/version/state.rs
+++ b/crates/core/src/version/state.rs
@@ -6,13 +6,19 @@
 
 use crate::catalogue::Catalogue;
 use crate::catalogue::entry::Move;
+use crate::output::{MovePhase, MoveStand};
 use crate::prelude::*;
 use crate::record::Record;
-use crate::version::evidence::{Evidence, Measure, Pool, Route, Tally};
+use crate::version::evidence::{Evidence, Load, Measure, Pool, Route, Tally};
 use crate::version::message::{Fact, Fault, MoveStep, Seen, TakenBack, VersionPart};
 use crate::version::schedule::{ALL, Due, due, share};
 use crate::version::{Config, Policy};
 
+/// The route of a fault that is known only from what operators were told.
+const RECORDED_ROUTE: Route = Route {
+    class: Class::Interactive,
+    load: Load::Low,
+};
 /// The most moves of which something is known before the catalogue names them.
 const FACTS_MAX: usize = 256;
 
@@ -91,6 +97,8 @@
     stepped: Option<Time>,
     /// The targets that run the new version.
     new_targets: BTreeSet<TargetId>,
+    /// What operators were told last of how it stands.
+    operators_know: Option<MovePhase>,
 }
 
 /// Totals of one router.
@@ -180,6 +188,59 @@
         }
     }
 
+    /// Returns how a move stands if operators have not been told, and notes that they are.
+    pub fn news_for_operators(&mut self, pool: PoolId) -> Option<MoveStand> {
+        let active = self.moves.get(&pool)?;
+        let phase = match self.fact(pool, active.revision) {
+            Some(fact) if fact.taken_back.is_some() => MovePhase::TakenBack,
+            Some(fact) if fact.finished => MovePhase::Finished,
+            _ => MovePhase::Running,
+        };
+        let active = self.moves.get_mut(&pool)?;
+        if active.operators_know.replace(phase) == Some(phase) {
+            return None;
+        }
+        Some(MoveStand {
+            pool: active.name.clone(),
+            version: active.entry.to.clone(),
+            phase,
+        })
+    }
+
+    /// Takes over how a move stood by the word that operators were given before this router started.
+    pub fn on_stand(&mut self, cx: &mut Context, stand: &MoveStand) {
+        let found = self
+            .moves
+            .iter()
+            .find(|(_, active)| active.name == stand.pool && active.entry.to == stand.version);
+        let Some((&pool, active)) = found else {
+            return;
+        };
+        let revision = active.revision;
+        let mut fact = self.fact(pool, revision).cloned().unwrap_or_default();
+        match stand.phase {
+            MovePhase::Running => return,
+            MovePhase::Finished => fact.finished = true,
+            MovePhase::TakenBack => {
+                fact.taken_back = Some(TakenBack {
+                    at: cx.now,
+                    by: cx.me,
+                    fault: Fault::Fails,
+                    route: RECORDED_ROUTE,
+                });
+            }
+        }
+        if let Some(active) = self.moves.get_mut(&pool) {
+            active.operators_know = Some(stand.phase);
+        }
+        let step = MoveStep {
+            pool,
+            revision,
+            fact,
+        };
+        self.merge(cx, &step);
+    }
+
     /// Takes over a step that was read from the log.
     pub fn on_record(&mut self, cx: &mut Context, step: &MoveStep) {
         let known = self.facts.entry((step.pool, step.revision)).or_default();
@@ -287,7 +348,7 @@
         let start = *fact.start.get_or_insert(cx.now);
         fact.fence = fact.fence.max(decider.fence.unwrap_or_default());
         let next = fact.stage.map_or(0, |stage| stage.saturating_add(1));
-        match due(cx.now, start, active.entry.finish_at) {
+        match due(cx.now, start, active.entry.finish_at - self.cfg.margin) {
             Due::Finish => fact.finished = true,
             Due::Stage(due) if due >= next => fact.stage = Some(next),
             Due::Stage(_) => return,
@@ -391,7 +452,7 @@
             Some(fact) if fact.finished => ALL,
             Some(Fact {
                 stage: Some(stage), ..
-            }) => share(*stage),
+            }) => share(*stage).min(self.cfg.share_max),
             _ => 0,
         }
     }
@@ -502,6 +563,7 @@
             sent: None,
             stepped: None,
             new_targets: BTreeSet::new(),
+            operators_know: None,
         }
     }
 
--- a/crates/core/src/version/tests.rs
+++ b/crates/core/src/version/tests.rs
@@ -11,7 +11,7 @@
 use super::schedule::{Due, due, share};
 use super::{Arm, Config, Moves};
 use crate::catalogue::Catalogue;
-use crate::catalogue::entry::{Entry, Move, Pool, Service};
+use crate::catalogue::entry::{Bounds, Entry, Move, Pool, Service};
 use crate::catalogue::message::Edit;
 use crate::prelude::*;
 
@@ -58,6 +58,7 @@
     let pool = Entry::Pool(Pool {
         name: "m".to_owned(),
         service: Service::Model,
+        bounds: Bounds::default(),
     });
     let entry = Entry::Move(Move {
         pool: "m".to_owned(),
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use bulrushtrestle_core::catalogue::entry::{
-    DataCentre, DataCentreState, Entry, Kind, Pool, Service,
+    Bounds, DataCentre, DataCentreState, Entry, Kind, Pool, Service,
 };
 use bulrushtrestle_core::input::Vm;
 use bulrushtrestle_core::prelude::*;
@@ -153,6 +153,7 @@
         let entry = Pool {
             name: "new".to_owned(),
             service: Service::Plain,
+            bounds: Bounds::default(),
         };
         let offset = fleet.publish(Entry::Pool(entry), None);
         trouble.after_edit(&mut fleet);
@@ -171,6 +172,7 @@
         Entry::Pool(Pool {
             name: "raced".to_owned(),
             service,
+            bounds: Bounds::default(),
         })
     };
     let first = fleet.publish(pool(Service::Model), None);
