Let requests wait for targets that hold their prompt

Ruled out: a higher weight of read tokens alone: under load the holder has no room, so weights do not matter. Change: for 60% of its wait a request takes only a target that holds its prompt, presumably or by own memory, or one at which nothing is unread; others pass meanwhile, bounded. After that it takes any and lets nothing pass.

--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -13,6 +13,12 @@
     pub ahead: Duration,
     /// How often a token that has to be read again counts. Default: 2, because it takes memory as well.
     pub reread_weight: u32,
+    /// Tokens that may be read again without waiting for a target that holds them. Default: 1024, half of what
+    /// an engine reads in one step.
+    pub reread_min: u32,
+    /// The part of its wait for which a request waits for a target that holds its prompt, in hundredths. Default:
+    /// 60.
+    pub hold: u32,
     /// What a running request counts, in prompt tokens. Default: 60.
     pub running_tokens: u32,
     /// What a byte of a request's body counts, in hundredths of a prompt token, if the target is in another data
@@ -36,6 +42,8 @@
             read_per_ms: 80,
             ahead: Duration::from_millis(250),
             reread_weight: 2,
+            reread_min: 1_024,
+            hold: 60,
             running_tokens: 60,
             far_byte_centitokens: 10,
             keep: Duration::from_secs(30),
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -27,15 +27,18 @@
     pub parts: &'a [PromptPart],
     /// The size of the body.
     pub body_bytes: u32,
+    /// Whether it may still wait for a target that holds its prompt.
+    pub patient: bool,
 }
 
 impl<'a> Wanted<'a> {
     /// Returns what a request wants.
-    pub fn of(req: &'a Request) -> Self {
+    pub fn of(req: &'a Request, patient: bool) -> Self {
         Self {
             prompt_tokens: req.prompt_tokens,
             parts: &req.terms.parts,
             body_bytes: req.terms.body_bytes,
+            patient,
         }
     }
 }
@@ -71,7 +74,13 @@
                 known
             };
             let load = self.load(now, candidate.target);
-            self.has_room(load, candidate.slots, unread).then(|| {
+            let reread = unread.saturating_sub(own_tokens(wanted.prompt_tokens, &parts));
+            let waits = wanted.patient && reread > self.cfg.reread_min;
+            let has_room = match waits {
+                true => load.unread == 0 && self.has_room(load, candidate.slots / 2, unread),
+                false => self.has_room(load, candidate.slots, unread),
+            };
+            has_room.then(|| {
                 let score = self.score(wanted, *candidate, load, unread);
                 (
                     score,
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -10,39 +10,70 @@
 use crate::starts::Allowance;
 use crate::version::Arm;
 
+/// How many requests are dispatched in one event at most; the rest is left to the next event.
+const DISPATCHES: usize = 64;
+/// How many requests of one organisation are looked at for one that fits.
+const LOOK_AHEAD: usize = 4;
+/// How many requests are looked at in all before waiting for the next event.
+const LOOK_AHEAD_ALL: usize = 24;
 /// The shortest time that a request may wait, however short its objective is.
 const PATIENCE_MIN: Duration = Duration::from_millis(30);
 
 impl Node {
-    /// Dispatches what waits for a pool as long as a target has room for the next request.
+    /// Dispatches what waits for a pool as long as a target has room.
     ///
-    /// The next request is that of the organisation with the lowest virtual time. If no target has room for
-    /// it, everything behind it waits too, so that large requests and small organisations are not passed
-    /// over again and again.
+    /// Organisations are looked at by their virtual time, the lowest first. A request whose prompt is held by a
+    /// target without room may be passed over for a while by one that fits elsewhere, so that the prompt need
+    /// not be read again; see [`balance`](crate::balance). One that has waited for that long lets nothing
+    /// pass any more.
     pub(super) fn pump_locally(&mut self, pool: PoolId) {
-        while let Some((turn, _)) = self.turns(pool) {
-            let next = self
-                .queues
-                .pop(self.cx.now, pool, turn.organisation, turn.kept);
-            let Some((class, waiting)) = next else {
-                break;
+        for _ in 0..DISPATCHES {
+            let Some((organisation, class, waiting, choice)) = self.next_local(pool) else {
+                return;
             };
-            if waiting.deadline <= self.cx.now {
-                self.give_up(waiting.request, Reason::DeadlinePassed);
-                continue;
-            }
+            self.queues
+                .take(self.cx.now, pool, organisation, waiting.request);
             if self.holds_suspect(waiting.request) {
                 continue;
             }
-            let Some(choice) = self.choose_locally(pool, waiting.request) else {
-                self.put_back(pool, turn.organisation, class, waiting);
-                break;
-            };
             self.dispatch(pool, class, waiting, choice.target);
             self.note_unread(waiting.request, choice);
         }
     }
 
+    /// Returns the next request that has a target.
+    fn next_local(&mut self, pool: PoolId) -> Option<(OrganisationId, Class, Waiting, Choice)> {
+        // This also follows the floor of the pool.
+        self.turns(pool)?;
+        let now = self.cx.now;
+        let mut looked_at = 0;
+        for candidate in self.candidates(pool) {
+            let organisation = candidate.organisation;
+            let first = self.queues.first(now, pool, organisation, LOOK_AHEAD);
+            for (class, waiting) in first {
+                if waiting.deadline <= now {
+                    continue;
+                }
+                let patient = self.is_patient(&waiting);
+                if let Some(choice) = self.choose_locally(pool, waiting.request, patient) {
+                    return Some((organisation, class, waiting, choice));
+                }
+                looked_at += 1;
+                if !patient || looked_at >= LOOK_AHEAD_ALL {
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    /// Says whether a request still waits for a target that holds its prompt.
+    fn is_patient(&self, waiting: &Waiting) -> bool {
+        let time = waiting.deadline.since(waiting.since);
+        let hold = time * self.balance.cfg().hold / 100;
+        self.cx.now.since(waiting.since) < hold
+    }
+
     /// Tells peers what this router has at targets.
     pub(super) fn report_load(&mut self) {
         let Some(part) = self.balance.report(self.cx.now) else {
@@ -75,34 +106,30 @@
         }
     }
 
-    fn put_back(
+    fn choose_locally(
         &mut self,
         pool: PoolId,
-        organisation: OrganisationId,
-        class: Class,
-        waiting: Waiting,
-    ) {
-        let enters = self.queues.lane_mut(pool, organisation).is_none();
-        self.queues.push_front(pool, organisation, class, waiting);
-        if enters {
-            self.enter(pool, organisation);
-        }
-    }
-
-    fn choose_locally(&mut self, pool: PoolId, request: RequestId) -> Option<Choice> {
+        request: RequestId,
+        patient: bool,
+    ) -> Option<Choice> {
         let first = self.moves.next_arm(pool);
-        if let Some(choice) = self.choose_of_arm((pool, first), request) {
+        if let Some(choice) = self.choose_of_arm((pool, first), request, patient) {
             return Some(choice);
         }
         let other = self.moves.other_arm(self.cx.now, pool, first)?;
-        self.choose_of_arm((pool, other), request)
+        self.choose_of_arm((pool, other), request, patient)
     }
 
-    fn choose_of_arm(&self, (pool, arm): (PoolId, Arm), request: RequestId) -> Option<Choice> {
+    fn choose_of_arm(
+        &self,
+        (pool, arm): (PoolId, Arm),
+        request: RequestId,
+        patient: bool,
+    ) -> Option<Choice> {
         let now = self.cx.now;
         let active = self.requests.get(&request)?;
         let wish = active.life.wish();
-        let wanted = Wanted::of(&active.req);
+        let wanted = Wanted::of(&active.req, patient);
         let allowance = self.allowance(pool);
         let open = |view: &TargetView<'_>| {
             self.moves.takes(pool, arm, &view.entry.version)
--- a/crates/core/src/queue/state.rs
+++ b/crates/core/src/queue/state.rs
@@ -141,6 +141,30 @@
         Some(next)
     }
 
+    /// Returns the first few requests of an organisation that wait for a pool, in the order in which they
+    /// would be taken.
+    pub fn first(
+        &self,
+        now: Time,
+        pool: PoolId,
+        org: OrganisationId,
+        count: usize,
+    ) -> Vec<(Class, Waiting)> {
+        let lane = self.pools.get(&pool).and_then(|lanes| lanes.get(&org));
+        lane.map_or_else(Vec::new, |lane| lane.first(now, self.cfg.ageing, count))
+    }
+
+    /// Removes a request that goes to a target.
+    pub fn take(&mut self, now: Time, pool: PoolId, org: OrganisationId, request: RequestId) {
+        if !self.remove(pool, org, request) {
+            return;
+        }
+        let busy = self.waiting(org) > 0;
+        if let Some(drain) = self.drains.get_mut(&org) {
+            drain.on_left(now, busy);
+        }
+    }
+
     /// Removes a request, and says whether it was waiting.
     pub fn remove(&mut self, pool: PoolId, org: OrganisationId, request: RequestId) -> bool {
         let Some(lane) = self.lane_mut(pool, org) else {
@@ -253,6 +277,16 @@
         }
     }
 
+    fn first(&self, now: Time, ageing: Duration, count: usize) -> Vec<(Class, Waiting)> {
+        let aged = self.aged(now, ageing).is_some();
+        let urgent = self.interactive.iter().map(|w| (Class::Interactive, *w));
+        let batch = self.batch.iter().map(|w| (Class::Batch, *w));
+        match aged {
+            true => batch.chain(urgent).take(count).collect(),
+            false => urgent.chain(batch).take(count).collect(),
+        }
+    }
+
     fn pop_urgent(&mut self) -> Option<(Class, Waiting)> {
         let next = self.interactive.pop_front();
         next.map(|next| (Class::Interactive, next))
