Keep prompts with their holders for longer, and count service as the platform does

Change: ahead 400 ms, hold 90, weight 4 as defaults, a section of settings for them; the ledger's weights.

--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::attempt::PaidBy;
+use bulrushtrestle_core::cost::Cost;
 use bulrushtrestle_core::key::{Incarnation, RouterId};
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
 use bulrushtrestle_core::slots;
@@ -220,6 +221,7 @@
     config.caller_address = settings.callers.advertise.unwrap_or(callers).to_string();
     config.requests_max = settings.callers.requests_max;
     config.address.valid = settings.callers.addresses_valid;
+    config.balance = settings.balance.clone();
     match &settings.platform {
         Platform::Services(services) => config.log.retention = services.log_retention,
         Platform::Hosting(hosting) => host(&mut config, hosting),
@@ -236,6 +238,8 @@
     config.attempt.retry_millis_per_request = hosting.retry_millis * RETRY_SHARE / 100;
     config.attempt.retry_millis_per_second = 0;
     config.attempt.fleet_burst = Some(hosting.retry_burst * RETRY_SHARE / 100);
+    // The platform counts each token read once and each token generated twice.
+    config.share.prompt_token = Cost(Cost::TOKEN.0 / 2);
     config.version.margin = hosting.move_margin;
     config.version.share_max = hosting.move_share_max;
 }
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -14,6 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use bulrushtrestle_core::balance;
 use bulrushtrestle_wire::FleetKey;
 
 pub(crate) use self::error::Error;
@@ -46,6 +47,8 @@
     pub(crate) platform: Platform,
     /// How targets are spoken to.
     pub(crate) targets: Targets,
+    /// How targets are compared where routers choose for themselves. Defaults: those of the core.
+    pub(crate) balance: balance::Config,
 }
 
 /// The callers' listener and its limits.
@@ -200,6 +203,7 @@
             operators: Operators::read(&mut root.section("operators")?)?,
             platform: Platform::read(&mut root)?,
             targets: Targets::read(&mut root.optional_section("targets")?)?,
+            balance: balance(&mut root.optional_section("balance")?)?,
         };
         root.finish()?;
         // Requests may come in until the last answer about addresses has run out.
@@ -293,6 +297,35 @@
     }
 }
 
+/// Reads how targets are compared.
+fn balance(s: &mut Section) -> Result<balance::Config, Error> {
+    let default = balance::Config::default();
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let balance = balance::Config {
+        read_per_ms: s.int("read_per_ms", 1..=1_000_000, default.read_per_ms.into())?,
+        ahead: s.millis("ahead_ms", 1..=60_000, millis(default.ahead))?,
+        reread_weight: s.int("reread_weight", 0..=100, default.reread_weight.into())?,
+        reread_min: s.int(
+            "reread_tokens_min",
+            0..=1_000_000,
+            default.reread_min.into(),
+        )?,
+        hold: s.int("hold_percent", 0..=100, default.hold.into())?,
+        running_tokens: s.int("running_tokens", 0..=100_000, default.running_tokens.into())?,
+        far_byte_centitokens: s.int(
+            "far_byte_centitokens",
+            0..=10_000,
+            default.far_byte_centitokens.into(),
+        )?,
+        keep: s.millis("keep_ms", 0..=3_600_000, millis(default.keep))?,
+        patience: s.int("patience_percent", 0..=1_000, default.patience.into())?,
+        report_every: s.millis("report_every_ms", 10..=60_000, millis(default.report_every))?,
+        stale_after: s.millis("stale_after_ms", 100..=60_000, millis(default.stale_after))?,
+    };
+    s.finish()?;
+    Ok(balance)
+}
+
 /// Reads the number of the router's VM. An IP number of version 4 stands for the number that it is.
 fn router(root: &mut Section) -> Result<u32, Error> {
     match root.ipv4("router_ip")? {
--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -8,16 +8,17 @@
     /// Prompt tokens that a model engine reads in a millisecond while it generates too. Default: 80, three
     /// quarters of what the users' sheets state for an idle engine.
     pub read_per_ms: u32,
-    /// For how long a target may have unread prompts ahead of a request. Default: 250 ms, a little less
-    /// than the shortest objective of the users' requests.
+    /// For how long a target may have unread prompts ahead of a request. Default: 400 ms, the
+    /// shortest objective of the users' model requests.
     pub ahead: Duration,
-    /// How often a token that has to be read again counts. Default: 2, because it takes memory as well.
+    /// How often a token that has to be read again counts. Default: 4, because it
+    /// takes memory and time of all that run beside it.
     pub reread_weight: u32,
     /// Tokens that may be read again without waiting for a target that holds them. Default: 1024, half of what
     /// an engine reads in one step.
     pub reread_min: u32,
     /// The part of its wait for which a request waits for a target that holds its prompt, in hundredths. Default:
-    /// 60.
+    /// 90.
     pub hold: u32,
     /// What a running request counts, in prompt tokens. Default: 60.
     pub running_tokens: u32,
@@ -40,10 +41,10 @@
     fn default() -> Self {
         Self {
             read_per_ms: 80,
-            ahead: Duration::from_millis(250),
-            reread_weight: 2,
+            ahead: Duration::from_millis(400),
+            reread_weight: 4,
             reread_min: 1_024,
-            hold: 60,
+            hold: 90,
             running_tokens: 60,
             far_byte_centitokens: 10,
             keep: Duration::from_secs(30),
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -250,7 +250,14 @@
         if let Some(active) = self.requests.get_mut(&state.request) {
             active.life.deliver(tokens);
         }
-        self.charge_attempt(attempt, Cost::tokens(new));
+        let (pool, _, _) = state.runs_as;
+        // Positions in a stream count events where an event holds several tokens.
+        let per_event = self
+            .catalogue
+            .pool(pool)
+            .map_or(0, |pool| pool.bounds.tokens_per_event);
+        let tokens = new.saturating_mul(u64::from(per_event.max(1)));
+        self.charge_attempt(attempt, Cost::tokens(tokens));
     }
 }
 
--- a/crates/core/src/node/share.rs
+++ b/crates/core/src/node/share.rs
@@ -9,7 +9,8 @@
 impl Node {
     /// Charges the start of a request.
     pub(super) fn open_bill(&mut self, organisation: OrganisationId, prompt_tokens: u32) -> Bill {
-        let prompt = Cost::prompt(u64::from(prompt_tokens));
+        let token = self.ledger.cfg().prompt_token.0;
+        let prompt = Cost(token.saturating_mul(u64::from(prompt_tokens)));
         let (bill, due) = Bill::open(prompt, self.ledger.cfg().start_charge);
         self.ledger.charge(organisation, due);
         bill
--- a/crates/core/src/share/state.rs
+++ b/crates/core/src/share/state.rs
@@ -13,6 +13,8 @@
     /// The least charge of a request, taken at its start: an ordinary short request. Default: 100
     /// generated tokens.
     pub start_charge: Cost,
+    /// The service of one prompt token. Default: a tenth of a generated one.
+    pub prompt_token: Cost,
     /// How far an organisation may lag behind the system virtual time. Default: 25000 generated tokens.
     pub catch_up: Cost,
     /// How far above the system virtual time an organisation may enter a pool. Default: 5000 generated
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             start_charge: Cost::tokens(100),
+            prompt_token: Cost::PROMPT_TOKEN,
             catch_up: Cost::tokens(25_000),
             ahead: Cost::tokens(5_000),
             idle_after: 4,
