Keep turns between organisations over the fleet, and let a few requests of each always wait

Each router ordered only what waited at itself, and an organisation whose drain looked slow was refused at arrival, so that its queue ran empty and its turns went to others. Ruled out: wrong totals in the ledger: its rows agree within a report. Change: reports of load carry the lowest virtual time that waits; an organisation more than a lead above the lowest of the fleet waits unless a target has nothing to read; four requests of each organisation are never refused at arrival.

--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::balance;
+use bulrushtrestle_core::cost::Cost;
 use bulrushtrestle_wire::FleetKey;
 
 pub(crate) use self::error::Error;
@@ -321,6 +322,8 @@
         patience: s.int("patience_percent", 0..=1_000, default.patience.into())?,
         report_every: s.millis("report_every_ms", 10..=60_000, millis(default.report_every))?,
         stale_after: s.millis("stale_after_ms", 100..=60_000, millis(default.stale_after))?,
+        lead: Cost(s.int("lead", 0..=u64::MAX, default.lead.0)?),
+        floor_for: s.millis("floor_for_ms", 10..=60_000, millis(default.floor_for))?,
     };
     s.finish()?;
     Ok(balance)
--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -30,6 +30,11 @@
     /// The part of the objective that a request may wait in the router before it is refused, in hundredths.
     /// Default: 60, so that the rest suffices for the answer to start.
     pub patience: u32,
+    /// How far above the lowest virtual time that waits at a peer an organisation is still served. Default: 60000
+    /// generated tokens, a quarter of a second of what the users' fleets do for one organisation.
+    pub lead: Cost,
+    /// For how long the lowest virtual time of a peer counts. Default: 300 ms, three reports.
+    pub floor_for: Duration,
     /// The time between two reports to peers, if anything changed. Default: 100 ms, in which a router of the
     /// users' fleets sends a few requests.
     pub report_every: Duration,
@@ -49,6 +54,8 @@
             far_byte_centitokens: 10,
             keep: Duration::from_secs(30),
             patience: 60,
+            lead: Cost::tokens(60_000),
+            floor_for: Duration::from_millis(300),
             report_every: Duration::from_millis(100),
             stale_after: Duration::from_secs(2),
         }
--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -2,13 +2,24 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::key::TargetId;
+use crate::key::{PoolId, TargetId};
 
 /// What one router has at all targets now. It replaces what the router told before.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadPart {
     /// The targets at which the router has requests.
     pub rows: Vec<LoadRow>,
+    /// The pools for which something waits at the router.
+    pub floors: Vec<FloorRow>,
+}
+
+/// Whose turn it is at one router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FloorRow {
+    /// The pool.
+    pub pool: PoolId,
+    /// The lowest virtual time of the organisations that wait for it there.
+    pub lowest: u64,
 }
 
 /// What one router has at one target.
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -50,6 +50,8 @@
     pub target: TargetId,
     /// Prompt tokens that it will have to read.
     pub unread: u32,
+    /// Whether it has nothing to read now.
+    pub is_idle: bool,
 }
 
 impl Balance {
@@ -82,16 +84,17 @@
             };
             has_room.then(|| {
                 let score = self.score(wanted, *candidate, load, unread);
-                (
-                    score,
-                    tie(candidate.target, wanted),
-                    candidate.target,
-                    known,
-                )
+                let is_idle = load.unread == 0;
+                let tie = tie(candidate.target, wanted);
+                (score, tie, candidate.target, known, is_idle)
             })
         });
-        let (_, _, target, unread) = choices.min()?;
-        Some(Choice { target, unread })
+        let (_, _, target, unread, is_idle) = choices.min()?;
+        Some(Choice {
+            target,
+            unread,
+            is_idle,
+        })
     }
 
     /// Returns how many tokens of a prompt a target would have to read, by what this router sent it.
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::balance::message::{LoadPart, LoadRow};
+use crate::balance::message::{FloorRow, LoadPart, LoadRow};
 use crate::balance::{Config, Holdings};
 use crate::prelude::*;
 
@@ -15,13 +15,22 @@
     pub requests: u32,
 }
 
+/// What a peer told last.
+#[derive(Debug)]
+struct Told {
+    at: Time,
+    loads: BTreeMap<TargetId, Load>,
+    /// The lowest virtual time that waits there, by pool.
+    floors: BTreeMap<PoolId, u64>,
+}
+
 /// The load of every target, as far as this router knows.
 #[derive(Debug)]
 pub struct Balance {
     pub(super) cfg: Config,
     pub(super) holdings: Holdings,
     own: BTreeMap<TargetId, Load>,
-    told: BTreeMap<RouterId, (Time, BTreeMap<TargetId, Load>)>,
+    told: BTreeMap<RouterId, Told>,
     /// What peers were told last, and when.
     reported: (Time, LoadPart),
 }
@@ -46,9 +55,9 @@
     /// Returns what the fleet has at a target.
     pub fn load(&self, now: Time, target: TargetId) -> Load {
         let mut sum = self.own.get(&target).copied().unwrap_or_default();
-        for (at, loads) in self.told.values() {
-            let fresh = now.since(*at) < self.cfg.stale_after;
-            if let Some(load) = loads.get(&target).filter(|_| fresh) {
+        for told in self.told.values() {
+            let fresh = now.since(told.at) < self.cfg.stale_after;
+            if let Some(load) = told.loads.get(&target).filter(|_| fresh) {
                 sum.unread += load.unread;
                 sum.requests += load.requests;
             }
@@ -93,13 +102,28 @@
             requests: row.requests,
         };
         let rows = part.rows.iter().map(|row| (row.target, load(row)));
-        self.told.insert(from, (now, rows.collect()));
+        let floors = part.floors.iter().map(|row| (row.pool, row.lowest));
+        let told = Told {
+            at: now,
+            loads: rows.collect(),
+            floors: floors.collect(),
+        };
+        self.told.insert(from, told);
+    }
+
+    /// Returns the highest virtual time at which an organisation may be served now: a little above the lowest
+    /// that waits at any peer.
+    pub fn turn_limit(&self, now: Time, pool: PoolId) -> u64 {
+        let fresh = |told: &&Told| now.since(told.at) < self.cfg.floor_for;
+        let floors = self.told.values().filter(fresh);
+        let lowest = floors.filter_map(|told| told.floors.get(&pool)).min();
+        lowest.map_or(u64::MAX, |lowest| lowest.saturating_add(self.cfg.lead.0))
     }
 
     /// Returns what is told to peers, if it changed or was told long ago, and forgets peers that fell silent.
-    pub fn report(&mut self, now: Time) -> Option<LoadPart> {
+    pub fn report(&mut self, now: Time, floors: Vec<FloorRow>) -> Option<LoadPart> {
         let stale = self.cfg.stale_after;
-        self.told.retain(|_, (at, _)| now.since(*at) < stale);
+        self.told.retain(|_, told| now.since(told.at) < stale);
         let rows = self.own.iter().map(|(&target, load)| LoadRow {
             target,
             unread: u32::try_from(load.unread).unwrap_or(u32::MAX),
@@ -107,6 +131,7 @@
         });
         let part = LoadPart {
             rows: rows.collect(),
+            floors,
         };
         let is_known = part == self.reported.1;
         let is_fresh = now.since(self.reported.0) < self.cfg.stale_after / 4;
--- a/crates/core/src/node/currency.rs
+++ b/crates/core/src/node/currency.rs
@@ -14,6 +14,7 @@
 //!
 //! [`LogConfig::stale_after`]: crate::node::LogConfig::stale_after
 
+use crate::catalogue::entry::Kind;
 use crate::catalogue::message::{CataloguePart, Stored};
 use crate::membership::message::Condition;
 use crate::node::request::Stage;
@@ -203,7 +204,12 @@
             return;
         };
         for stored in &entries {
-            self.catalogue.merge(stored);
+            let merged = self.catalogue.merge(stored);
+            if merged && stored.kind == Kind::Target {
+                // The peer's copy does not say whether the target is cold.
+                let id = u32::try_from(stored.created.0).unwrap_or(u32::MAX);
+                self.starts.doubt(self.cx.now, TargetId(id));
+            }
         }
         let applied = asked.applied.unwrap_or(applied);
         if next.is_some() {
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -1,6 +1,7 @@
 //! Choosing targets without anybody who hands out slots.
 
 use crate::address;
+use crate::balance::message::FloorRow;
 use crate::balance::{Candidate, Choice, Wanted};
 use crate::catalogue::TargetView;
 use crate::catalogue::entry::Route;
@@ -10,6 +11,8 @@
 use crate::starts::Allowance;
 use crate::version::Arm;
 
+/// How many requests of an organisation may always wait at a router.
+const QUEUE_MIN: usize = 4;
 /// How many requests are dispatched in one event at most; the rest is left to the next event.
 const DISPATCHES: usize = 64;
 /// How many requests of one organisation are looked at for one that fits.
@@ -47,15 +50,19 @@
         self.turns(pool)?;
         let now = self.cx.now;
         let mut looked_at = 0;
+        let highest = self.balance.turn_limit(now, pool);
         for candidate in self.candidates(pool) {
             let organisation = candidate.organisation;
+            // Somebody behind another router comes first, unless a target has nothing to do.
+            let is_due = candidate.time <= highest;
             let first = self.queues.first(now, pool, organisation, LOOK_AHEAD);
             for (class, waiting) in first {
                 if waiting.deadline <= now {
                     continue;
                 }
                 let patient = self.is_patient(&waiting);
-                if let Some(choice) = self.choose_locally(pool, waiting.request, patient) {
+                let choice = self.choose_locally(pool, waiting.request, patient);
+                if let Some(choice) = choice.filter(|choice| is_due || choice.is_idle) {
                     return Some((organisation, class, waiting, choice));
                 }
                 looked_at += 1;
@@ -76,7 +83,12 @@
 
     /// Tells peers what this router has at targets.
     pub(super) fn report_load(&mut self) {
-        let Some(part) = self.balance.report(self.cx.now) else {
+        let floors = self.queues.pools().into_iter().filter_map(|pool| {
+            let lowest = self.candidates(pool).first()?.time;
+            Some(FloorRow { pool, lowest })
+        });
+        let floors = floors.collect();
+        let Some(part) = self.balance.report(self.cx.now, floors) else {
             return;
         };
         let partners: Vec<RouterId> = self.members.partners().collect();
@@ -97,7 +109,8 @@
         let Some(patience) = self.patience(req) else {
             return Ok(());
         };
-        if self.queues.waiting(req.organisation) == 0 {
+        // A few always wait, or an organisation whose queue runs empty now and then would lose its turns.
+        if self.queues.waiting(req.organisation) < QUEUE_MIN {
             return Ok(());
         }
         match self.queues.retry_after(self.cx.now, req.organisation) {
