Keep a quarter of the engines for requests that generate much and read little

Ruled out: a higher weight of running requests: prompts go wherever there is room. Change: the first quarter of a pool's targets, in an order that routers share, takes other requests only while nearly idle; light requests prefer it and may go elsewhere.

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -408,6 +408,10 @@
             parts: call.said.parts.clone(),
             attempts_max: Some(route.attempts_max),
             objective: (!objective.is_zero()).then_some(objective),
+            output_tokens: call
+                .said
+                .output_tokens_guess
+                .unwrap_or(call.said.output_tokens_max),
             body_bytes: call.body_bytes,
         },
     }
--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -35,6 +35,9 @@
     pub lead: Cost,
     /// For how long the lowest virtual time of a peer counts. Default: 300 ms, three reports.
     pub floor_for: Duration,
+    /// The part of a model's targets that is kept for requests that generate much and read little, in hundredths.
+    /// Default: 25.
+    pub quiet: u32,
     /// The time between two reports to peers, if anything changed. Default: 100 ms, in which a router of the
     /// users' fleets sends a few requests.
     pub report_every: Duration,
@@ -56,6 +59,7 @@
             patience: 60,
             lead: Cost::tokens(60_000),
             floor_for: Duration::from_millis(300),
+            quiet: 25,
             report_every: Duration::from_millis(100),
             stale_after: Duration::from_secs(2),
         }
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -7,6 +7,12 @@
 use crate::prelude::*;
 use crate::route::Distance;
 
+/// A request is light if it generates more than one token for so many of its prompt: reading a token takes an engine
+/// a few times less than generating one for a request among many.
+const LIGHT_RATIO: u32 = 4;
+/// The part of its slots up to which a target that is kept for light requests takes others, as one of so many.
+const QUIET_PARTS: u32 = 16;
+
 /// A target that may take a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -16,6 +22,8 @@
     pub slots: u32,
     /// How far it is from this router.
     pub distance: Distance,
+    /// Whether it is kept for requests that generate much and read little.
+    pub is_quiet: bool,
 }
 
 /// What a request wants of a target.
@@ -25,6 +33,8 @@
     pub prompt_tokens: u32,
     /// The parts of the prompt.
     pub parts: &'a [PromptPart],
+    /// Tokens that are likely to be generated.
+    pub output_tokens: u32,
     /// The size of the body.
     pub body_bytes: u32,
     /// Whether it may still wait for a target that holds its prompt.
@@ -37,10 +47,17 @@
         Self {
             prompt_tokens: req.prompt_tokens,
             parts: &req.terms.parts,
+            output_tokens: req.terms.output_tokens,
             body_bytes: req.terms.body_bytes,
             patient,
         }
     }
+
+    /// Says whether generating takes longer than reading the prompt, so that every prompt that a target reads
+    /// beside it delays it.
+    fn is_light(&self) -> bool {
+        self.output_tokens.saturating_mul(LIGHT_RATIO) > self.prompt_tokens
+    }
 }
 
 /// The choice that was made.
@@ -78,10 +95,13 @@
             let load = self.load(now, candidate.target);
             let reread = unread.saturating_sub(own_tokens(wanted.prompt_tokens, &parts));
             let waits = wanted.patient && reread > self.cfg.reread_min;
-            let has_room = match waits {
-                true => load.unread == 0 && self.has_room(load, candidate.slots / 2, unread),
-                false => self.has_room(load, candidate.slots, unread),
+            let slots = match (candidate.is_quiet && !wanted.is_light(), waits) {
+                (true, _) => candidate.slots / QUIET_PARTS,
+                (false, true) => candidate.slots / 2,
+                (false, false) => candidate.slots,
             };
+            let has_room = self.has_room(load, slots, unread)
+                && (load.unread == 0 || slots == candidate.slots);
             has_room.then(|| {
                 let score = self.score(wanted, *candidate, load, unread);
                 let is_idle = load.unread == 0;
@@ -133,7 +153,11 @@
             _ => u64::from(load.requests) * u64::from(cfg.running_tokens),
         };
         let reread = u64::from(unread) * u64::from(cfg.reread_weight);
-        load.unread + reread + running + way
+        let loud = match wanted.is_light() && !candidate.is_quiet {
+            true => cfg.ahead_tokens(),
+            false => 0,
+        };
+        load.unread + reread + running + way + loud
     }
 }
 
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -4,7 +4,7 @@
 use crate::balance::message::FloorRow;
 use crate::balance::{Candidate, Choice, Wanted};
 use crate::catalogue::TargetView;
-use crate::catalogue::entry::Route;
+use crate::catalogue::entry::{Pool, Route, Service};
 use crate::node::Node;
 use crate::prelude::*;
 use crate::queue::Waiting;
@@ -151,10 +151,12 @@
                 && self.starts.allows(now, view.id, &allowance, self.cx.me)
         };
         let candidates = self.catalogue.targets_of(pool).filter(open);
+        let quiet = self.quiet_targets(pool);
         let candidates = candidates.map(|view| Candidate {
             target: view.id,
             slots: view.entry.slots,
             distance: self.distance(&view),
+            is_quiet: quiet.contains(&view.id),
         });
         let candidates: Vec<Candidate> = candidates.collect();
         let preferred = candidates
@@ -179,6 +181,24 @@
         }
     }
 
+    /// Returns the targets of a pool that are kept for light requests: the first in an order that all routers
+    /// share, so that a target that comes or goes changes only one of them.
+    fn quiet_targets(&self, pool: PoolId) -> Vec<TargetId> {
+        let is_model = |pool: &Pool| pool.service == Service::Model;
+        if !self.catalogue.pool(pool).is_some_and(is_model) {
+            return Vec::new();
+        }
+        let mut targets: Vec<TargetId> = self
+            .catalogue
+            .targets_of(pool)
+            .map(|view| view.id)
+            .collect();
+        let count = targets.len() * self.balance.cfg().quiet as usize / 100;
+        targets.sort_unstable();
+        targets.truncate(count);
+        targets
+    }
+
     /// Returns how much the fleet may send to a cold target of a pool.
     fn allowance(&self, pool: PoolId) -> Allowance {
         let per_second = self
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -71,6 +71,8 @@
     pub attempts_max: Option<u32>,
     /// Within which time the first of the answer is on time.
     pub objective: Option<Duration>,
+    /// Tokens that are likely to be generated, as the caller guesses, or the most that it allows.
+    pub output_tokens: u32,
     /// The size of its body, in bytes.
     pub body_bytes: u32,
 }
