Take turns by the service of the last four seconds where routers choose for themselves

The virtual time of an organisation is cut down to the pool's each time it begins to wait, so that use of an idle pool does not shut it out of a busy one. Where requests hardly wait, those that are spread over many routers begin anew all the time and are forgiven everything; one behind a single router is not. Change: under the local policy organisations are ordered by what the fleet gave them in the last four seconds (Recent), the platform's own window; the lowest is told to peers as before; an idle target waits a report's time for whose turn it is; eight of each organisation wait and are looked at; quiet engines 20 in 100.

--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -323,6 +323,7 @@
         report_every: s.millis("report_every_ms", 10..=60_000, millis(default.report_every))?,
         stale_after: s.millis("stale_after_ms", 100..=60_000, millis(default.stale_after))?,
         lead: Cost(s.int("lead", 0..=u64::MAX, default.lead.0)?),
+        fair_over: s.millis("fair_over_ms", 500..=600_000, millis(default.fair_over))?,
         quiet: s.int("quiet_percent", 0..=100, default.quiet.into())?,
         floor_for: s.millis("floor_for_ms", 10..=60_000, millis(default.floor_for))?,
     };
--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -33,10 +33,13 @@
     /// How far above the lowest virtual time that waits at a peer an organisation is still served. Default: 60000
     /// generated tokens, a quarter of a second of what the users' fleets do for one organisation.
     pub lead: Cost,
+    /// The time over which the service of organisations is compared. Default: 4 s, the window in which the users'
+    /// platform reckons what an organisation is owed.
+    pub fair_over: Duration,
     /// For how long the lowest virtual time of a peer counts. Default: 300 ms, three reports.
     pub floor_for: Duration,
     /// The part of a model's targets that is kept for requests that generate much and read little, in hundredths.
-    /// Default: 25.
+    /// Default: 20.
     pub quiet: u32,
     /// The time between two reports to peers, if anything changed. Default: 100 ms, in which a router of the
     /// users' fleets sends a few requests.
@@ -58,8 +61,9 @@
             keep: Duration::from_secs(30),
             patience: 60,
             lead: Cost::tokens(60_000),
+            fair_over: Duration::from_secs(4),
             floor_for: Duration::from_millis(300),
-            quiet: 25,
+            quiet: 20,
             report_every: Duration::from_millis(100),
             stale_after: Duration::from_secs(2),
         }
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -12,20 +12,20 @@
 use crate::version::Arm;
 
 /// How many requests of an organisation may always wait at a router.
-const QUEUE_MIN: usize = 4;
+const QUEUE_MIN: usize = 8;
 /// How many requests are dispatched in one event at most; the rest is left to the next event.
 const DISPATCHES: usize = 64;
 /// How many requests of one organisation are looked at for one that fits.
-const LOOK_AHEAD: usize = 4;
+const LOOK_AHEAD: usize = 8;
 /// How many requests are looked at in all before waiting for the next event.
-const LOOK_AHEAD_ALL: usize = 24;
+const LOOK_AHEAD_ALL: usize = 48;
 /// The shortest time that a request may wait, however short its objective is.
 const PATIENCE_MIN: Duration = Duration::from_millis(30);
 
 impl Node {
     /// Dispatches what waits for a pool as long as a target has room.
     ///
-    /// Organisations are looked at by their virtual time, the lowest first. A request whose prompt is held by a
+    /// Organisations are looked at by the service that they had lately, the least first. A request whose prompt is held by a
     /// target without room may be passed over for a while by one that fits elsewhere, so that the prompt need
     /// not be read again; see [`balance`](crate::balance). One that has waited for that long lets nothing
     /// pass any more.
@@ -46,8 +46,6 @@
 
     /// Returns the next request that has a target.
     fn next_local(&mut self, pool: PoolId) -> Option<(OrganisationId, Class, Waiting, Choice)> {
-        // This also follows the floor of the pool.
-        self.turns(pool)?;
         let now = self.cx.now;
         let mut looked_at = 0;
         let highest = self.balance.turn_limit(now, pool);
@@ -62,7 +60,10 @@
                 }
                 let patient = self.is_patient(&waiting);
                 let choice = self.choose_locally(pool, waiting.request, patient);
-                if let Some(choice) = choice.filter(|choice| is_due || choice.is_idle) {
+                // Whoever comes first has had a report's time to take it.
+                let has_waited = now.since(waiting.since) >= self.balance.cfg().report_every;
+                let may_go = |choice: &Choice| is_due || (choice.is_idle && has_waited);
+                if let Some(choice) = choice.filter(may_go) {
                     return Some((organisation, class, waiting, choice));
                 }
                 looked_at += 1;
@@ -74,6 +75,12 @@
         None
     }
 
+    /// Returns the service that an organisation received lately, relative to its weight.
+    pub(super) fn recent_time(&self, organisation: OrganisationId, weight: u32) -> u64 {
+        let total = self.ledger.total(organisation);
+        self.recent.of(organisation, total).0 / u64::from(weight.max(1))
+    }
+
     /// Says whether a request still waits for a target that holds its prompt.
     fn is_patient(&self, waiting: &Waiting) -> bool {
         let time = waiting.deadline.since(waiting.since);
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -132,9 +132,15 @@
                 let entry = self.catalogue.organisation(organisation);
                 let (weight, most) = entry.map_or((1, 1), |e| (e.weight, e.limits.running));
                 let running = self.running.of(organisation);
-                let time = self.ledger.virtual_time(organisation, weight);
+                let time = match self.slots.cfg.policy {
+                    Policy::Local => self.recent_time(organisation, weight),
+                    _ => {
+                        let time = self.ledger.virtual_time(organisation, weight);
+                        (time + lane.raise).saturating_sub(lane.discount)
+                    }
+                };
                 (running < most).then(|| Candidate {
-                    time: (time + lane.raise).saturating_sub(lane.discount),
+                    time,
                     organisation,
                     weight,
                     waiting: lane.len().min((most - running) as usize),
--- a/crates/core/src/node/share.rs
+++ b/crates/core/src/node/share.rs
@@ -99,6 +99,7 @@
     /// Tells accountants what changed, and reporters what others counted.
     pub(super) fn report_service(&mut self) {
         self.charge_elapsed();
+        self.recent.sample(self.cx.now, self.ledger.totals());
         self.enter_provisional();
         for pool in self.queues.pools() {
             for (organisation, _) in self.queues.backlogged(pool) {
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -23,7 +23,7 @@
 use crate::quarantine::Quarantine;
 use crate::queue::{Queues, Running};
 use crate::route::{Prefixes, Splits};
-use crate::share::Ledger;
+use crate::share::{Ledger, Recent};
 use crate::slots::Slots;
 use crate::starts::Starts;
 use crate::target::Targets;
@@ -60,6 +60,7 @@
     pub(super) members: Members,
     pub(super) leases: Leases,
     pub(super) ledger: Ledger,
+    pub(super) recent: Recent,
     pub(super) queues: Queues,
     pub(super) slots: Slots,
     pub(super) targets: Targets,
@@ -107,6 +108,7 @@
             ),
             leases: Leases::new(cfg.lease.clone()),
             ledger: Ledger::new(cfg.me, cfg.incarnation, cfg.share.clone()),
+            recent: Recent::new(cfg.balance.fair_over),
             queues: Queues::new(cfg.queue.clone()),
             slots: Slots::new(
                 cfg.incarnation,
--- a/crates/core/src/share/mod.rs
+++ b/crates/core/src/share/mod.rs
@@ -59,11 +59,13 @@
 
 mod bill;
 pub mod message;
+mod recent;
 mod shard;
 mod state;
 #[cfg(test)]
 mod tests;
 
 pub use self::bill::Bill;
+pub use self::recent::Recent;
 pub use self::shard::{Accountants, SHARDS, shard_of};
 pub use self::state::{Config, Ledger};
--- a/crates/core/src/share/state.rs
+++ b/crates/core/src/share/state.rs
@@ -114,6 +114,12 @@
         account.changed = self.period;
     }
 
+    /// Returns the service of every organisation in the fleet, as far as this router knows.
+    pub fn totals(&self) -> BTreeMap<OrganisationId, Cost> {
+        let total = |(&id, account): (&OrganisationId, &Account)| (id, Cost(account.total()));
+        self.accounts.iter().map(total).collect()
+    }
+
     /// Takes back what was charged too much. It goes towards the organisation's next charge.
     pub fn refund(&mut self, organisation: OrganisationId, cost: Cost) {
         self.accounts.entry(organisation).or_default().credit += cost;
