Look targets and their loads up once for all requests that wait

Change: one list of open targets with loads for each event; events that only bring tokens let nobody look.

--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -30,5 +30,5 @@
 
 pub use self::config::Config;
 pub use self::holdings::Holdings;
-pub use self::score::{Candidate, Choice, Wanted};
+pub use self::score::{Candidate, Choice, Place, Wanted};
 pub use self::state::{Balance, Load};
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -3,7 +3,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::balance::holdings::{Chain, shared};
-use crate::balance::state::Balance;
+use crate::balance::state::{Balance, Load};
 use crate::prelude::*;
 use crate::route::Distance;
 
@@ -26,6 +26,15 @@
     pub is_quiet: bool,
 }
 
+/// A target that may take a request, with what the fleet has there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// The target.
+    pub candidate: Candidate,
+    /// What the fleet has there.
+    pub load: Load,
+}
+
 /// What a request wants of a target.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -73,18 +82,17 @@
 
 impl Balance {
     /// Returns the best target with room for a request.
-    pub fn choose(
+    pub fn choose<'a>(
         &self,
         now: Time,
         wanted: Wanted<'_>,
-        candidates: impl Iterator<Item = Candidate>,
+        places: impl Iterator<Item = &'a Place> + Clone,
     ) -> Option<Choice> {
-        let candidates: Vec<Candidate> = candidates.collect();
         let parts: Vec<(Chain, u32)> = shared(wanted.parts).collect();
         let presumed = parts
             .last()
-            .and_then(|&(chain, _)| preferred(chain, &candidates));
-        let choices = candidates.iter().filter_map(|candidate| {
+            .and_then(|&(chain, _)| preferred(chain, places.clone()));
+        let choices = places.filter_map(|&Place { candidate, load }| {
             let known = self.unread(now, wanted.prompt_tokens, &parts, candidate.target);
             let is_presumed = presumed == Some(candidate.target);
             let unread = if is_presumed {
@@ -92,7 +100,6 @@
             } else {
                 known
             };
-            let load = self.load(now, candidate.target);
             let reread = unread.saturating_sub(own_tokens(wanted.prompt_tokens, &parts));
             let waits = wanted.patient && reread > self.cfg.reread_min;
             let slots = match (candidate.is_quiet && !wanted.is_light(), waits) {
@@ -103,7 +110,7 @@
             let has_room = self.has_room(load, slots, unread)
                 && (load.unread == 0 || slots == candidate.slots);
             has_room.then(|| {
-                let score = self.score(wanted, *candidate, load, unread);
+                let score = self.score(wanted, candidate, load, unread);
                 let is_idle = load.unread == 0;
                 let tie = tie(candidate.target, wanted);
                 (score, tie, candidate.target, known, is_idle)
@@ -127,19 +134,13 @@
         prompt.saturating_sub(held)
     }
 
-    fn has_room(&self, load: crate::balance::Load, slots: u32, unread: u32) -> bool {
+    fn has_room(&self, load: Load, slots: u32, unread: u32) -> bool {
         let ahead = load.unread + u64::from(unread);
         let reads_soon = load.unread == 0 || ahead <= self.cfg.ahead_tokens();
         load.requests < slots && reads_soon
     }
 
-    fn score(
-        &self,
-        wanted: Wanted<'_>,
-        candidate: Candidate,
-        load: crate::balance::Load,
-        unread: u32,
-    ) -> u64 {
+    fn score(&self, wanted: Wanted<'_>, candidate: Candidate, load: Load, unread: u32) -> u64 {
         let cfg = &self.cfg;
         let way = match candidate.distance {
             Distance::Near => 0,
@@ -168,11 +169,10 @@
 }
 
 /// Returns the target that every router takes for the holder of a part.
-fn preferred(chain: Chain, candidates: &[Candidate]) -> Option<TargetId> {
+fn preferred<'a>(chain: Chain, places: impl Iterator<Item = &'a Place>) -> Option<TargetId> {
     let score = |target: TargetId| xxh3_64_with_seed(&target.0.to_le_bytes(), chain.key());
-    candidates
-        .iter()
-        .map(|candidate| candidate.target)
+    places
+        .map(|place| place.candidate.target)
         .max_by_key(|&target| (score(target), target))
 }
 
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -2,7 +2,7 @@
 
 use crate::address;
 use crate::balance::message::FloorRow;
-use crate::balance::{Candidate, Choice, Wanted};
+use crate::balance::{Candidate, Choice, Place, Wanted};
 use crate::catalogue::TargetView;
 use crate::catalogue::entry::{Pool, Route, Service};
 use crate::node::Node;
@@ -22,6 +22,15 @@
 /// The shortest time that a request may wait, however short its objective is.
 const PATIENCE_MIN: Duration = Duration::from_millis(30);
 
+/// A request that has a target.
+#[derive(Debug)]
+struct Next {
+    organisation: OrganisationId,
+    class: Class,
+    waiting: Waiting,
+    choice: Choice,
+}
+
 impl Node {
     /// Dispatches what waits for a pool as long as a target has room.
     ///
@@ -30,22 +39,34 @@
     /// not be read again; see [`balance`](crate::balance). One that has waited for that long lets nothing
     /// pass any more.
     pub(super) fn pump_locally(&mut self, pool: PoolId) {
+        let mut arm = self.moves.next_arm(pool);
+        let mut field = self.field(pool, arm);
         for _ in 0..DISPATCHES {
-            let Some((organisation, class, waiting, choice)) = self.next_local(pool) else {
+            let due = self.moves.next_arm(pool);
+            if due != arm {
+                arm = due;
+                field = self.field(pool, arm);
+            }
+            let next = self
+                .next_local(pool, &field)
+                .or_else(|| self.next_of_other_arm(pool, arm));
+            let Some(next) = next else {
                 return;
             };
+            let request = next.waiting.request;
             self.queues
-                .take(self.cx.now, pool, organisation, waiting.request);
-            if self.holds_suspect(waiting.request) {
+                .take(self.cx.now, pool, next.organisation, request);
+            if self.holds_suspect(request) {
                 continue;
             }
-            self.dispatch(pool, class, waiting, choice.target);
-            self.note_unread(waiting.request, choice);
+            self.dispatch(pool, next.class, next.waiting, next.choice.target);
+            self.note_unread(request, next.choice);
+            self.renew_in_field(pool, &mut field, next.choice.target);
         }
     }
 
     /// Returns the next request that has a target.
-    fn next_local(&mut self, pool: PoolId) -> Option<(OrganisationId, Class, Waiting, Choice)> {
+    fn next_local(&self, pool: PoolId, field: &[Place]) -> Option<Next> {
         let now = self.cx.now;
         let mut looked_at = 0;
         let highest = self.balance.turn_limit(now, pool);
@@ -59,12 +80,17 @@
                     continue;
                 }
                 let patient = self.is_patient(&waiting);
-                let choice = self.choose_locally(pool, waiting.request, patient);
+                let choice = self.choose_locally(field, waiting.request, patient);
                 // Whoever comes first has had a report's time to take it.
                 let has_waited = now.since(waiting.since) >= self.balance.cfg().report_every;
                 let may_go = |choice: &Choice| is_due || (choice.is_idle && has_waited);
                 if let Some(choice) = choice.filter(may_go) {
-                    return Some((organisation, class, waiting, choice));
+                    return Some(Next {
+                        organisation,
+                        class,
+                        waiting,
+                        choice,
+                    });
                 }
                 looked_at += 1;
                 if !patient || looked_at >= LOOK_AHEAD_ALL {
@@ -75,6 +101,12 @@
         None
     }
 
+    /// Returns the next request for the version whose turn it is not, if that may stand in.
+    fn next_of_other_arm(&mut self, pool: PoolId, arm: Arm) -> Option<Next> {
+        let other = self.moves.other_arm(self.cx.now, pool, arm)?;
+        self.next_local(pool, &self.field(pool, other))
+    }
+
     /// Returns the service that an organisation received lately, relative to its weight.
     pub(super) fn recent_time(&self, organisation: OrganisationId, weight: u32) -> u64 {
         let total = self.ledger.total(organisation);
@@ -126,57 +158,56 @@
         }
     }
 
-    fn choose_locally(
-        &mut self,
-        pool: PoolId,
-        request: RequestId,
-        patient: bool,
-    ) -> Option<Choice> {
-        let first = self.moves.next_arm(pool);
-        if let Some(choice) = self.choose_of_arm((pool, first), request, patient) {
-            return Some(choice);
-        }
-        let other = self.moves.other_arm(self.cx.now, pool, first)?;
-        self.choose_of_arm((pool, other), request, patient)
-    }
-
-    fn choose_of_arm(
-        &self,
-        (pool, arm): (PoolId, Arm),
-        request: RequestId,
-        patient: bool,
-    ) -> Option<Choice> {
-        let now = self.cx.now;
+    fn choose_locally(&self, field: &[Place], request: RequestId, patient: bool) -> Option<Choice> {
         let active = self.requests.get(&request)?;
         let wish = active.life.wish();
         let wanted = Wanted::of(&active.req, patient);
+        let now = self.cx.now;
+        let is_preferred = |place: &&Place| wish.prefer == Some(place.candidate.target);
+        let is_open = |place: &&Place| !wish.avoid.contains(&place.candidate.target);
+        let preferred = field.iter().filter(is_preferred);
+        self.balance.choose(now, wanted, preferred).or_else(|| {
+            self.balance
+                .choose(now, wanted, field.iter().filter(is_open))
+        })
+    }
+
+    /// Returns the targets of a pool that may be given work now, with their load. It is looked up once for all
+    /// requests that wait.
+    fn field(&self, pool: PoolId, arm: Arm) -> Vec<Place> {
+        let now = self.cx.now;
         let allowance = self.allowance(pool);
+        let quiet = self.quiet_targets(pool);
         let open = |view: &TargetView<'_>| {
             self.moves.takes(pool, arm, &view.entry.version)
                 && self.targets.usable(now, view)
                 && !self.quarantine.keeps_off(now, view.id)
                 && self.starts.allows(now, view.id, &allowance, self.cx.me)
         };
-        let candidates = self.catalogue.targets_of(pool).filter(open);
-        let quiet = self.quiet_targets(pool);
-        let candidates = candidates.map(|view| Candidate {
-            target: view.id,
-            slots: view.entry.slots,
-            distance: self.distance(&view),
-            is_quiet: quiet.contains(&view.id),
+        let places = self.catalogue.targets_of(pool).filter(open);
+        let places = places.map(|view| Place {
+            candidate: Candidate {
+                target: view.id,
+                slots: view.entry.slots,
+                distance: self.distance(&view),
+                is_quiet: quiet.contains(&view.id),
+            },
+            load: self.balance.load(now, view.id),
         });
-        let candidates: Vec<Candidate> = candidates.collect();
-        let preferred = candidates
-            .iter()
-            .copied()
-            .filter(|candidate| wish.prefer == Some(candidate.target));
-        let rest = candidates
-            .iter()
-            .copied()
-            .filter(|candidate| !wish.avoid.contains(&candidate.target));
-        self.balance
-            .choose(now, wanted, preferred)
-            .or_else(|| self.balance.choose(now, wanted, rest))
+        places.collect()
+    }
+
+    /// Takes over the load of a target that was just given a request, or drops it if it may not be given another.
+    fn renew_in_field(&self, pool: PoolId, field: &mut Vec<Place>, target: TargetId) {
+        let now = self.cx.now;
+        let allowance = self.allowance(pool);
+        let is_open = self.starts.allows(now, target, &allowance, self.cx.me);
+        field.retain(|place| is_open || place.candidate.target != target);
+        for place in field {
+            if place.candidate.target == target {
+                place.load = self.balance.load(now, target);
+            }
+        }
     }
 
     /// Takes this router's part of the retries that the fleet may make beyond what requests earn.
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -8,7 +8,7 @@
 use crate::attempt::Budgets;
 use crate::balance::Balance;
 use crate::catalogue::Catalogue;
-use crate::input::Input;
+use crate::input::{AttemptEvent, Input};
 use crate::lease::Leases;
 use crate::membership::Members;
 use crate::node::Config;
@@ -24,7 +24,7 @@
 use crate::queue::{Queues, Running};
 use crate::route::{Prefixes, Splits};
 use crate::share::{Ledger, Recent};
-use crate::slots::Slots;
+use crate::slots::{Policy, Slots};
 use crate::starts::Starts;
 use crate::target::Targets;
 use crate::version::Moves;
@@ -147,6 +147,8 @@
     /// be carried out in order.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.cx.now = self.cx.now.max(now);
+        // Tokens on their way free nothing that a request could wait for.
+        let frees_nothing = matches!(input, Input::Attempt(_, AttemptEvent::Progress { .. }));
         match input {
             Input::Request(req) => self.on_request(req),
             Input::Cancelled(request) => self.on_left(request, Reason::CallerLeft),
@@ -172,7 +174,9 @@
             Input::Stop { deadline } => self.on_stop(deadline),
         }
         self.on_time();
-        self.pump();
+        if !(frees_nothing && self.slots.cfg.policy == Policy::Local) {
+            self.pump();
+        }
         self.flush();
         out.append(&mut self.cx.out);
     }
