Keep work from targets gone dark, hold lapsed entries for a while, and shorten the lead

Change: a target on which all of two or more streams stand still for 1.2 s counts as unanswered; removals that are read within 3 s of a failed read are held for 1.9 s; the lead is 30000 tokens.

--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -30,8 +30,8 @@
     /// The part of the objective that a request may wait in the router before it is refused, in hundredths.
     /// Default: 60, so that the rest suffices for the answer to start.
     pub patience: u32,
-    /// How far above the lowest virtual time that waits at a peer an organisation is still served. Default: 60000
-    /// generated tokens, a quarter of a second of what the users' fleets do for one organisation.
+    /// How far above the lowest virtual time that waits at a peer an organisation is still served. Default: 30000
+    /// generated tokens, an eighth of a second of what the users' fleets do for one organisation.
     pub lead: Cost,
     /// The time over which the service of organisations is compared. Default: 4 s, the window in which the users'
     /// platform reckons what an organisation is owed.
@@ -60,7 +60,7 @@
             far_byte_centitokens: 10,
             keep: Duration::from_secs(30),
             patience: 60,
-            lead: Cost::tokens(60_000),
+            lead: Cost::tokens(30_000),
             fair_over: Duration::from_secs(4),
             floor_for: Duration::from_millis(300),
             quiet: 20,
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -1,5 +1,7 @@
 //! What happens to a request at a target.
 
+use std::collections::BTreeMap;
+
 use crate::attempt::{Ending, Limits, Next};
 use crate::catalogue::TargetView;
 use crate::input::{AttemptEvent, Failure, FailureKind};
@@ -14,6 +16,11 @@
 use crate::target::Sign;
 use crate::version::evidence::Route;
 
+/// The time without a token on any stream after which a target counts as gone dark: three times the longest pause
+/// that the users' sheets allow between events.
+const STALLED: Duration = Duration::from_millis(1_200);
+/// How many streams have to stand still.
+const STALLED_STREAMS: u32 = 2;
 /// For how long a request that is sent again may wait for a target, if its first wait is over.
 const RETRY_WAIT: Duration = Duration::from_millis(100);
 
@@ -114,6 +121,28 @@
         }
     }
 
+    /// Keeps work away from targets on which all streams stand still. A target that has gone dark answers nothing, and
+    /// requests on their way to it would be missed only when their callers leave.
+    pub(super) fn note_stalled(&mut self) {
+        if self.slots.cfg.policy != Policy::Local {
+            return;
+        }
+        let now = self.cx.now;
+        let mut flowing: BTreeMap<TargetId, u32> = BTreeMap::new();
+        for attempt in self.attempts.values() {
+            if matches!(attempt.flow, Flow::Started(_) | Flow::Flowing(_)) {
+                *flowing.entry(attempt.target).or_default() += 1;
+            }
+        }
+        self.heard.retain(|target, _| flowing.contains_key(target));
+        for (target, streams) in flowing {
+            let heard = *self.heard.entry(target).or_insert(now);
+            if streams >= STALLED_STREAMS && now.since(heard) >= STALLED {
+                self.targets.on_sign(&mut self.cx, target, Sign::Unanswered);
+            }
+        }
+    }
+
     /// Lets the health of the target follow what an attempt shows.
     fn learn(&mut self, attempt: AttemptId, event: AttemptEvent) {
         let now = self.cx.now;
@@ -122,6 +151,7 @@
             return;
         };
         let target = attempt.target;
+        self.heard.insert(target, now);
         let unstarted = matches!(attempt.flow, Flow::Pending | Flow::Late);
         if unstarted && starts(event) {
             attempt.flow = Flow::Started(now);
--- a/crates/core/src/node/log.rs
+++ b/crates/core/src/node/log.rs
@@ -28,6 +28,8 @@
     pub(super) current: Option<Time>,
     /// Whether the last read failed.
     pub(super) down: bool,
+    /// When a read failed last.
+    pub(super) failed: Option<Time>,
     /// When entries were last on the log.
     pub(super) retention: Retention,
     /// When the next read is due; `None` while one is under way.
@@ -46,6 +48,7 @@
             first: Offset(0),
             current: None,
             down: false,
+            failed: None,
             retention: Retention::new(),
             next: Some(now),
             sent: now,
@@ -169,6 +172,7 @@
     }
 
     pub(super) fn on_read_failed(&mut self) {
+        self.reader.failed = Some(self.cx.now);
         if !self.reader.down {
             self.reader.down = true;
             self.cx.notice(NoticeKind::Log, "the log cannot be read");
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -8,7 +8,7 @@
 use crate::attempt::Budgets;
 use crate::balance::Balance;
 use crate::catalogue::Catalogue;
-use crate::input::{AttemptEvent, Input};
+use crate::input::{AttemptEvent, Input, StoreChange};
 use crate::lease::Leases;
 use crate::membership::Members;
 use crate::node::Config;
@@ -73,6 +73,10 @@
     pub(super) balance: Balance,
     pub(super) starts: Starts,
     pub(super) splits: Splits,
+    /// Targets that lapsed while the store was away, until when they are still used, and what removes them.
+    pub(super) lapsed: BTreeMap<String, (Time, StoreChange)>,
+    /// When something was last heard of each target on any connection.
+    pub(super) heard: BTreeMap<TargetId, Time>,
     pub(super) once: Once,
     pub(super) quarantine: Quarantine,
     pub(super) next_attempt: u64,
@@ -125,6 +129,8 @@
             balance: Balance::new(cfg.balance.clone()),
             starts: Starts::default(),
             splits: Splits::default(),
+            lapsed: BTreeMap::new(),
+            heard: BTreeMap::new(),
             once,
             quarantine: Quarantine::new(cfg.me, cfg.quarantine.clone()),
             next_attempt: 0,
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -2,11 +2,18 @@
 
 use std::collections::BTreeSet;
 
-use crate::catalogue::entry::{DataCentreState, Entry};
+use crate::catalogue::Scope;
+use crate::catalogue::entry::{DataCentreState, Entry, Kind};
 use crate::input::{StoreChange, StoreEvent, TargetState};
 use crate::node::Node;
 use crate::prelude::*;
 
+/// How long after a failed read the store counts as having been away.
+const AWAY: Duration = Duration::from_secs(3);
+/// For how long a target that lapsed meanwhile is still used: the platform promises that the entries of targets that
+/// live are back within about two seconds.
+const LAPSE: Duration = Duration::from_millis(1_900);
+
 impl Node {
     pub(super) fn on_store(&mut self, event: StoreEvent) {
         match event {
@@ -24,6 +31,9 @@
     fn on_changes(&mut self, changes: Vec<StoreChange>) {
         let out = self.data_centres_out();
         for change in changes {
+            let Some(change) = self.hold_back_lapse(change) else {
+                continue;
+            };
             let what = format!("{:?}", change.scope);
             let count = change.entries.len();
             if self
@@ -41,6 +51,43 @@
             .forget(now, |target| catalogue.target(target).is_some());
     }
 
+    /// Holds the removal of a target back for a while if the store was away just now: the entries of targets lapse
+    /// meanwhile, and those that live write theirs again soon.
+    fn hold_back_lapse(&mut self, change: StoreChange) -> Option<StoreChange> {
+        let Scope::One(Kind::Target, name) = &change.scope else {
+            return Some(change);
+        };
+        let name = name.clone();
+        let away = self.reader.failed;
+        let was_away = away.is_some_and(|at| self.cx.now.since(at) < AWAY);
+        if change.entries.is_empty() && was_away {
+            self.lapsed.insert(name, (self.cx.now + LAPSE, change));
+            return None;
+        }
+        self.lapsed.remove(&name);
+        Some(change)
+    }
+
+    /// Removes the targets that have not come back after a lapse.
+    pub(super) fn remove_lapsed(&mut self) {
+        let now = self.cx.now;
+        let is_due = |name: &String| self.lapsed.get(name).is_some_and(|(due, _)| *due <= now);
+        let due: Vec<String> = self
+            .lapsed
+            .keys()
+            .filter(|name| is_due(name))
+            .cloned()
+            .collect();
+        for name in due {
+            if let Some((_, change)) = self.lapsed.remove(&name) {
+                self.catalogue
+                    .replace(change.revision, &change.scope, change.entries);
+                let subject = format!("{name} has not come back after the store was away");
+                self.cx.notice(NoticeKind::Target, subject);
+            }
+        }
+    }
+
     fn on_current(&mut self, known: Offset, asked: Time) {
         self.on_read_answered();
         self.reader.known = self.reader.known.max(known);
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -23,6 +23,8 @@
             self.catch_up_if_behind();
             self.refresh_if_due();
             self.note_late_starts();
+            self.note_stalled();
+            self.remove_lapsed();
             self.try_suspects();
             self.finish_stop();
             if self.members.has_news() {
