--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -25,7 +25,8 @@
     /// What a byte of a request's body counts, in hundredths of a prompt token, if the target is in another data
     /// centre. Default: 10.
     pub far_byte_centitokens: u32,
-    /// For how long a part of a prompt is presumed to stay in a target's memory. Default: 30 s.
+    /// For how long a part of a prompt is presumed to stay in a target's memory. Default: 8 s, in which the memory of a
+    /// busy target of the users' fleets turns over.
     pub keep: Duration,
     /// The part of the objective that a request may wait in the router before it is refused, in hundredths.
     /// Default: 60, so that the rest suffices for the answer to start.
@@ -58,7 +59,7 @@
             hold: 90,
             running_tokens: 60,
             far_byte_centitokens: 10,
-            keep: Duration::from_secs(30),
+            keep: Duration::from_secs(8),
             patience: 60,
             lead: Cost::tokens(30_000),
             fair_over: Duration::from_secs(4),
