--- a/crates/bulrushtrestled/src/metrics/mod.rs
+++ b/crates/bulrushtrestled/src/metrics/mod.rs
@@ -100,8 +100,18 @@
             core,
             edge,
             peers_refused,
-            timer_lag: lag_histogram(&registry),
-            first_answer: first_answer_histogram(&registry),
+            timer_lag: histogram(
+                &registry,
+                "bulrushtrestle_control_timer_lag_seconds",
+                "By how much timers of the control thread were late.",
+                &LAG_BOUNDS,
+            ),
+            first_answer: histogram(
+                &registry,
+                "bulrushtrestle_first_answer_seconds",
+                "From the arrival of a request to the first of its answer.",
+                &REQUEST_BOUNDS,
+            ),
             requests_took: took_histograms(&registry),
             memory: gauge(
                 &registry,
@@ -194,19 +204,6 @@
     gauge
 }
 
-fn first_answer_histogram(registry: &Registry) -> Histogram {
-    let opts = HistogramOpts::new(
-        "bulrushtrestle_first_answer_seconds",
-        "From the arrival of a request to the first of its answer.",
-    );
-    let histogram =
-        Histogram::with_opts(opts.buckets(REQUEST_BOUNDS.to_vec())).expect("the name is valid");
-    registry
-        .register(Box::new(histogram.clone()))
-        .expect("names are registered once");
-    histogram
-}
-
 fn took_histograms(registry: &Registry) -> HistogramVec {
     let opts = HistogramOpts::new(
         "bulrushtrestle_request_seconds",
@@ -220,13 +217,9 @@
     histograms
 }
 
-fn lag_histogram(registry: &Registry) -> Histogram {
-    let opts = HistogramOpts::new(
-        "bulrushtrestle_control_timer_lag_seconds",
-        "By how much timers of the control thread were late.",
-    );
-    let histogram =
-        Histogram::with_opts(opts.buckets(LAG_BOUNDS.to_vec())).expect("the name is valid");
+fn histogram(registry: &Registry, name: &str, help: &str, bounds: &[f64]) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    let histogram = Histogram::with_opts(opts).expect("the name is valid");
     registry
         .register(Box::new(histogram.clone()))
         .expect("names are registered once");
--- a/crates/bulrushtrestled/src/traffic/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/drive.rs
@@ -39,12 +39,27 @@
 }
 
 /// Reports a request as cancelled unless its final answer is known.
-struct Guard<'a> {
+pub(super) struct Guard<'a> {
     control: &'a Handle,
     id: RequestId,
     armed: bool,
 }
 
+impl<'a> Guard<'a> {
+    pub(super) const fn new(control: &'a Handle, id: RequestId) -> Self {
+        Self {
+            control,
+            id,
+            armed: true,
+        }
+    }
+
+    /// Notes that the final answer is known.
+    pub(super) const fn disarm(&mut self) {
+        self.armed = false;
+    }
+}
+
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
         if self.armed {
@@ -61,11 +76,7 @@
     reply: Reply,
     _held: (Open, BodyMemory),
 ) {
-    let mut guard = Guard {
-        control: &traffic.control,
-        id: call.id,
-        armed: true,
-    };
+    let mut guard = Guard::new(&traffic.control, call.id);
     let watch = reply.watch();
     let mut driver = Driver {
         chat: ChatAnswer::new(call.stream),
@@ -81,9 +92,9 @@
     };
     // What has been decided is final; only what is still to be written depends on the caller.
     match end {
-        End::Answered => guard.armed = false,
+        End::Answered => guard.disarm(),
         End::Refused(refusal) => {
-            guard.armed = false;
+            guard.disarm();
             drop(guard);
             let is_streaming = driver.chat.is_streaming();
             driver.reply.refuse(&refusal, is_streaming).await;
@@ -206,13 +217,14 @@
 }
 
 /// Waits for a decision that ends an attempt.
-async fn interruption(
+pub(super) async fn interruption(
     decisions: &mut mpsc::UnboundedReceiver<Decision>,
     id: AttemptId,
 ) -> Option<Decision> {
     loop {
         match decisions.recv().await {
             Some(Decision::Abort(other)) if other != id => {}
+            Some(Decision::Taken(_)) => {}
             decision => return decision,
         }
     }
--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -4,15 +4,16 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::input::{AttemptEvent, Failure, FailureKind};
-use bulrushtrestle_core::key::{AttemptId, RequestId};
+use bulrushtrestle_core::key::RequestId;
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::control::{Decision, Handle, Passage};
+use crate::control::{Decision, Passage};
 use crate::traffic::admission::BodyMemory;
 use crate::traffic::attempt;
+use crate::traffic::drive::{Guard, interruption};
 use crate::traffic::hosted::relay::{Ended, Failed, Relay, Sent};
 use crate::traffic::hosted::{Call, Hosted, log_refusal, response};
 use crate::traffic::reply::Reply;
@@ -20,21 +21,6 @@
 /// How long before the operators' timeout a request gets its final answer, so that it is out in time.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(20);
 
-/// Reports a request as cancelled unless its final answer is known.
-struct Guard<'a> {
-    control: &'a Handle,
-    id: RequestId,
-    armed: bool,
-}
-
-impl Drop for Guard<'_> {
-    fn drop(&mut self) {
-        if self.armed {
-            self.control.cancelled(self.id);
-        }
-    }
-}
-
 /// Serves a request: waits for decisions, carries them out, and answers the caller.
 pub(super) async fn drive(
     hosted: Arc<Hosted>,
@@ -44,11 +30,7 @@
     reply: Reply,
     _memory: BodyMemory,
 ) {
-    let mut guard = Guard {
-        control: &hosted.traffic.control,
-        id,
-        armed: true,
-    };
+    let mut guard = Guard::new(&hosted.traffic.control, id);
     let watch = reply.watch();
     let mut driver = Driver {
         hosted: &hosted,
@@ -66,13 +48,13 @@
     };
     driver.log(&end);
     match end {
-        End::Answered => guard.armed = false,
+        End::Answered => guard.disarm(),
         End::Refused(refusal) => {
-            guard.armed = false;
+            guard.disarm();
             driver.refuse(&refusal).await;
         }
         End::TimedOut => {
-            guard.armed = false;
+            guard.disarm();
             hosted.traffic.control.timed_out(id);
             let verdict = match driver.attempts {
                 0 => Refusal::not_run(Reason::DeadlinePassed, None),
@@ -248,17 +230,3 @@
         );
     }
 }
-
-/// Waits for a decision that ends an attempt.
-async fn interruption(
-    decisions: &mut mpsc::UnboundedReceiver<Decision>,
-    id: AttemptId,
-) -> Option<Decision> {
-    loop {
-        match decisions.recv().await {
-            Some(Decision::Abort(other)) if other != id => {}
-            Some(Decision::Taken(_)) => {}
-            decision => return decision,
-        }
-    }
-}
--- a/crates/core/src/version/state.rs
+++ b/crates/core/src/version/state.rs
@@ -1,24 +1,20 @@
 //! The moves of the catalogue, and what is known of them.
 
+mod stand;
 mod turn;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::catalogue::Catalogue;
 use crate::catalogue::entry::Move;
-use crate::output::{MovePhase, MoveStand};
+use crate::output::MovePhase;
 use crate::prelude::*;
 use crate::record::Record;
-use crate::version::evidence::{Evidence, Load, Measure, Pool, Route, Tally};
+use crate::version::evidence::{Evidence, Measure, Pool, Route, Tally};
 use crate::version::message::{Fact, Fault, MoveStep, Seen, TakenBack, VersionPart};
 use crate::version::schedule::{ALL, Due, due, share};
 use crate::version::{Config, Policy};
 
-/// The route of a fault that is known only from what operators were told.
-const RECORDED_ROUTE: Route = Route {
-    class: Class::Interactive,
-    load: Load::Low,
-};
 /// The most moves of which something is known before the catalogue names them.
 const FACTS_MAX: usize = 256;
 
@@ -188,59 +184,6 @@
         }
     }
 
-    /// Returns how a move stands if operators have not been told, and notes that they are.
-    pub fn news_for_operators(&mut self, pool: PoolId) -> Option<MoveStand> {
-        let active = self.moves.get(&pool)?;
-        let phase = match self.fact(pool, active.revision) {
-            Some(fact) if fact.taken_back.is_some() => MovePhase::TakenBack,
-            Some(fact) if fact.finished => MovePhase::Finished,
-            _ => MovePhase::Running,
-        };
-        let active = self.moves.get_mut(&pool)?;
-        if active.operators_know.replace(phase) == Some(phase) {
-            return None;
-        }
-        Some(MoveStand {
-            pool: active.name.clone(),
-            version: active.entry.to.clone(),
-            phase,
-        })
-    }
-
-    /// Takes over how a move stood by the word that operators were given before this router started.
-    pub fn on_stand(&mut self, cx: &mut Context, stand: &MoveStand) {
-        let found = self
-            .moves
-            .iter()
-            .find(|(_, active)| active.name == stand.pool && active.entry.to == stand.version);
-        let Some((&pool, active)) = found else {
-            return;
-        };
-        let revision = active.revision;
-        let mut fact = self.fact(pool, revision).cloned().unwrap_or_default();
-        match stand.phase {
-            MovePhase::Running => return,
-            MovePhase::Finished => fact.finished = true,
-            MovePhase::TakenBack => {
-                fact.taken_back = Some(TakenBack {
-                    at: cx.now,
-                    by: cx.me,
-                    fault: Fault::Fails,
-                    route: RECORDED_ROUTE,
-                });
-            }
-        }
-        if let Some(active) = self.moves.get_mut(&pool) {
-            active.operators_know = Some(stand.phase);
-        }
-        let step = MoveStep {
-            pool,
-            revision,
-            fact,
-        };
-        self.merge(cx, &step);
-    }
-
     /// Takes over a step that was read from the log.
     pub fn on_record(&mut self, cx: &mut Context, step: &MoveStep) {
         let known = self.facts.entry((step.pool, step.revision)).or_default();
