Take back versions that are bad under load only in time

Cause: harm under load was diluted. An answer counted at the load that the target's last report showed at the dispatch, up to half a second old, so two thirds of the harmed answers counted as low load; and each load was judged alone, so that none had enough samples. Ruled out: a lower fraction of failures that is held against a version (with 0.5% in place of 2% the pattern still stays below the odds, and single faulty targets would take good versions back). Change: an answer counts at the highest load known while the target had it, own requests included, and evidence is also added up over all loads from one load up.

--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -332,7 +332,7 @@
         if let Some(prefix) = prefix {
             self.prefixes.store(target, prefix);
         }
-        let load = self.targets.load(target);
+        let load = self.load_of(target);
         let route = Route { class, load };
         let mut state = Attempt::new(waiting.request, target, self.cx.now, bill, route);
         state.counted = resume_from;
--- a/crates/core/src/node/version.rs
+++ b/crates/core/src/node/version.rs
@@ -7,7 +7,7 @@
 use crate::node::{CatalogueSource, Node};
 use crate::output::Output;
 use crate::prelude::*;
-use crate::version::evidence::{Measure, Route};
+use crate::version::evidence::{Load, Measure, Route};
 use crate::version::{Arm, Decider};
 
 /// Tokens after which the pace of a stream is compared.
@@ -79,6 +79,12 @@
         Some((pool, view.entry.version.as_str()))
     }
 
+    /// Returns the load of a target, as far as this router knows it.
+    pub(super) fn load_of(&self, target: TargetId) -> Load {
+        let own = self.slots.holder.running(target);
+        self.targets.load(target, own)
+    }
+
     /// Compares what an event shows of an attempt with the other version.
     pub(super) fn compare(&mut self, id: AttemptId, event: AttemptEvent) {
         if self.moves.is_empty() {
@@ -88,7 +94,7 @@
         let Some(attempt) = self.attempts.get(&id) else {
             return;
         };
-        let (target, trial, flow) = (attempt.target, attempt.trial, attempt.flow);
+        let (target, mut trial, flow) = (attempt.target, attempt.trial, attempt.flow);
         let Some((pool, version)) = self.version_of(target) else {
             return;
         };
@@ -96,6 +102,8 @@
             return;
         }
         let version = version.to_owned();
+        // Reports are old at the dispatch; a later one tells more of what the attempt met.
+        trial.route.load = trial.route.load.max(self.load_of(target));
         if let Some((measure, time)) = measured(now, attempt, event) {
             let route = trial.route;
             let slow = self
@@ -103,6 +111,7 @@
                 .is_slow(pool, &version, route, measure, time)
                 .map(|slow| slow || trial.slow);
             if let Some(attempt) = self.attempts.get_mut(&id) {
+                attempt.trial.route = route;
                 attempt.trial.paced |= measure == Measure::Pace;
                 attempt.trial.slow = slow.unwrap_or(trial.slow);
             }
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -125,10 +125,11 @@
         }
     }
 
-    /// Returns the load of a target by its last report, for comparisons at like load.
-    pub fn load(&self, target: TargetId) -> Load {
+    /// Returns the load of a target, for comparisons at like load: by its last report, or by the
+    /// requests of this router alone if there are more of them by now.
+    pub fn load(&self, target: TargetId, own: u32) -> Load {
         self.known.get(&target).map_or(Load::Low, |known| {
-            Load::of(known.health.running(), known.health.slots)
+            Load::of(known.health.running().max(own), known.health.slots)
         })
     }
 
--- a/crates/core/src/version/evidence.rs
+++ b/crates/core/src/version/evidence.rs
@@ -46,7 +46,7 @@
 pub struct Route {
     /// The class of the requests.
     pub class: Class,
-    /// The load of the target at the dispatch.
+    /// The highest load of the target that was known while it had the request.
     pub load: Load,
 }
 
@@ -112,6 +112,9 @@
 }
 
 impl Load {
+    /// All loads, the lowest first.
+    pub const ALL: [Self; 3] = [Self::Low, Self::Middle, Self::High];
+
     /// Returns the load of a target that runs `running` requests in `slots`.
     pub const fn of(running: u32, slots: u32) -> Self {
         match running.saturating_mul(3) {
@@ -161,7 +164,7 @@
     }
 
     fn percentile(&self, route: Route, measure: Measure) -> Option<u64> {
-        let loads = [Load::Low, Load::Middle, Load::High].into_iter();
+        let loads = Load::ALL.into_iter();
         loads.filter(|&load| load >= route.load).find_map(|load| {
             let route = Route { load, ..route };
             self.usual.get(&(route, measure))?.percentile()
@@ -273,20 +276,26 @@
     }
 }
 
-/// Looks at every route, at every class over all loads, and at everything.
+/// Looks at every route, then at each class and at all classes over all loads from one load up: harm
+/// that begins at some load shows at every higher one, and each of them alone has few requests.
 fn fault(tallies: &BTreeMap<Route, Tally>) -> Option<(Route, Fault)> {
-    let sum = |class: Option<Class>| {
+    let sum = |class: Option<Class>, least: Load| {
         let mut sum = Tally::default();
-        let of_class = |route: &Route| class.is_none_or(|class| route.class == class);
-        let members = tallies.iter().filter(|(route, _)| of_class(route));
+        let is_member =
+            |route: &Route| route.load >= least && class.is_none_or(|class| route.class == class);
+        let members = tallies.iter().filter(|(route, _)| is_member(route));
         members.clone().for_each(|(_, tally)| sum.add(*tally));
         let (first, _) = members.into_iter().next()?;
         Some((*first, sum))
     };
-    let wider = Class::ALL.map(Some).into_iter().chain([None]);
+    let wider = Class::ALL
+        .map(Some)
+        .into_iter()
+        .chain([None])
+        .flat_map(|class| Load::ALL.map(|least| (class, least)));
     let routes = tallies.iter().map(|(route, tally)| (*route, *tally));
     routes
-        .chain(wider.filter_map(sum))
+        .chain(wider.filter_map(|(class, least)| sum(class, least)))
         .find_map(|(route, tally)| Some((route, tally.fault()?)))
 }
 
