Presume holders of the request's kind, and tell peers of long parts

Two reasons: the presumed holder of a long prompt was a target kept for light requests in one case of six, which it may not use; and a router that had to send a part elsewhere kept that to itself, while every router counted the part as unread at the holder until it had sent it there itself, so holders looked busier than they were. Ruled out: memory running full (rendezvous copies per part were 8 where 2 fit), parts of less than 1,024 tokens (a tenth of what is read again). The index of holdings is by part. The weight of reading again is the next to look at.

--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -80,6 +80,36 @@
     pub is_idle: bool,
 }
 
+/// What targets hold of a prompt.
+#[derive(Debug)]
+struct Prompt {
+    tokens: u32,
+    /// Tokens that no other request shares.
+    own: u32,
+    /// Targets that hold something, with the tokens that they hold.
+    held: Vec<(TargetId, u32)>,
+    /// The target that is to hold the shared parts, if none is known to.
+    presumed: Option<TargetId>,
+}
+
+impl Prompt {
+    /// Returns the tokens that a target has to read, as far as is known.
+    fn unread_at(&self, target: TargetId) -> u32 {
+        let held = self.held.iter().find(|(other, _)| *other == target);
+        self.tokens
+            .saturating_sub(held.map_or(0, |(_, held)| *held))
+    }
+
+    /// Returns the tokens that count against a target: the shared parts have to be read somewhere once, and
+    /// that is best done where every router looks for them.
+    fn counted_at(&self, target: TargetId) -> u32 {
+        match self.presumed == Some(target) {
+            true => self.own,
+            false => self.unread_at(target),
+        }
+    }
+}
+
 impl Balance {
     /// Returns the best target with room for a request.
     pub fn choose<'a>(
@@ -88,50 +118,69 @@
         wanted: Wanted<'_>,
         places: impl Iterator<Item = &'a Place> + Clone,
     ) -> Option<Choice> {
-        let parts: Vec<(Chain, u32)> = shared(wanted.parts).collect();
-        let presumed = parts
-            .last()
-            .and_then(|&(chain, _)| preferred(chain, places.clone()));
+        let prompt = self.prompt(now, wanted, places.clone());
         let choices = places.filter_map(|&Place { candidate, load }| {
-            let known = self.unread(now, wanted.prompt_tokens, &parts, candidate.target);
-            let is_presumed = presumed == Some(candidate.target);
-            let unread = if is_presumed {
-                known.min(own_tokens(wanted.prompt_tokens, &parts))
-            } else {
-                known
-            };
-            let reread = unread.saturating_sub(own_tokens(wanted.prompt_tokens, &parts));
-            let waits = wanted.patient && reread > self.cfg.reread_min;
+            let counted = prompt.counted_at(candidate.target);
+            let waits = wanted.patient && counted - prompt.own.min(counted) > self.cfg.reread_min;
             let slots = match (candidate.is_quiet && !wanted.is_light(), waits) {
                 (true, _) => candidate.slots / QUIET_PARTS,
                 (false, true) => candidate.slots / 2,
                 (false, false) => candidate.slots,
             };
-            let has_room = self.has_room(load, slots, unread)
-                && (load.unread == 0 || slots == candidate.slots);
+            let is_idle = load.unread == 0;
+            let has_room =
+                self.has_room(load, slots, counted) && (is_idle || slots == candidate.slots);
             has_room.then(|| {
-                let score = self.score(wanted, candidate, load, unread);
-                let is_idle = load.unread == 0;
-                let tie = tie(candidate.target, wanted);
-                (score, tie, candidate.target, known, is_idle)
+                let score = self.score(wanted, candidate, load, counted);
+                (
+                    score,
+                    tie(candidate.target, wanted),
+                    candidate.target,
+                    is_idle,
+                )
             })
         });
-        let (_, _, target, unread, is_idle) = choices.min()?;
+        let (_, _, target, is_idle) = choices.min()?;
         Some(Choice {
             target,
-            unread,
+            unread: prompt.unread_at(target),
             is_idle,
         })
     }
 
-    /// Returns how many tokens of a prompt a target would have to read, by what this router sent it.
-    fn unread(&self, now: Time, prompt: u32, parts: &[(Chain, u32)], target: TargetId) -> u32 {
+    /// Returns what targets hold of a prompt, by what this router and its peers sent them.
+    fn prompt<'a>(
+        &self,
+        now: Time,
+        wanted: Wanted<'_>,
+        places: impl Iterator<Item = &'a Place> + Clone,
+    ) -> Prompt {
         let since = now - self.cfg.keep;
-        let held = parts
+        let mut held: Vec<(TargetId, u32)> = Vec::new();
+        let mut sum = 0;
+        let mut deepest = None;
+        for (chain, tokens) in shared(wanted.parts) {
+            sum += tokens;
+            deepest = Some(chain);
+            for target in self.holdings.holders(since, chain) {
+                // A part is of use only behind all parts before it, so the deepest counts.
+                match held.iter_mut().find(|(other, _)| *other == target) {
+                    Some((_, tokens)) => *tokens = sum,
+                    None => held.push((target, sum)),
+                }
+            }
+        }
+        let is_open = |target| places.clone().any(|place| place.candidate.target == target);
+        let is_held = held
             .iter()
-            .take_while(|(chain, _)| self.holdings.has(since, *chain, target));
-        let held: u32 = held.map(|(_, tokens)| *tokens).sum();
-        prompt.saturating_sub(held)
+            .any(|&(target, tokens)| tokens == sum && is_open(target));
+        let unheld = deepest.filter(|_| !is_held);
+        Prompt {
+            tokens: wanted.prompt_tokens,
+            own: wanted.prompt_tokens.saturating_sub(sum),
+            held,
+            presumed: unheld.and_then(|chain| preferred(chain, wanted.is_light(), places)),
+        }
     }
 
     fn has_room(&self, load: Load, slots: u32, unread: u32) -> bool {
@@ -162,18 +211,20 @@
     }
 }
 
-/// Returns the tokens of a prompt that no other request shares.
-fn own_tokens(prompt: u32, parts: &[(Chain, u32)]) -> u32 {
-    let shared: u32 = parts.iter().map(|(_, tokens)| *tokens).sum();
-    prompt.saturating_sub(shared)
-}
-
-/// Returns the target that every router takes for the holder of a part.
-fn preferred<'a>(chain: Chain, places: impl Iterator<Item = &'a Place>) -> Option<TargetId> {
+/// Returns the target that every router takes for the holder of a part: one of those that are kept for light
+/// requests if the request is light, else one of the others, as long as there are any.
+fn preferred<'a>(
+    chain: Chain,
+    is_light: bool,
+    places: impl Iterator<Item = &'a Place>,
+) -> Option<TargetId> {
     let score = |target: TargetId| xxh3_64_with_seed(&target.0.to_le_bytes(), chain.key());
-    places
-        .map(|place| place.candidate.target)
-        .max_by_key(|&target| (score(target), target))
+    let candidates = places.map(|place| place.candidate);
+    let best = candidates.max_by_key(|candidate| {
+        let suits = candidate.is_quiet == is_light;
+        (suits, score(candidate.target), candidate.target)
+    })?;
+    Some(best.target)
 }
 
 /// Orders targets that suit a request alike, differently for different requests.
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -1,11 +1,18 @@
 //! What is known of the load of targets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use crate::balance::message::{FloorRow, LoadPart, LoadRow};
+use crate::balance::holdings::shared;
+use crate::balance::message::{FloorRow, HeldRow, LoadPart, LoadRow};
 use crate::balance::{Config, Holdings};
 use crate::prelude::*;
 
+/// The most parts of prompts that peers are told of in one report: twice what a router of the users' fleets
+/// sends in that time.
+const HELD_MAX: usize = 8;
+/// The most parts that wait to be told; the oldest are dropped, because they age fastest.
+const UNTOLD_MAX: usize = 64;
+
 /// What routers have at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
@@ -31,6 +38,8 @@
     pub(super) holdings: Holdings,
     own: BTreeMap<TargetId, Load>,
     told: BTreeMap<RouterId, Told>,
+    /// Parts that peers have not been told of, the oldest first.
+    untold: VecDeque<HeldRow>,
     /// What peers were told last, and when.
     reported: (Time, LoadPart),
 }
@@ -43,6 +52,7 @@
             holdings: Holdings::default(),
             own: BTreeMap::new(),
             told: BTreeMap::new(),
+            untold: VecDeque::new(),
             reported: (Time::default(), LoadPart::default()),
         }
     }
@@ -70,7 +80,29 @@
         let load = self.own.entry(target).or_default();
         load.unread += u64::from(unread);
         load.requests += 1;
-        self.holdings.note(now, target, parts);
+        self.note_parts(now, target, parts);
+    }
+
+    /// Notes which parts a target has now. Peers are told of the deepest one, unless somebody sent it there
+    /// not long ago or it is short.
+    fn note_parts(&mut self, now: Time, target: TargetId, parts: &[PromptPart]) {
+        let shared: Vec<_> = shared(parts).collect();
+        let tokens: u32 = shared.iter().map(|(_, tokens)| *tokens).sum();
+        if let Some(&(chain, _)) = shared.last()
+            && tokens > self.cfg.reread_min
+        {
+            let lately = now - self.cfg.keep / 2;
+            let is_known = self.holdings.holders(lately, chain).any(|it| it == target);
+            if !is_known {
+                self.untold.push_back(HeldRow { target, chain });
+            }
+            if self.untold.len() > UNTOLD_MAX {
+                self.untold.pop_front();
+            }
+        }
+        for (chain, _) in shared {
+            self.holdings.note(now, target, chain);
+        }
     }
 
     /// Notes that a target has read what it had to read for a request.
@@ -109,6 +141,9 @@
             floors: floors.collect(),
         };
         self.told.insert(from, told);
+        for row in &part.held {
+            self.holdings.note(now, row.target, row.chain);
+        }
     }
 
     /// Returns the highest virtual time at which an organisation may be served now: a little above the lowest
@@ -129,16 +164,23 @@
             unread: u32::try_from(load.unread).unwrap_or(u32::MAX),
             requests: load.requests,
         });
+        let rows = rows.collect();
+        let held = self.untold.len().min(HELD_MAX);
         let part = LoadPart {
-            rows: rows.collect(),
+            rows,
             floors,
+            held: self.untold.drain(..held).collect(),
         };
-        let is_known = part == self.reported.1;
+        let is_known = part.held.is_empty() && part == self.reported.1;
         let is_fresh = now.since(self.reported.0) < self.cfg.stale_after / 4;
         if is_known && is_fresh {
             return None;
         }
-        self.reported = (now, part.clone());
+        let state = LoadPart {
+            held: Vec::new(),
+            ..part.clone()
+        };
+        self.reported = (now, state);
         Some(part)
     }
 }
--- a/crates/core/src/balance/tests.rs
+++ b/crates/core/src/balance/tests.rs
@@ -79,6 +79,102 @@
     }
 }
 
+#[test]
+fn routers_with_different_views_agree_on_a_holder_of_the_requests_kind() {
+    const QUIET: u32 = 3;
+    let view = |shift: u32| -> Vec<Place> {
+        let place = |id: u32| Place {
+            candidate: Candidate {
+                target: TargetId(id),
+                slots: SLOTS,
+                distance: Distance::Near,
+                is_quiet: id <= QUIET,
+            },
+            load: Load {
+                unread: 10 + u64::from(id * shift % 7) * 100,
+                requests: 20 + id * shift % 5,
+            },
+        };
+        (1..=18).map(place).collect()
+    };
+    let balance = Balance::new(Config::default());
+    for shared in 0..50 {
+        let parts = [part(shared, 4_000), part(1_000 + shared, 100)];
+        let choose = |shift| {
+            let places = view(shift);
+            let choice = balance.choose(NOW, wanted(&parts, true), places.iter());
+            choice.map(|choice| choice.target)
+        };
+        let chosen = choose(3);
+        assert_eq!(chosen, choose(5), "part {shared}");
+        assert!(chosen.is_some_and(|target| target.0 > QUIET), "{chosen:?}");
+    }
+}
+
+#[test]
+fn a_part_that_a_peer_sent_elsewhere_is_not_read_a_third_time() {
+    let (mut one, mut two) = (
+        Balance::new(Config::default()),
+        Balance::new(Config::default()),
+    );
+    let presumed = choose(&two, wanted(&long(10), false), 4).expect("all are idle");
+    let other = (1..=4).map(TargetId).find(|&id| id != presumed);
+    let other = other.expect("there are four");
+    one.on_dispatch(NOW, other, 11_000, &long(11));
+    one.on_read(other, 11_000);
+    let told = one.report(NOW, Vec::new()).expect("there is news");
+    two.on_part(NOW, RouterId(1), &told);
+    let places = places(&two, 4);
+    let choice = two.choose(NOW, wanted(&long(12), false), places.iter());
+    let choice = choice.expect("all have room");
+    assert_eq!((choice.target, choice.unread), (other, 6_000));
+}
+
+#[test]
+fn peers_are_told_of_long_parts_once_in_a_while() {
+    struct Case {
+        name: &'static str,
+        tokens: u32,
+        after: Duration,
+        told: usize,
+    }
+    let half = Config::default().keep / 2;
+    let cases = [
+        Case {
+            name: "short",
+            tokens: 200,
+            after: Duration::ZERO,
+            told: 0,
+        },
+        Case {
+            name: "long",
+            tokens: 4_000,
+            after: Duration::ZERO,
+            told: 1,
+        },
+        Case {
+            name: "long, sent again soon",
+            tokens: 4_000,
+            after: half,
+            told: 1,
+        },
+        Case {
+            name: "long, sent again late",
+            tokens: 4_000,
+            after: half + Duration::from_millis(1),
+            told: 2,
+        },
+    ];
+    for case in cases {
+        let mut balance = Balance::new(Config::default());
+        let parts = [part(1, case.tokens), part(2, 100)];
+        balance.on_dispatch(NOW, TargetId(1), 0, &parts);
+        balance.on_dispatch(NOW + case.after, TargetId(1), 0, &parts);
+        let told = balance.report(NOW, Vec::new()).expect("a target has work");
+        assert_eq!(told.held.len(), case.told, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_patient_request_waits_for_its_holder_while_others_have_something_to_read() {
     let mut balance = Balance::new(Config::default());
@@ -120,6 +216,7 @@
             pool: PoolId(1),
             lowest: 1_000,
         }],
+        held: Vec::new(),
     };
     balance.on_part(NOW, RouterId(2), &told);
     let load = Load {
