Weigh what is read again sixteen times in place of four

Cause: with four, 15,000 unread tokens at the holder of a part outweighed reading 3,000 tokens again, though a wait of 150 ms is well within the objectives and reading again takes time of all that run there.

--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -11,8 +11,8 @@
     /// For how long a target may have unread prompts ahead of a request. Default: 400 ms, the
     /// shortest objective of the users' model requests.
     pub ahead: Duration,
-    /// How often a token that has to be read again counts. Default: 4, because it
-    /// takes memory and time of all that run beside it.
+    /// How often a token that has to be read again counts against one that is read only once. Default: 16, because
+    /// it takes time of all that run beside it, and a request may well wait for less than its objective.
     pub reread_weight: u32,
     /// Tokens that may be read again without waiting for a target that holds them. Default: 1024, half of what
     /// an engine reads in one step.
@@ -54,7 +54,7 @@
         Self {
             read_per_ms: 80,
             ahead: Duration::from_millis(400),
-            reread_weight: 4,
+            reread_weight: 16,
             reread_min: 1_024,
             hold: 90,
             running_tokens: 60,
