--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -8,8 +8,8 @@
     /// Prompt tokens that a model engine reads in a millisecond while it generates too. Default: 80, three
     /// quarters of what the users' sheets state for an idle engine.
     pub read_per_ms: u32,
-    /// For how long a target may have unread prompts ahead of a request. Default: 400 ms, the
-    /// shortest objective of the users' model requests.
+    /// For how long a target may have unread prompts ahead of a request. Default: 500 ms, the middle objective of
+    /// the users' model requests.
     pub ahead: Duration,
     /// How often a token that has to be read again counts against one that is read only once. Default: 16, because
     /// it takes time of all that run beside it, and a request may well wait for less than its objective.
@@ -53,7 +53,7 @@
     fn default() -> Self {
         Self {
             read_per_ms: 80,
-            ahead: Duration::from_millis(400),
+            ahead: Duration::from_millis(500),
             reread_weight: 16,
             reread_min: 1_024,
             hold: 90,
