Report changed loads only, and sum the peers' loads once

Cause: a load report held every target at which a router has work, ten times a second, and each look at a target added up what every peer had told of it: with 140 targets and 15 peers some 2,000 lookups for each event. Change: reports hold the rows that changed, and all rows once a second; the sum over peers is kept; the fleet's allowance for cold targets is worked out for cold targets only; the targets of a pool are looked up once.

--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -5,11 +5,12 @@
 use crate::balance::holdings::Chain;
 use crate::key::{PoolId, TargetId};
 
-/// What one router has at all targets now. It replaces what the router told before, but for the parts of
-/// prompts, which add up.
+/// What one router has at targets now, and which parts of prompts it has sent to them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadPart {
-    /// The targets at which the router has requests.
+    /// Whether the rows are all that there are. If not, they are those that changed since the last part.
+    pub is_full: bool,
+    /// The targets at which the router has requests; also those that it has left, if the part is not full.
     pub rows: Vec<LoadRow>,
     /// The pools for which something waits at the router.
     pub floors: Vec<FloorRow>,
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -22,8 +22,20 @@
     pub requests: u32,
 }
 
-/// What a peer told last.
-#[derive(Debug)]
+impl Load {
+    fn add(&mut self, other: Self) {
+        self.unread += other.unread;
+        self.requests += other.requests;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.unread = self.unread.saturating_sub(other.unread);
+        self.requests = self.requests.saturating_sub(other.requests);
+    }
+}
+
+/// What a peer told.
+#[derive(Debug, Default)]
 struct Told {
     at: Time,
     loads: BTreeMap<TargetId, Load>,
@@ -38,10 +50,23 @@
     pub(super) holdings: Holdings,
     own: BTreeMap<TargetId, Load>,
     told: BTreeMap<RouterId, Told>,
+    /// The sum of what all peers told, so that a look at a target costs the same for any number of peers.
+    peers: BTreeMap<TargetId, Load>,
+    /// When the peer that was heard least lately was heard.
+    oldest: Time,
     /// Parts that peers have not been told of, the oldest first.
     untold: VecDeque<HeldRow>,
-    /// What peers were told last, and when.
-    reported: (Time, LoadPart),
+    reported: Reported,
+}
+
+/// What peers were told last.
+#[derive(Debug, Default)]
+struct Reported {
+    at: Time,
+    /// When they were told everything.
+    full_at: Time,
+    loads: BTreeMap<TargetId, Load>,
+    floors: Vec<FloorRow>,
 }
 
 impl Balance {
@@ -52,8 +77,10 @@
             holdings: Holdings::default(),
             own: BTreeMap::new(),
             told: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            oldest: Time::default(),
             untold: VecDeque::new(),
-            reported: (Time::default(), LoadPart::default()),
+            reported: Reported::default(),
         }
     }
 
@@ -65,12 +92,14 @@
     /// Returns what the fleet has at a target.
     pub fn load(&self, now: Time, target: TargetId) -> Load {
         let mut sum = self.own.get(&target).copied().unwrap_or_default();
-        for told in self.told.values() {
-            let fresh = now.since(told.at) < self.cfg.stale_after;
-            if let Some(load) = told.loads.get(&target).filter(|_| fresh) {
-                sum.unread += load.unread;
-                sum.requests += load.requests;
-            }
+        if now.since(self.oldest) < self.cfg.stale_after {
+            sum.add(self.peers.get(&target).copied().unwrap_or_default());
+            return sum;
+        }
+        // Somebody fell silent since the last report, which removes it.
+        let fresh = |told: &&Told| now.since(told.at) < self.cfg.stale_after;
+        for told in self.told.values().filter(fresh) {
+            sum.add(told.loads.get(&target).copied().unwrap_or_default());
         }
         sum
     }
@@ -129,21 +158,37 @@
 
     /// Takes in what a peer has at targets.
     pub fn on_part(&mut self, now: Time, from: RouterId, part: &LoadPart) {
-        let load = |row: &LoadRow| Load {
-            unread: u64::from(row.unread),
-            requests: row.requests,
-        };
-        let rows = part.rows.iter().map(|row| (row.target, load(row)));
+        let told = self.told.entry(from).or_default();
+        told.at = now;
+        if part.is_full {
+            for (target, load) in core::mem::take(&mut told.loads) {
+                self.peers.entry(target).or_default().subtract(load);
+            }
+        }
+        for row in &part.rows {
+            let load = Load {
+                unread: u64::from(row.unread),
+                requests: row.requests,
+            };
+            let before = match load == Load::default() {
+                true => told.loads.remove(&row.target),
+                false => told.loads.insert(row.target, load),
+            };
+            let sum = self.peers.entry(row.target).or_default();
+            sum.subtract(before.unwrap_or_default());
+            sum.add(load);
+        }
         let floors = part.floors.iter().map(|row| (row.pool, row.lowest));
-        let told = Told {
-            at: now,
-            loads: rows.collect(),
-            floors: floors.collect(),
-        };
-        self.told.insert(from, told);
+        told.floors = floors.collect();
         for row in &part.held {
             self.holdings.note(now, row.target, row.chain);
         }
+        self.note_oldest(now);
+    }
+
+    fn note_oldest(&mut self, now: Time) {
+        let heard = self.told.values().map(|told| told.at);
+        self.oldest = heard.min().unwrap_or(now);
     }
 
     /// Returns the highest virtual time at which an organisation may be served now: a little above the lowest
@@ -157,30 +202,64 @@
 
     /// Returns what is told to peers, if it changed or was told long ago, and forgets peers that fell silent.
     pub fn report(&mut self, now: Time, floors: Vec<FloorRow>) -> Option<LoadPart> {
-        let stale = self.cfg.stale_after;
-        self.told.retain(|_, told| now.since(told.at) < stale);
-        let rows = self.own.iter().map(|(&target, load)| LoadRow {
-            target,
-            unread: u32::try_from(load.unread).unwrap_or(u32::MAX),
-            requests: load.requests,
-        });
-        let rows = rows.collect();
+        self.forget_silent(now);
+        let is_full = now.since(self.reported.full_at) >= self.cfg.stale_after / 2;
+        let rows = self.rows(is_full);
+        let is_known = rows.is_empty() && floors == self.reported.floors && self.untold.is_empty();
+        let is_fresh = now.since(self.reported.at) < self.cfg.stale_after / 4;
+        if is_known && is_fresh && !is_full {
+            return None;
+        }
+        let reported = &mut self.reported;
+        reported.at = now;
+        reported.loads.clone_from(&self.own);
+        reported.floors.clone_from(&floors);
+        if is_full {
+            reported.full_at = now;
+        }
         let held = self.untold.len().min(HELD_MAX);
-        let part = LoadPart {
+        Some(LoadPart {
+            is_full,
             rows,
             floors,
             held: self.untold.drain(..held).collect(),
+        })
+    }
+
+    /// Returns the rows of all targets, or those that differ from what was reported last.
+    fn rows(&self, is_full: bool) -> Vec<LoadRow> {
+        let row = |target, load: Load| LoadRow {
+            target,
+            unread: u32::try_from(load.unread).unwrap_or(u32::MAX),
+            requests: load.requests,
         };
-        let is_known = part.held.is_empty() && part == self.reported.1;
-        let is_fresh = now.since(self.reported.0) < self.cfg.stale_after / 4;
-        if is_known && is_fresh {
-            return None;
-        }
-        let state = LoadPart {
-            held: Vec::new(),
-            ..part.clone()
-        };
-        self.reported = (now, state);
-        Some(part)
+        let reported = &self.reported.loads;
+        let is_new = |target, load| is_full || reported.get(target) != Some(load);
+        let own = self
+            .own
+            .iter()
+            .filter(|(target, load)| is_new(target, load));
+        let own = own.map(|(&target, &load)| row(target, load));
+        let left = reported
+            .keys()
+            .filter(|target| !is_full && !self.own.contains_key(target));
+        own.chain(left.map(|&target| row(target, Load::default())))
+            .collect()
+    }
+
+    fn forget_silent(&mut self, now: Time) {
+        let stale = self.cfg.stale_after;
+        let peers = &mut self.peers;
+        self.told.retain(|_, told| {
+            let stays = now.since(told.at) < stale;
+            if !stays {
+                for (target, load) in &told.loads {
+                    peers.entry(*target).or_default().subtract(*load);
+                }
+            }
+            stays
+        });
+        self.peers.retain(|_, load| *load != Load::default());
+        self.note_oldest(now);
     }
 }
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -185,20 +185,19 @@
     /// requests that wait.
     fn field(&self, pool: PoolId, arm: Arm) -> Vec<Place> {
         let now = self.cx.now;
-        let allowance = self.allowance(pool);
-        let quiet = self.quiet_targets(pool);
-        let open = |view: &TargetView<'_>| {
+        let views: Vec<TargetView<'_>> = self.catalogue.targets_of(pool).collect();
+        let quiet = self.quiet_targets(pool, &views);
+        let open = |view: &&TargetView<'_>| {
             self.moves.takes(pool, arm, &view.entry.version)
                 && self.targets.usable(now, view)
                 && !self.quarantine.keeps_off(now, view.id)
-                && self.starts.allows(now, view.id, &allowance, self.cx.me)
+                && self.may_start(pool, view.id)
         };
-        let places = self.catalogue.targets_of(pool).filter(open);
-        let places = places.map(|view| Place {
+        let places = views.iter().filter(open).map(|view| Place {
             candidate: Candidate {
                 target: view.id,
                 slots: view.entry.slots,
-                distance: self.distance(&view),
+                distance: self.distance(view),
                 is_quiet: quiet.contains(&view.id),
             },
             load: self.balance.load(now, view.id),
@@ -209,8 +208,7 @@
     /// Takes over the load of a target that was just given a request, or drops it if it may not be given another.
     fn renew_in_field(&self, pool: PoolId, field: &mut Vec<Place>, target: TargetId) {
         let now = self.cx.now;
-        let allowance = self.allowance(pool);
-        let is_open = self.starts.allows(now, target, &allowance, self.cx.me);
+        let is_open = self.may_start(pool, target);
         field.retain(|place| is_open || place.candidate.target != target);
         for place in field {
             if place.candidate.target == target {
@@ -219,6 +217,16 @@
         }
     }
 
+    /// Says whether a target may be sent another request as far as it may be cold.
+    fn may_start(&self, pool: PoolId, target: TargetId) -> bool {
+        let now = self.cx.now;
+        let is_cold = self.starts.is_cold(now, target);
+        !is_cold || {
+            let allowance = self.allowance(pool);
+            self.starts.allows(now, target, &allowance, self.cx.me)
+        }
+    }
+
     /// Takes this router's part of the retries that the fleet may make beyond what requests earn.
     pub(super) fn share_fleet_burst(&mut self) {
         if let Some(burst) = self.cfg.attempt.fleet_burst {
@@ -228,18 +236,14 @@
         }
     }
 
-    /// Returns the targets of a pool that are kept for light requests: the first in an order that all routers
-    /// share, so that a target that comes or goes changes only one of them.
-    fn quiet_targets(&self, pool: PoolId) -> Vec<TargetId> {
+    /// Returns which targets of a pool are kept for light requests: the first in an order that all routers share,
+    /// so that a target that comes or goes changes only one of them.
+    fn quiet_targets(&self, pool: PoolId, views: &[TargetView<'_>]) -> Vec<TargetId> {
         let is_model = |pool: &Pool| pool.service == Service::Model;
         if !self.catalogue.pool(pool).is_some_and(is_model) {
             return Vec::new();
         }
-        let mut targets: Vec<TargetId> = self
-            .catalogue
-            .targets_of(pool)
-            .map(|view| view.id)
-            .collect();
+        let mut targets: Vec<TargetId> = views.iter().map(|view| view.id).collect();
         let count = targets.len() * self.balance.cfg().quiet as usize / 100;
         targets.sort_unstable();
         targets.truncate(count);
