Refuse requests while the traffic threads are late

Cause: on the grown sites one organisation's callers send all they have to one router of 0.12 cores, up to 1,300 requests a second. What it took waited for the processor for seconds, so it sent requests on after their callers had left (GONE) and to targets that leave (DRAIN). Ruled out: too few addresses in the directory's answers (all 66 routers knew each other and named 20 to 24; a log line tells now what is named); a router that lags through the control thread (its own lag is small, the traffic thread has the work). Change: a task on the traffic threads measures how late it runs; from 150 ms on requests are refused at once, as not run, with a time to come back.

--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -56,6 +56,8 @@
         traffic: Arc::clone(&traffic),
     });
     tokio::spawn(crate::traffic::progress::flush(Arc::clone(&traffic)));
+    let measured = Arc::clone(&traffic);
+    tokio::spawn(async move { measured.lag.measure().await });
     let router = Router::new().fallback(call).with_state(hosted);
     let events = move |event| traffic.note(event);
     listener::serve(listener, router, limits, events, draining).await;
@@ -101,6 +103,9 @@
     body: axum::body::Body,
 ) -> Result<Response, Refusal> {
     let traffic = &hosted.traffic;
+    if traffic.lag.is_too_large() {
+        return Err(Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)));
+    }
     let arrived = traffic.clock.now();
     let host = host(&head).ok_or_else(malformed)?;
     let max = body_bytes_max(traffic);
--- /dev/null
+++ b/crates/bulrushtrestled/src/traffic/lag.rs
@@ -0,0 +1,83 @@
+//! How late the traffic threads are, so that a router that cannot keep up takes no more than it can serve.
+//!
+//! # Invariant
+//!
+//! A request is taken only while what arrives is dealt with within [`LAG_MAX`]. Beyond that, callers that leave,
+//! targets that must get nothing more and deadlines would all be noticed too late; a request that is refused at once
+//! can still be served elsewhere.
+//!
+//! A task wakes every [`TICK`]. It runs in turn with all other tasks, so by how much it is late is how long whatever
+//! is ready waits for the processor.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+/// The time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(20);
+/// The lateness from which on requests are refused. It is a third of the half second in which targets have to
+/// hear that a caller has left.
+const LAG_MAX: Duration = Duration::from_millis(150);
+
+/// The lateness of the traffic threads.
+#[derive(Debug)]
+pub(crate) struct Lag {
+    started: Instant,
+    /// When the task ran last, in microseconds since the start.
+    ran_at: AtomicU64,
+    /// How late it was then, in microseconds.
+    late: AtomicU64,
+}
+
+impl Lag {
+    /// Starts without lateness.
+    pub(crate) fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            ran_at: AtomicU64::new(0),
+            late: AtomicU64::new(0),
+        }
+    }
+
+    /// Measures for as long as the process serves.
+    pub(crate) async fn measure(&self) {
+        let mut refuses = false;
+        loop {
+            self.note(self.started.elapsed());
+            if refuses != self.is_too_large() {
+                refuses = !refuses;
+                let late = self.late.load(Ordering::Relaxed) / 1_000;
+                log::warn!(target: "lag", "late_ms={late} max_ms={} refuses={refuses}", LAG_MAX.as_millis());
+            }
+            sleep(TICK).await;
+        }
+    }
+
+    /// Says whether requests are to be refused now.
+    pub(crate) fn is_too_large(&self) -> bool {
+        self.at(self.started.elapsed()) >= LAG_MAX
+    }
+
+    /// Notes that the task runs, `now` after the start.
+    pub(super) fn note(&self, now: Duration) {
+        self.late
+            .store(micros(self.overdue(now)), Ordering::Relaxed);
+        self.ran_at.store(micros(now), Ordering::Relaxed);
+    }
+
+    /// Returns the lateness `now` after the start: of the last run, or of the next one if that is later already.
+    pub(super) fn at(&self, now: Duration) -> Duration {
+        let late = Duration::from_micros(self.late.load(Ordering::Relaxed));
+        late.max(self.overdue(now))
+    }
+
+    fn overdue(&self, now: Duration) -> Duration {
+        let ran_at = Duration::from_micros(self.ran_at.load(Ordering::Relaxed));
+        now.saturating_sub(ran_at + TICK)
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod chat;
 mod drive;
 mod hosted;
+mod lag;
 mod parse;
 mod plain;
 mod pool;
@@ -31,6 +32,7 @@
 use tokio::sync::watch;
 
 use self::admission::Admission;
+use self::lag::Lag;
 use self::pool::Pools;
 use self::progress::Progress;
 use crate::clock::Clock;
@@ -79,6 +81,7 @@
     admission: Admission,
     pools: Pools,
     progress: Progress,
+    lag: Lag,
     names: AttemptNames,
 }
 
@@ -95,6 +98,7 @@
             admission: Admission::new(&settings.callers, Arc::clone(&metrics)),
             pools: Pools::new(settings.targets.clone()),
             progress: Progress::default(),
+            lag: Lag::new(),
             names,
             settings,
             control,
--- a/crates/bulrushtrestled/src/traffic/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/tests.rs
@@ -1,4 +1,6 @@
-//! Parsing of requests and streams.
+//! Parsing of requests and streams, and lateness.
+
+use std::time::Duration;
 
 use bulrushtrestle_core::request::{Class, Repeat};
 use bulrushtrestle_core::verdict::Reason;
@@ -6,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde_json::Value;
 
+use crate::traffic::lag::Lag;
 use crate::traffic::parse::{Chat, Options};
 use crate::traffic::sse::{EVENT_BYTES_MAX, Splitter};
 
@@ -162,3 +165,48 @@
         })
         .collect()
 }
+
+#[test]
+fn lateness_is_that_of_the_last_look_or_of_the_one_that_is_overdue() {
+    struct Case {
+        name: &'static str,
+        /// When the task ran, in milliseconds since the start.
+        ran: &'static [u64],
+        now: u64,
+        late: u64,
+    }
+    let cases = [
+        Case {
+            name: "in time",
+            ran: &[0, 20, 40],
+            now: 55,
+            late: 0,
+        },
+        Case {
+            name: "the last look was late",
+            ran: &[0, 20, 240],
+            now: 250,
+            late: 200,
+        },
+        Case {
+            name: "the next look is overdue",
+            ran: &[0, 20],
+            now: 340,
+            late: 300,
+        },
+        Case {
+            name: "in time again",
+            ran: &[0, 20, 240, 260],
+            now: 270,
+            late: 0,
+        },
+    ];
+    for case in cases {
+        let lag = Lag::new();
+        for &at in case.ran {
+            lag.note(Duration::from_millis(at));
+        }
+        let late = lag.at(Duration::from_millis(case.now));
+        assert_eq!(late, Duration::from_millis(case.late), "{}", case.name);
+    }
+}
