Send callers to the strongest routers, and tell these the loads

Cause: fleets have routers of 0.5 and of 0.12 cores, and callers spread over all of them alike; load reports went to three to six partners of 66. Ruled out: naming all with weights (an answer is a set of addresses). Change: a router's row tells what it can bear; the directory names the strongest that have a fourth of a data centre's capacity, two at least, and all where they are alike. Load reports go to the named routers and to partners. What is named is logged when it changes. Callers of one organisation go to one weak router whatever is named.

--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -1,6 +1,6 @@
 //! The loop of the control thread.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -37,6 +37,9 @@
 /// The time between two measurements of how late the thread is.
 const LAG_TICK: Duration = Duration::from_millis(20);
 
+/// The most data centres of which it is remembered what callers were told; callers may name any.
+const NAMED_MAX: usize = 64;
+
 /// The wait that is proposed while the router does not know the whole catalogue.
 const NOT_CURRENT_RETRY: Duration = Duration::from_secs(1);
 
@@ -115,6 +118,8 @@
     pub(super) orders: Option<Orders>,
     /// What a hosting platform needs.
     pub(super) hosting: Option<Hosting>,
+    /// What callers near each data centre were told last, for the log.
+    named: BTreeMap<String, Vec<String>>,
     pub(super) http: Http,
     pub(super) stopped: watch::Sender<bool>,
     reports: Option<Reports>,
@@ -160,6 +165,7 @@
             peers: None,
             orders: None,
             hosting: None,
+            named: BTreeMap::new(),
             reports: None,
             http,
             stopped,
@@ -278,6 +284,9 @@
 
     fn handle_one(&mut self, input: Input) {
         let has_vms = matches!(input, Input::Vms(_));
+        if let (Input::Request(_), Some(hosting)) = (&input, &self.hosting) {
+            hosting.note_request();
+        }
         let mut out = std::mem::take(&mut self.out);
         self.node.handle(self.clock.now(), input, &mut out);
         if has_vms {
@@ -374,7 +383,7 @@
             Ask::Request { arrival, decisions } => self.on_request(arrival, decisions),
             Ask::Call { call, decisions } => self.on_call(call, decisions),
             Ask::Near { data_centre, reply } => {
-                drop(reply.send(self.node.addresses_near(data_centre.as_deref())));
+                drop(reply.send(self.addresses_near(data_centre)));
             }
             Ask::Status { reply } => {
                 let status = serde_json::to_string(&self.node.status(self.clock.now()));
@@ -388,6 +397,19 @@
         }
     }
 
+    /// Returns the addresses for callers near a data centre, and tells when they are others than before.
+    fn addresses_near(&mut self, data_centre: Option<String>) -> Vec<String> {
+        let addresses = self.node.addresses_near(data_centre.as_deref());
+        let named = data_centre.unwrap_or_default();
+        let is_known = self.named.get(&named) == Some(&addresses);
+        if !is_known && (self.named.len() < NAMED_MAX || self.named.contains_key(&named)) {
+            let list = addresses.join(",");
+            log::info!(target: "addresses", "data_centre={named:?} count={} named={list}", addresses.len());
+            self.named.insert(named, addresses.clone());
+        }
+        addresses
+    }
+
     fn identity(&self, sum: &[u8; 32]) -> Result<Identity, Refusal> {
         let catalogue = self.node.catalogue();
         let found = catalogue
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -234,6 +234,7 @@
     config.log.source = CatalogueSource::Store;
     config.slots.policy = slots::Policy::Local;
     config.membership.mesh_max = HOSTED_MESH_MAX;
+    config.membership.capacity = hosting.capacity;
     config.attempt.paid_by = PaidBy::Pool;
     config.attempt.retry_millis_per_request = hosting.retry_millis * RETRY_SHARE / 100;
     config.attempt.retry_millis_per_second = 0;
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -134,6 +134,10 @@
     pub(crate) regions: BTreeMap<String, String>,
     /// For how long callers may keep an answer of the directory.
     pub(crate) addresses_valid: Duration,
+    /// The time after which a target that leaves must get no new request. Default: 2 s.
+    pub(crate) leave_within: Duration,
+    /// What this router's VM can bear, in thousandths of a processor core. Default: 1000.
+    pub(crate) capacity: u32,
     /// The retries that the fleet may make of a pool's requests, in thousandths of these.
     pub(crate) retry_millis: u32,
     /// Retries that the fleet may make beyond that, in any time of its window.
@@ -288,6 +292,11 @@
             directory: s.address("directory")?,
             regions: s.texts("regions")?,
             addresses_valid: s.millis("addresses_valid_ms", 100..=600_000, 2_000)?,
+            leave_within: s.millis("leave_within_ms", 100..=60_000, 2_000)?,
+            capacity: match s.has("cpu_share") {
+                true => s.thousandths("cpu_share", 0.001..=1_024.0)?,
+                false => 1_000,
+            },
             retry_millis: s.thousandths("retry_ratio", 0.0..=1.0)?,
             retry_burst: s.int("retry_burst", 0..=1_000_000, 0)?,
             move_margin: s.millis("move_margin_ms", 0..=600_000, 1_500)?,
--- a/crates/core/benches/size.rs
+++ b/crates/core/benches/size.rs
@@ -115,6 +115,7 @@
             version: 1,
             condition: Condition::Ready,
             address: format!("127.1.{}.{}:8000", id / 250, id % 250),
+            capacity: 1_000,
         };
         let all = (2..=self.routers).map(row);
         let heartbeat = Heartbeat {
--- a/crates/core/src/address/mod.rs
+++ b/crates/core/src/address/mod.rs
@@ -12,6 +12,9 @@
 #[cfg(test)]
 mod tests;
 
+use core::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::membership::message::Condition;
 use crate::membership::{Members, ranking};
 use crate::prelude::*;
@@ -64,28 +67,72 @@
 const NEAR_MIN: usize = 2;
 /// The most addresses in an answer for callers that pick one at random.
 const NEAR_MAX: usize = 64;
+/// The part of a data centre's capacity that the named routers have at least, as one of so many. The users'
+/// largest fleets use a tenth of it on their heaviest days.
+const NAMED_PARTS: u64 = 4;
 
-/// Returns the addresses of the routers that serve in a data centre, or of all that serve if there are fewer
-/// than two of them. `own` is the data centre of this router.
+/// Returns the addresses of the routers that callers in a data centre should use: the strongest that serve
+/// there, or all that serve if there are fewer than two of them. `own` is the data centre of this router.
+///
+/// A caller picks one address and may send all that it has to it, so a weak router is named only where there
+/// are not enough strong ones.
 pub fn near(members: &Members, now: Time, data_centre: Option<&str>, own: &str) -> Vec<String> {
     let all = candidates(members, now, OrganisationId(0));
-    let is_near = |router: &&RouterId| {
-        let at = members.data_centre(**router).unwrap_or(own);
+    let is_near = |router: &RouterId| {
+        let at = members.data_centre(*router).unwrap_or(own);
         data_centre.is_none_or(|wanted| wanted == at)
     };
-    let near: Vec<&RouterId> = all.iter().filter(is_near).collect();
+    let near: Vec<RouterId> = all.iter().copied().filter(is_near).collect();
     let pick = match near.len() >= NEAR_MIN {
-        true => near,
-        false => all.iter().collect(),
+        true => strongest(members, near),
+        false => all,
     };
     pick.into_iter()
-        .filter_map(|router| members.row(*router))
+        .filter_map(|router| members.row(router))
         .map(|row| row.address.clone())
         .filter(|address| !address.is_empty())
         .take(NEAR_MAX)
         .collect()
 }
 
+/// Returns the routers that callers are sent to in any data centre. `own` is the data centre of this router.
+pub fn named(members: &Members, now: Time, own: &str) -> BTreeSet<RouterId> {
+    let mut by_place: BTreeMap<&str, Vec<RouterId>> = BTreeMap::new();
+    for router in candidates(members, now, OrganisationId(0)) {
+        let at = members.data_centre(router).unwrap_or(own);
+        by_place.entry(at).or_default().push(router);
+    }
+    let places = by_place.into_values();
+    places
+        .flat_map(|routers| strongest(members, routers))
+        .collect()
+}
+
+/// Returns the strongest routers that have a fourth of the capacity together, at least two of them, and all that are
+/// as strong as the weakest of these.
+fn strongest(members: &Members, mut routers: Vec<RouterId>) -> Vec<RouterId> {
+    let capacity = |router: &RouterId| members.row(*router).map_or(0, |row| row.capacity);
+    let total: u64 = routers
+        .iter()
+        .map(|router| u64::from(capacity(router)))
+        .sum();
+    routers.sort_by_key(|router| Reverse(capacity(router)));
+    let mut sum = 0;
+    let mut count = 0;
+    let mut weakest = 0;
+    for router in &routers {
+        let own = capacity(router);
+        if own < weakest && count >= NEAR_MIN && sum * NAMED_PARTS >= total {
+            break;
+        }
+        weakest = own;
+        sum += u64::from(own);
+        count += 1;
+    }
+    routers.truncate(count);
+    routers
+}
+
 /// Returns the routers that serve now in the order in which the organisation prefers them; those that
 /// are alive but do not serve only if there are no others.
 fn candidates(members: &Members, now: Time, organisation: OrganisationId) -> Vec<RouterId> {
--- a/crates/core/src/address/tests.rs
+++ b/crates/core/src/address/tests.rs
@@ -1,14 +1,22 @@
 //! Tests of the choice of addresses.
 
-use super::{answer, homes};
+use super::{answer, homes, named, near};
 use crate::input::{Vm, VmRole};
 use crate::membership::message::{Condition, Heartbeat, Row};
 use crate::membership::{self, Members};
 use crate::prelude::*;
 
 fn fleet(conditions: &[Condition], leaving: &[u32]) -> (Members, Time) {
+    let capacities = vec![1_000; conditions.len()];
+    fleet_of(&capacities, conditions, leaving)
+}
+
+fn fleet_of(capacities: &[u32], conditions: &[Condition], leaving: &[u32]) -> (Members, Time) {
     let now = Time::from_millis(1_000);
-    let cfg = membership::Config::default();
+    let cfg = membership::Config {
+        capacity: capacities[0],
+        ..membership::Config::default()
+    };
     let mut members = Members::new(now, RouterId(0), Incarnation(1), "127.0.0.1:8000", cfg);
     members.set_condition(conditions[0]);
     let vm = |id: u32| Vm {
@@ -27,6 +35,7 @@
             version: 1,
             condition,
             address: format!("127.0.0.1:{}", 8000 + id),
+            capacity: capacities[id as usize],
         };
         let heartbeat = Heartbeat {
             echo: 0,
@@ -115,3 +124,58 @@
         assert_eq!(new[..kept.len()], kept, "{organisation}");
     }
 }
+
+#[test]
+fn callers_that_pick_any_address_are_sent_to_the_strongest_routers() {
+    use Condition::{Down, Ready};
+    struct Case {
+        name: &'static str,
+        capacities: &'static [u32],
+        down: &'static [usize],
+        named: usize,
+    }
+    let cases = [
+        Case {
+            name: "all alike",
+            capacities: &[250; 7],
+            down: &[],
+            named: 7,
+        },
+        Case {
+            name: "two strong ones among weak ones",
+            capacities: &[500, 500, 120, 120, 120, 120, 120, 120],
+            down: &[],
+            named: 2,
+        },
+        Case {
+            name: "one of the strong ones is down",
+            capacities: &[500, 500, 120, 120, 120, 120, 120, 120],
+            down: &[1],
+            named: 7,
+        },
+        Case {
+            name: "too few strong ones for what all bear",
+            capacities: &[
+                500, 500, 300, 300, 300, 300, 300, 300, 300, 300, 300, 300, 300,
+            ],
+            down: &[],
+            named: 13,
+        },
+    ];
+    for case in cases {
+        let mut conditions = vec![Ready; case.capacities.len()];
+        for &down in case.down {
+            conditions[down] = Down;
+        }
+        let (members, now) = fleet_of(case.capacities, &conditions, &[]);
+        let addresses = near(&members, now, None, "");
+        assert_eq!(addresses.len(), case.named, "{}: {addresses:?}", case.name);
+        let same = named(&members, now, "");
+        assert_eq!(same.len(), case.named, "{}", case.name);
+        let all_strong = (0..case.named.min(2)).filter(|id| !case.down.contains(id));
+        for id in all_strong {
+            let address = format!("127.0.0.1:{}", 8000 + id);
+            assert!(addresses.contains(&address), "{}", case.name);
+        }
+    }
+}
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -37,6 +37,8 @@
     pub condition: Condition,
     /// Where callers reach it.
     pub address: String,
+    /// What it can bear, in thousandths of a processor core.
+    pub capacity: u32,
 }
 
 /// The condition of a router. A worse condition is a greater value.
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -19,6 +19,8 @@
     /// The largest number of other routers with which everyone keeps contact with everyone.
     /// Default: 9.
     pub mesh_max: usize,
+    /// What this router can bear, in thousandths of a processor core. Default: 1000.
+    pub capacity: u32,
     /// The contact that is kept in such a small fleet. Default: every 500 ms, timeout 2 s.
     pub mesh: Contact,
     /// How many partners each router chooses in a larger fleet; those that chose it come on top.
@@ -43,6 +45,7 @@
     fn default() -> Self {
         Self {
             mesh_max: 9,
+            capacity: 1_000,
             mesh: Contact {
                 period: Duration::from_millis(500),
                 timeout: Duration::from_secs(2),
@@ -116,6 +119,7 @@
             version: 1,
             condition: Condition::Unready,
             address: address.to_owned(),
+            capacity: cfg.capacity,
         };
         Self {
             cfg,
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -133,8 +133,11 @@
         let Some(part) = self.balance.report(self.cx.now, floors) else {
             return;
         };
-        let partners: Vec<RouterId> = self.members.partners().collect();
-        for to in partners {
+        // In a large fleet few routers have work, and those are rarely partners.
+        let mut readers = address::named(&self.members, self.cx.now, &self.cfg.data_centre);
+        readers.extend(self.members.partners());
+        readers.remove(&self.cx.me);
+        for to in readers {
             self.cx.send(to, Part::Load(part.clone()), Urgency::Now);
         }
     }
