--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -15,10 +15,10 @@
 //! heartbeat; they expire when a peer falls silent.
 //!
 //! The parts of a prompt that a target has read before cost nothing again. Which target holds which part is
-//! remembered from own requests ([`Holdings`]). For a part that this router has not sent lately, rendezvous
-//! hashing names the target that is presumed to hold it, so that routers agree without a message. The score of a
-//! target adds up what is unread, what would have to be read again, what runs, and the way to it; the lowest
-//! is chosen. See `docs/design/0031-balance.md`.
+//! remembered from own requests and from what peers tell of long parts ([`Holdings`], [`message::HeldRow`]). For a part
+//! that nobody has sent lately, rendezvous hashing names the target that is to hold it, so that routers agree without
+//! a message. The score of a target adds up what is unread, what would have to be read again, what runs, and the way
+//! to it; the lowest is chosen. See `docs/design/0031-balance.md`.
 
 mod config;
 mod holdings;
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -121,7 +121,8 @@
         let prompt = self.prompt(now, wanted, places.clone());
         let choices = places.filter_map(|&Place { candidate, load }| {
             let counted = prompt.counted_at(candidate.target);
-            let waits = wanted.patient && counted - prompt.own.min(counted) > self.cfg.reread_min;
+            let reread = counted.saturating_sub(prompt.own);
+            let waits = wanted.patient && reread > self.cfg.reread_min;
             let slots = match (candidate.is_quiet && !wanted.is_light(), waits) {
                 (true, _) => candidate.slots / QUIET_PARTS,
                 (false, true) => candidate.slots / 2,
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -52,9 +52,9 @@
     told: BTreeMap<RouterId, Told>,
     /// The sum of what all peers told, so that a look at a target costs the same for any number of peers.
     peers: BTreeMap<TargetId, Load>,
-    /// When the peer that was heard least lately was heard.
+    /// The time of the oldest word of a peer in that sum.
     oldest: Time,
-    /// Parts that peers have not been told of, the oldest first.
+    /// Long parts that this router sent and peers have not been told of, the oldest first.
     untold: VecDeque<HeldRow>,
     reported: Reported,
 }
