Log what each dispatch rested on, and when a target leaves

Change: a dispatch carries its basis: how long the request waited, why it was next, the recent service of its organisation and the limit by what waits at peers, how many peers were heard lately, and the age of the targets' records. The line of a request's end says it, with the time at which the connection was there; three histograms hold it. A line says when a target was learnt to leave or to be gone. Nothing is decided differently.

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -205,11 +205,17 @@
                         data_centre: entry.data_centre.clone(),
                         leaving: described.state.leaving,
                     };
-                    self.vms.insert(vm, listed);
+                    let leaving = listed.leaving;
+                    let before = self.vms.insert(vm, listed);
+                    if leaving && !before.is_some_and(|before| before.leaving) {
+                        log::info!(target: "target", "name={} leaving=true offset={}", record.key, record.offset);
+                    }
                     states.push(described.state);
                 }
                 None => {
-                    self.vms.remove(&vm);
+                    if self.vms.remove(&vm).is_some() {
+                        log::info!(target: "target", "name={} gone=true offset={}", record.key, record.offset);
+                    }
                 }
             }
             changes.push(StoreChange {
@@ -283,7 +289,10 @@
                 self.handle(Input::Store(StoreEvent::Current { known, asked }));
             }
             Followed::CaughtUp(Topic::Routers, end, _) => self.draw_fleet_key(end),
-            Followed::CaughtUp(Topic::Targets | Topic::Status, ..) => {}
+            Followed::CaughtUp(Topic::Targets, _, asked) => {
+                self.handle(Input::Store(StoreEvent::TargetsRead { asked }));
+            }
+            Followed::CaughtUp(Topic::Status, ..) => {}
             Followed::Failed(Topic::Operators) => {
                 self.handle(Input::Store(StoreEvent::Failed));
             }
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -9,6 +9,7 @@
 use bulrushtrestle_core::key::{
     AttemptId, Fingerprint, Incarnation, Offset, OrganisationId, RequestId,
 };
+use bulrushtrestle_core::output::Basis;
 use bulrushtrestle_core::request::{Class, Repeat};
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::Refusal;
@@ -185,6 +186,8 @@
         target: String,
         /// How much of the answer the caller has already.
         resume_from: u64,
+        /// What the decision rested on.
+        basis: Basis,
     },
     /// Stop an attempt.
     Abort(AttemptId),
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -70,11 +70,13 @@
             has_failed: false,
         };
         self.attempts.insert(dispatch.attempt, attempt);
+        self.metrics.dispatched(&dispatch.basis);
         let decision = Decision::Dispatch {
             attempt: dispatch.attempt,
             address,
             target: name,
             resume_from: dispatch.resume_from,
+            basis: dispatch.basis,
         };
         if !self.decide(dispatch.request, decision) {
             // Whoever served the request has gone meanwhile.
--- a/crates/bulrushtrestled/src/metrics/mod.rs
+++ b/crates/bulrushtrestled/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::counter::Counter;
+use bulrushtrestle_core::output::Basis;
 use bulrushtrestle_core::verdict::Reason;
 use bulrushtrestle_wire::Refused;
 use prometheus::{
@@ -29,6 +30,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0, 16.0,
 ];
 
+/// The bounds of the histogram of peers.
+const PEERS_BOUNDS: [f64; 7] = [0.0, 1.0, 3.0, 7.0, 15.0, 63.0, 429.0];
+
 /// All counters, gauges and histograms of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -39,6 +43,9 @@
     timer_lag: Histogram,
     first_answer: Histogram,
     requests_took: HistogramVec,
+    waited: HistogramVec,
+    targets_age: Histogram,
+    peers_heard: Histogram,
     memory: IntGauge,
     /// Connections of callers.
     pub(crate) connections: IntGauge,
@@ -112,7 +119,30 @@
                 "From the arrival of a request to the first of its answer.",
                 &REQUEST_BOUNDS,
             ),
-            requests_took: took_histograms(&registry),
+            requests_took: histograms(
+                &registry,
+                "bulrushtrestle_request_seconds",
+                "From the arrival of a request to its end, by outcome.",
+                "outcome",
+            ),
+            waited: histograms(
+                &registry,
+                "bulrushtrestle_dispatch_waited_seconds",
+                "From the arrival of a request to its dispatch, by why it was next.",
+                "turn",
+            ),
+            targets_age: histogram(
+                &registry,
+                "bulrushtrestle_dispatch_targets_age_seconds",
+                "The age of what was known of targets at a dispatch.",
+                &REQUEST_BOUNDS,
+            ),
+            peers_heard: histogram(
+                &registry,
+                "bulrushtrestle_dispatch_peers_heard",
+                "Peers that had told lately what they have at targets, at a dispatch.",
+                &PEERS_BOUNDS,
+            ),
             memory: gauge(
                 &registry,
                 "bulrushtrestle_resident_bytes",
@@ -177,6 +207,18 @@
         }
     }
 
+    /// Notes what a dispatch rested on.
+    pub(crate) fn dispatched(&self, basis: &Basis) {
+        let waited = self.waited.with_label_values(&[basis.turn.as_str()]);
+        waited.observe(basis.waited.as_secs_f64());
+        if let Some(age) = basis.targets_age {
+            self.targets_age.observe(age.as_secs_f64());
+            // No fleet has so many routers that their number is rounded.
+            self.peers_heard
+                .observe(f64::from(u32::try_from(basis.heard).unwrap_or(u32::MAX)));
+        }
+    }
+
     /// Returns everything in the text format.
     pub(crate) fn render(&self) -> String {
         self.memory.set(memory::resident_bytes());
@@ -204,13 +246,9 @@
     gauge
 }
 
-fn took_histograms(registry: &Registry) -> HistogramVec {
-    let opts = HistogramOpts::new(
-        "bulrushtrestle_request_seconds",
-        "From the arrival of a request to its end, by outcome.",
-    );
-    let opts = opts.buckets(REQUEST_BOUNDS.to_vec());
-    let histograms = HistogramVec::new(opts, &["outcome"]).expect("the name is valid");
+fn histograms(registry: &Registry, name: &str, help: &str, label: &str) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(REQUEST_BOUNDS.to_vec());
+    let histograms = HistogramVec::new(opts, &[label]).expect("the name is valid");
     registry
         .register(Box::new(histograms.clone()))
         .expect("names are registered once");
--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -5,6 +5,7 @@
 
 use bulrushtrestle_core::input::{AttemptEvent, Failure, FailureKind};
 use bulrushtrestle_core::key::RequestId;
+use bulrushtrestle_core::output::Basis;
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use tokio::sync::mpsc;
@@ -40,6 +41,7 @@
         failed: None,
         passage: None,
         attempts: 0,
+        basis: Basis::default(),
     };
     let end = tokio::select! {
         biased;
@@ -88,6 +90,8 @@
     failed: Option<Box<Failed>>,
     passage: Option<Arc<Passage>>,
     attempts: u32,
+    /// What the last dispatch rested on.
+    basis: Basis,
 }
 
 impl Driver<'_> {
@@ -109,11 +113,13 @@
                     address,
                     target,
                     resume_from,
+                    basis,
                 }) => {
                     let Some(passage) = self.passage.clone() else {
                         continue;
                     };
                     self.attempts += 1;
+                    self.basis = basis;
                     let sent = Sent {
                         attempt,
                         address,
@@ -223,10 +229,34 @@
             .map_or(0, |first| first.as_millis());
         log::info!(
             target: "request",
-            "attempt={attempt} route={route} organisation={organisation} outcome={outcome} attempts={} target={} first_ms={first} took_ms={}",
+            "attempt={attempt} route={route} organisation={organisation} outcome={outcome} attempts={} target={} first_ms={first} took_ms={}{}",
             self.attempts,
             self.relay.last_target(),
             took.as_millis(),
+            self.grounds(),
         );
     }
+
+    /// Returns what the last dispatch rested on, for the end of a log line.
+    fn grounds(&self) -> String {
+        if self.attempts == 0 {
+            return String::new();
+        }
+        let Basis {
+            waited,
+            turn,
+            recent,
+            limit,
+            heard,
+            targets_age,
+        } = self.basis;
+        let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        format!(
+            " waited_ms={} sent_ms={} turn={} recent={recent} limit={limit} heard={heard} targets_age_ms={}",
+            waited.as_millis(),
+            self.relay.sent_after().map_or(0, |sent| sent.as_millis()),
+            turn.as_str(),
+            targets_age.map_or(0, |age| age.as_millis()),
+        )
+    }
 }
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -98,6 +98,8 @@
     delivered: u64,
     started: Instant,
     first: Option<Duration>,
+    /// After how long the last dispatch had a connection to its target.
+    sent: Option<Duration>,
     target: String,
     /// The attempt of which the node knows that its answer has begun.
     announced: Option<AttemptId>,
@@ -111,6 +113,7 @@
             delivered: 0,
             started: Instant::now(),
             first: None,
+            sent: None,
             target: "-".to_owned(),
             announced: None,
         }
@@ -126,6 +129,11 @@
         self.first
     }
 
+    /// Returns after how long the last dispatch had a connection to its target.
+    pub(super) const fn sent_after(&self) -> Option<Duration> {
+        self.sent
+    }
+
     /// Returns the target that was asked last.
     pub(super) fn last_target(&self) -> &str {
         &self.target
@@ -187,6 +195,7 @@
             .get(sent.address, runs_once)
             .await
             .map_err(|_| Ended::not_sent())?;
+        self.sent = Some(self.started.elapsed());
         let answer = sender.send_request(req).await.map_err(|error| {
             match error.is_canceled() {
                 // It was never written to the connection.
--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -226,10 +226,15 @@
     let metrics = send(daemon.operators, Method::GET, "/metrics", &[], "").await;
     let metrics = metrics.expect("an answer");
     let text = String::from_utf8_lossy(metrics.body());
-    assert!(
-        text.contains("bulrushtrestle_request_seconds_bucket"),
-        "{text}"
-    );
+    // One request was dispatched to learn that the target is known.
+    for name in [
+        "bulrushtrestle_request_seconds_bucket",
+        "bulrushtrestle_dispatch_waited_seconds_bucket{turn=\"due\"",
+        "bulrushtrestle_dispatch_targets_age_seconds_count 1",
+        "bulrushtrestle_dispatch_peers_heard_count 1",
+    ] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
     let hidden = send(daemon.operators, Method::GET, "/status", &[], "").await;
     assert_eq!(hidden.expect("an answer").status(), 401);
 }
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -191,6 +191,12 @@
         self.oldest = heard.min().unwrap_or(now);
     }
 
+    /// Returns how many peers have told lately what they have at targets and what waits at them.
+    pub fn heard(&self, now: Time) -> usize {
+        let fresh = |told: &&Told| now.since(told.at) < self.cfg.stale_after;
+        self.told.values().filter(fresh).count()
+    }
+
     /// Returns the highest virtual time at which an organisation may be served now: a little above the lowest
     /// that waits at any peer.
     pub fn turn_limit(&self, now: Time, pool: PoolId) -> u64 {
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -135,6 +135,11 @@
     },
     /// A read of the records of operators failed or timed out.
     Failed,
+    /// The targets' records were read up to their end.
+    TargetsRead {
+        /// When the read was sent.
+        asked: Time,
+    },
     /// Targets wrote of themselves.
     Targets(Vec<TargetState>),
     /// Operators were told how a version move stands, by this router or another.
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -6,6 +6,7 @@
 use crate::catalogue::TargetView;
 use crate::catalogue::entry::{Pool, Route, Service};
 use crate::node::Node;
+use crate::output::{Basis, Turn};
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::slots::Policy;
@@ -32,6 +33,7 @@
     class: Class,
     waiting: Waiting,
     choice: Choice,
+    basis: Basis,
 }
 
 impl Node {
@@ -62,7 +64,8 @@
             if self.holds_suspect(request) {
                 continue;
             }
-            self.dispatch(pool, next.class, next.waiting, next.choice.target);
+            let target = next.choice.target;
+            self.dispatch(pool, next.class, next.waiting, target, next.basis);
             self.note_unread(request, next.choice);
             self.renew_in_field(pool, &mut field, next.choice.target);
         }
@@ -88,11 +91,21 @@
                 let has_waited = now.since(waiting.since) >= self.balance.cfg().report_every;
                 let may_go = |choice: &Choice| is_due || (choice.is_idle && has_waited);
                 if let Some(choice) = choice.filter(may_go) {
+                    let turn = if is_due { Turn::Due } else { Turn::Idle };
+                    let basis = Basis {
+                        waited: now.since(waiting.since),
+                        turn,
+                        recent: candidate.time,
+                        limit: (highest < u64::MAX).then_some(highest),
+                        heard: self.balance.heard(now),
+                        targets_age: self.targets_read.map(|at| now.since(at)),
+                    };
                     return Some(Next {
                         organisation,
                         class,
                         waiting,
                         choice,
+                        basis,
                     });
                 }
                 looked_at += 1;
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::node::attempt::Attempt;
 use crate::node::request::Stage;
-use crate::output::{Dispatch, Output};
+use crate::output::{Basis, Dispatch, Output};
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::route::{self, Distance};
@@ -104,7 +104,8 @@
         let Some(target) = self.choose((pool, arm), waiting.request, turn) else {
             return false;
         };
-        self.dispatch(pool, class, waiting, target);
+        let basis = self.granted(&waiting);
+        self.dispatch(pool, class, waiting, target, basis);
         true
     }
 
@@ -299,12 +300,21 @@
         }
     }
 
+    /// Returns what the dispatch of a request rests on whose router holds a slot for it.
+    pub(super) fn granted(&self, waiting: &Waiting) -> Basis {
+        Basis {
+            waited: self.cx.now.since(waiting.since),
+            ..Basis::default()
+        }
+    }
+
     pub(super) fn dispatch(
         &mut self,
         pool: PoolId,
         class: Class,
         waiting: Waiting,
         target: TargetId,
+        basis: Basis,
     ) {
         let Some(active) = self.requests.get_mut(&waiting.request) else {
             return;
@@ -319,6 +329,7 @@
             attempt,
             target,
             resume_from,
+            basis,
         };
         let (organisation, prompt) = (active.req.organisation, active.req.prompt_tokens);
         let prefix = active.req.prefix;
--- a/crates/core/src/node/quarantine.rs
+++ b/crates/core/src/node/quarantine.rs
@@ -170,7 +170,8 @@
             deadline: active.deadline,
         };
         let (pool, class) = (active.req.pool, active.class);
-        self.dispatch(pool, class, waiting, target);
+        let basis = self.granted(&waiting);
+        self.dispatch(pool, class, waiting, target, basis);
     }
 }
 
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -75,6 +75,8 @@
     pub(super) splits: Splits,
     /// Targets that lapsed while the store was away, until when they are still used, and what removes them.
     pub(super) lapsed: BTreeMap<String, (Time, StoreChange)>,
+    /// The time as of which the targets' records were read last, where a store keeps them.
+    pub(super) targets_read: Option<Time>,
     /// When something was last heard of each target on any connection.
     pub(super) heard: BTreeMap<TargetId, Time>,
     pub(super) once: Once,
@@ -130,6 +132,7 @@
             starts: Starts::default(),
             splits: Splits::default(),
             lapsed: BTreeMap::new(),
+            targets_read: None,
             heard: BTreeMap::new(),
             once,
             quarantine: Quarantine::new(cfg.me, cfg.quarantine.clone()),
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -19,6 +19,9 @@
         match event {
             StoreEvent::Changed(changes) => self.on_changes(changes),
             StoreEvent::Current { known, asked } => self.on_current(known, asked),
+            StoreEvent::TargetsRead { asked } => {
+                self.targets_read = self.targets_read.max(Some(asked));
+            }
             StoreEvent::Failed => self.on_read_failed(),
             StoreEvent::Targets(states) => self.on_target_states(&states),
             StoreEvent::Moved(stand) => {
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -1,5 +1,7 @@
 //! What a node asks its embedding to do.
 
+use core::time::Duration;
+
 use crate::counter::Counter;
 use crate::key::{AppendId, AttemptId, Fence, Offset, RequestId, RouterId, TargetId};
 use crate::time::Time;
@@ -87,6 +89,49 @@
     pub target: TargetId,
     /// How many tokens the caller has already; the target resumes after them.
     pub resume_from: u64,
+    /// What the decision rested on, for the log.
+    pub basis: Basis,
+}
+
+/// What a dispatch rested on, so that a log can tell a wrong decision from a wrong belief behind it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// From the arrival of the request to the decision.
+    pub waited: Duration,
+    /// Why the request was next.
+    pub turn: Turn,
+    /// The service that its organisation received lately relative to its weight, as far as the router knew.
+    pub recent: u64,
+    /// The most recent service with which an organisation was served, by what waited at peers; nothing if no
+    /// peer said that anything waited there.
+    pub limit: Option<u64>,
+    /// How many peers had lately told what they have at targets and what waits at them.
+    pub heard: usize,
+    /// The age of what the router knew of targets; nothing if it does not read them from a store.
+    pub targets_age: Option<Duration>,
+}
+
+/// Why a request was next.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Turn {
+    /// Its router held a slot for it.
+    #[default]
+    Granted,
+    /// Nobody who waits had less service lately.
+    Due,
+    /// Others who wait had less, but a target had nothing to do.
+    Idle,
+}
+
+impl Turn {
+    /// Returns the stable name that logs use.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Due => "due",
+            Self::Idle => "idle",
+        }
+    }
 }
 
 /// An order to a target. Orders are absolute: repeating one changes nothing.
