Add a failing test: a router that callers are not sent to is told nothing

A fleet of 30 routers with two strong ones, which the directory names. The router that is not named has heard 7 of 29 peers, none of which has work.

--- a/crates/core/tests/local.rs
+++ b/crates/core/tests/local.rs
@@ -133,10 +133,17 @@
 }
 
 impl Fleet {
-    fn new(routers: u32, targets: u32, cold_starts_per_s: u32) -> Self {
+    fn new(routers: usize, targets: u32, cold_starts_per_s: u32) -> Self {
+        Self::of(&vec![1_000; routers], targets, cold_starts_per_s)
+    }
+
+    /// Returns a fleet of routers with these capacities, in thousandths of a processor core.
+    fn of(capacities: &[u32], targets: u32, cold_starts_per_s: u32) -> Self {
         let now = Time::from_millis(1_800_000_000_000);
-        let nodes = (1..=routers).map(|me| {
+        let routers = u32::try_from(capacities.len()).expect("few routers");
+        let nodes = (1..=routers).zip(capacities).map(|(me, &capacity)| {
             let mut cfg = Config::new(RouterId(me), Incarnation(1));
+            cfg.membership.capacity = capacity;
             cfg.log.source = CatalogueSource::Store;
             cfg.slots.policy = Policy::Local;
             cfg.data_centre = "a".to_owned();
@@ -312,6 +319,80 @@
     assert!(one + many >= 140, "one {one}, many {many}");
 }
 
+/// Guards against a fleet that serves an organisation without limit because its router is not told who waits elsewhere.
+///
+/// The pattern: a large fleet sends callers to its two strong routers, but those of one organisation use another one.
+/// Two organisations ask for far more than there is.
+#[test]
+fn an_organisation_behind_a_router_that_is_not_named_gets_no_more_than_others() {
+    struct Case {
+        name: &'static str,
+        /// The capacity of all routers but the first two.
+        others: u32,
+        /// The routers of the organisations.
+        one: &'static [usize],
+        many: &'static [usize],
+    }
+    let cases = [
+        Case {
+            name: "all routers are alike",
+            others: 500,
+            one: &[20],
+            many: &[0, 1],
+        },
+        Case {
+            name: "behind one that is not named",
+            others: 60,
+            one: &[20],
+            many: &[0, 1],
+        },
+        Case {
+            name: "behind two that are not named",
+            others: 60,
+            one: &[20, 25],
+            many: &[0, 1],
+        },
+        Case {
+            name: "nobody uses those that are named",
+            others: 60,
+            one: &[20],
+            many: &[25],
+        },
+    ];
+    for case in cases {
+        let mut capacities = vec![case.others; 30];
+        capacities[..2].fill(500);
+        let mut fleet = Fleet::of(&capacities, 4, 0);
+        let mut of = BTreeMap::new();
+        for millis in 0..9_000_usize {
+            if millis.is_multiple_of(10) {
+                let turn = millis / 10;
+                of.insert(fleet.submit(case.one[turn % case.one.len()], "one"), "one");
+                if millis >= 3_000 {
+                    let at = case.many[turn % case.many.len()];
+                    of.insert(fleet.submit(at, "many"), "many");
+                }
+            }
+            fleet.step();
+        }
+        let since = fleet.now - Duration::from_secs(6);
+        let got = |name| {
+            let counted = fleet.dispatched.iter();
+            let counted = counted.filter(|(at, .., req)| *at > since && of[req] == name);
+            counted.count()
+        };
+        let (one, many) = (got("one"), got("many"));
+        let name = case.name;
+        // The users' bound: no organisation gets less than half of what another gets in six seconds.
+        assert!(
+            one * 2 >= many && many * 2 >= one,
+            "{name}: one {one}, many {many}"
+        );
+        // Nothing idles meanwhile: four targets read 160 requests of 150 ms in six seconds.
+        assert!(one + many >= 140, "{name}: one {one}, many {many}");
+    }
+}
+
 /// The pattern: more is asked for than can be served, for longer than callers wait.
 #[test]
 fn what_cannot_be_served_is_refused_soon_and_says_when_to_come_back() {
