Let routers with work report to one another

Cause: loads, and who waits with how little service, were told to partners and to the routers that the directory names. Some callers use other routers all the same. Such a router was told by a few peers only, took the fleet for idle and served its organisation without limit. The class: a router acts on the absence of news from peers that do not know that they should tell it. Ruled out: old figures of service (the two routers' own counts are exact), and the rule for idle targets alone (with the limit in force it is nearly all that is left to those above it, and the shares are level). Change: the routers that callers are sent to pass on which other routers have told them of work, of at least four requests or of any that wait, so that the platform's own questions make nobody busy; every router with work reports to all others with work. A router that is told for the first time is told everything. What was passed on is not passed on again.

--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::balance::holdings::Chain;
-use crate::key::{PoolId, TargetId};
+use crate::key::{PoolId, RouterId, TargetId};
 
 /// What one router has at targets now, and which parts of prompts it has sent to them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,9 @@
     pub floors: Vec<FloorRow>,
     /// Long parts of prompts that the router has sent to targets of late.
     pub held: Vec<HeldRow>,
+    /// The routers beside those that callers are sent to that told the sender themselves of work of theirs, so
+    /// that these report to one another too; nothing if they are the same as in the last part.
+    pub busy: Option<Vec<RouterId>>,
 }
 
 /// A part of a prompt that a target has, together with all parts before it.
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -1,6 +1,6 @@
 //! What is known of the load of targets.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::balance::holdings::shared;
 use crate::balance::message::{FloorRow, HeldRow, LoadPart, LoadRow};
@@ -13,6 +13,12 @@
 /// The most parts that wait to be told; the oldest are dropped, because they age fastest.
 const UNTOLD_MAX: usize = 64;
 
+/// How many requests a router has at targets, or more, that counts as one with work. Platforms ask each router now and
+/// then how it is configured, and those requests alone should not make it one.
+const WORK_MIN: u32 = 4;
+/// The most busy routers that a report names. At four bytes each they stay below the rows of a report.
+const BUSY_MAX: usize = 64;
+
 /// What routers have at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
@@ -41,6 +47,22 @@
     loads: BTreeMap<TargetId, Load>,
     /// The lowest virtual time that waits there, by pool.
     floors: BTreeMap<PoolId, u64>,
+    /// When it last told of work.
+    worked_at: Option<Time>,
+    /// The routers with work that it has heard.
+    busy: Vec<RouterId>,
+}
+
+impl Told {
+    fn has_work(&self) -> bool {
+        has_work(&self.loads, !self.floors.is_empty())
+    }
+}
+
+/// Says whether a router has so much work that others should know of it.
+fn has_work(loads: &BTreeMap<TargetId, Load>, waits: bool) -> bool {
+    let requests: u32 = loads.values().map(|load| load.requests).sum();
+    waits || requests >= WORK_MIN
 }
 
 /// The load of every target, as far as this router knows.
@@ -67,6 +89,9 @@
     full_at: Time,
     loads: BTreeMap<TargetId, Load>,
     floors: Vec<FloorRow>,
+    busy: Vec<RouterId>,
+    /// When this router last had work to tell of.
+    worked_at: Option<Time>,
 }
 
 impl Balance {
@@ -180,6 +205,12 @@
         }
         let floors = part.floors.iter().map(|row| (row.pool, row.lowest));
         told.floors = floors.collect();
+        if told.has_work() {
+            told.worked_at = Some(now);
+        }
+        if let Some(busy) = &part.busy {
+            told.busy.clone_from(busy);
+        }
         for row in &part.held {
             self.holdings.note(now, row.target, row.chain);
         }
@@ -206,12 +237,60 @@
         lowest.map_or(u64::MAX, |lowest| lowest.saturating_add(self.cfg.lead.0))
     }
 
+    /// Says whether this router has told of work lately.
+    pub fn has_worked(&self, now: Time) -> bool {
+        self.is_lately(now, self.reported.worked_at)
+    }
+
+    /// Returns the routers with work that this router knows of: those that told so, and those that others heard.
+    pub fn busy(&self, now: Time) -> BTreeSet<RouterId> {
+        let fresh = |told: &&Told| now.since(told.at) < self.cfg.stale_after;
+        let told = self.told.values().filter(fresh);
+        let heard = told.flat_map(|told| told.busy.iter().copied());
+        self.heard_busy(now).chain(heard).collect()
+    }
+
+    fn heard_busy(&self, now: Time) -> impl Iterator<Item = RouterId> {
+        let told = self.told.iter();
+        told.filter(move |(_, told)| self.is_lately(now, told.worked_at))
+            .map(|(&router, _)| router)
+    }
+
+    fn is_lately(&self, now: Time, at: Option<Time>) -> bool {
+        at.is_some_and(|at| now.since(at) < self.cfg.stale_after)
+    }
+
+    /// Returns everything that this router has at targets, for a peer that is told for the first time.
+    pub fn whole_report(&self) -> LoadPart {
+        LoadPart {
+            is_full: true,
+            rows: self.rows(true),
+            floors: self.reported.floors.clone(),
+            held: Vec::new(),
+            busy: Some(self.reported.busy.clone()),
+        }
+    }
+
     /// Returns what is told to peers, if it changed or was told long ago, and forgets peers that fell silent.
-    pub fn report(&mut self, now: Time, floors: Vec<FloorRow>) -> Option<LoadPart> {
+    /// `is_named` says whether callers are sent to a router, so that all that have work know it anyway.
+    pub fn report(
+        &mut self,
+        now: Time,
+        floors: Vec<FloorRow>,
+        is_named: impl Fn(RouterId) -> bool,
+    ) -> Option<LoadPart> {
         self.forget_silent(now);
+        let busy = self.heard_busy(now).filter(|&router| !is_named(router));
+        let busy: Vec<RouterId> = busy.take(BUSY_MAX).collect();
+        if has_work(&self.own, !floors.is_empty()) {
+            self.reported.worked_at = Some(now);
+        }
         let is_full = now.since(self.reported.full_at) >= self.cfg.stale_after / 2;
         let rows = self.rows(is_full);
-        let is_known = rows.is_empty() && floors == self.reported.floors && self.untold.is_empty();
+        let is_known = rows.is_empty()
+            && floors == self.reported.floors
+            && busy == self.reported.busy
+            && self.untold.is_empty();
         let is_fresh = now.since(self.reported.at) < self.cfg.stale_after / 4;
         if is_known && is_fresh && !is_full {
             return None;
@@ -220,6 +299,8 @@
         reported.at = now;
         reported.loads.clone_from(&self.own);
         reported.floors.clone_from(&floors);
+        let tells_busy = is_full || busy != reported.busy;
+        reported.busy.clone_from(&busy);
         if is_full {
             reported.full_at = now;
         }
@@ -229,6 +310,7 @@
             rows,
             floors,
             held: self.untold.drain(..held).collect(),
+            busy: tells_busy.then_some(busy),
         })
     }
 
--- a/crates/core/src/balance/tests.rs
+++ b/crates/core/src/balance/tests.rs
@@ -122,7 +122,9 @@
     let other = other.expect("there are four");
     one.on_dispatch(NOW, other, 11_000, &long(11));
     one.on_read(other, 11_000);
-    let told = one.report(NOW, Vec::new()).expect("there is news");
+    let told = one
+        .report(NOW, Vec::new(), |_| false)
+        .expect("there is news");
     two.on_part(NOW, RouterId(1), &told);
     let places = places(&two, 4);
     let choice = two.choose(NOW, wanted(&long(12), false), places.iter());
@@ -170,7 +172,9 @@
         let parts = [part(1, case.tokens), part(2, 100)];
         balance.on_dispatch(NOW, TargetId(1), 0, &parts);
         balance.on_dispatch(NOW + case.after, TargetId(1), 0, &parts);
-        let told = balance.report(NOW, Vec::new()).expect("a target has work");
+        let told = balance
+            .report(NOW, Vec::new(), |_| false)
+            .expect("a target has work");
         assert_eq!(told.held.len(), case.told, "{}", case.name);
     }
 }
@@ -218,6 +222,7 @@
             lowest: 1_000,
         }],
         held: Vec::new(),
+        busy: None,
     };
     balance.on_part(NOW, RouterId(2), &told);
     let load = Load {
@@ -287,13 +292,17 @@
 fn peers_are_told_when_something_changed_or_now_and_then() {
     let mut balance = Balance::new(Config::default());
     balance.on_dispatch(NOW, TargetId(1), 5, &[]);
-    let told = balance.report(NOW, Vec::new()).expect("it changed");
+    let told = balance
+        .report(NOW, Vec::new(), |_| false)
+        .expect("it changed");
     assert_eq!(told.rows.len(), 1);
-    assert_eq!(balance.report(NOW, Vec::new()), None);
+    assert_eq!(balance.report(NOW, Vec::new(), |_| false), None);
     let later = NOW + balance.cfg().stale_after;
-    assert!(balance.report(later, Vec::new()).is_some());
+    assert!(balance.report(later, Vec::new(), |_| false).is_some());
     balance.on_end(TargetId(1));
-    let left = balance.report(later, Vec::new()).expect("it changed");
+    let left = balance
+        .report(later, Vec::new(), |_| false)
+        .expect("it changed");
     let none = LoadRow {
         target: TargetId(1),
         unread: 0,
@@ -321,7 +330,7 @@
         if step % 4 != 0 {
             one.on_end(running.remove(0));
         }
-        if let Some(part) = one.report(now, Vec::new()) {
+        if let Some(part) = one.report(now, Vec::new(), |_| false) {
             two.on_part(now, RouterId(1), &part);
         }
         for target in (1..=5).map(TargetId) {
@@ -332,9 +341,79 @@
     }
     let later = now + two.cfg().stale_after;
     assert_eq!(
-        two.report(later, Vec::new()).map(|part| part.rows),
+        two.report(later, Vec::new(), |_| false)
+            .map(|part| part.rows),
         Some(Vec::new())
     );
     let loads = (1..=5).map(|id| two.load(later, TargetId(id)));
     assert!(loads.into_iter().all(|load| load == Load::default()));
 }
+
+/// The pattern: in a large fleet few routers have work, and callers are sent to some of the routers only.
+#[test]
+fn routers_with_work_are_made_known_to_one_another() {
+    const NAMED: RouterId = RouterId(1);
+    struct Case {
+        name: &'static str,
+        /// Requests that router 2 has at a target.
+        requests: u32,
+        /// What waits at router 2.
+        floors: Vec<FloorRow>,
+        after: Duration,
+        /// Whether another router learns of router 2 from the named one.
+        told: bool,
+    }
+    let waits = FloorRow {
+        pool: PoolId(1),
+        lowest: 1,
+    };
+    let cases = [
+        Case {
+            name: "only the platform's questions",
+            requests: 3,
+            floors: Vec::new(),
+            after: Duration::ZERO,
+            told: false,
+        },
+        Case {
+            name: "requests at a target",
+            requests: 4,
+            floors: Vec::new(),
+            after: Duration::ZERO,
+            told: true,
+        },
+        Case {
+            name: "requests that wait",
+            requests: 0,
+            floors: vec![waits],
+            after: Duration::ZERO,
+            told: true,
+        },
+        Case {
+            name: "silent by now",
+            requests: 4,
+            floors: Vec::new(),
+            after: Config::default().stale_after,
+            told: false,
+        },
+    ];
+    for case in cases {
+        let new = || Balance::new(Config::default());
+        let (mut hub, mut busy, mut other) = (new(), new(), new());
+        let is_named = |router| router == NAMED;
+        for _ in 0..case.requests {
+            busy.on_dispatch(NOW, TargetId(1), 10, &[]);
+        }
+        let part = busy.report(NOW, case.floors, is_named);
+        hub.on_part(NOW, RouterId(2), &part.expect("the first report is due"));
+        let later = NOW + case.after;
+        let part = hub.report(later, Vec::new(), is_named);
+        other.on_part(later, NAMED, &part.expect("the first report is due"));
+        let known = other.busy(later).contains(&RouterId(2));
+        assert_eq!(known, case.told, "{}", case.name);
+        // What was only passed on is not passed on again, or it would never be forgotten.
+        let part = other.report(later, Vec::new(), is_named);
+        let passed_on = part.and_then(|part| part.busy);
+        assert_eq!(passed_on, Some(Vec::new()), "{}", case.name);
+    }
+}
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -1,5 +1,7 @@
 //! Choosing targets without anybody who hands out slots.
 
+use std::collections::BTreeSet;
+
 use crate::address;
 use crate::balance::message::FloorRow;
 use crate::balance::{Candidate, Choice, Place, Wanted};
@@ -143,16 +145,35 @@
             Some(FloorRow { pool, lowest })
         });
         let floors = floors.collect();
-        let Some(part) = self.balance.report(self.cx.now, floors) else {
+        let now = self.cx.now;
+        let named = address::named(&self.members, now, &self.cfg.data_centre);
+        let is_named = |router| named.contains(&router);
+        let Some(part) = self.balance.report(now, floors, is_named) else {
             return;
         };
-        // In a large fleet few routers have work, and those are rarely partners.
-        let mut readers = address::named(&self.members, self.cx.now, &self.cfg.data_centre);
-        readers.extend(self.members.partners());
-        readers.remove(&self.cx.me);
-        for to in readers {
+        let readers = self.load_readers(named);
+        for &to in readers.intersection(&self.load_readers) {
             self.cx.send(to, Part::Load(part.clone()), Urgency::Now);
         }
+        for &to in readers.difference(&self.load_readers) {
+            let whole = self.balance.whole_report();
+            self.cx.send(to, Part::Load(whole), Urgency::Now);
+        }
+        self.load_readers = readers;
+    }
+
+    /// Returns the routers that need to know this one's load: all that callers are sent to, partners, and, if this
+    /// router has work or is asked by callers itself, every router with work. In a large fleet few have any, and
+    /// those are rarely partners.
+    fn load_readers(&self, named: BTreeSet<RouterId>) -> BTreeSet<RouterId> {
+        let now = self.cx.now;
+        let mut readers = named;
+        if readers.contains(&self.cx.me) || self.balance.has_worked(now) {
+            readers.extend(self.balance.busy(now));
+        }
+        readers.extend(self.members.partners());
+        readers.remove(&self.cx.me);
+        readers
     }
 
     /// Returns for how long a request may wait for a target.
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -1,6 +1,6 @@
 //! The state of a node and its one entry point.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -86,6 +86,8 @@
     pub(super) next_tick: Time,
     pub(super) next_frame: Time,
     pub(super) next_load_report: Time,
+    /// The routers that were told this one's load last.
+    pub(super) load_readers: BTreeSet<RouterId>,
     pub(super) flush_all: bool,
     pub(super) started: Time,
     pub(super) was_ready: bool,
@@ -141,6 +143,7 @@
             next_tick: now,
             next_frame: now,
             next_load_report: now,
+            load_readers: BTreeSet::new(),
             flush_all: false,
             started: now,
             was_ready: false,
