Give each daemon of the hosting tests an IP number of its own

What was seen: `a daemon that is ready` not in time, once in each of 2 of 30 runs of the hosting tests; the daemon's own line: "cannot listen for directory: Address already in use". Cause: ports were chosen by listening and letting go; another test of the same process was given the same port before the daemon listened. Change: both fixtures use the one that counts IP numbers; a daemon's five listeners share one number, as they do on a VM. A trial with a number for each listener failed, because the router then takes its own record for a peer's.

--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -1,10 +1,12 @@
 //! The daemon as a process on a hosting platform: its store and a target are stand-ins, callers are plain HTTP.
 
+#[path = "support/address.rs"]
+mod address;
 #[path = "support/hosting.rs"]
 mod hosting;
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -19,6 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use self::address::free_address;
 use self::hosting::{Mood, Store, Target};
 
 /// The time for what should happen soon, on a busy machine too.
@@ -45,7 +48,9 @@
 
 impl Daemon {
     fn start(store: SocketAddr) -> Self {
-        let [callers, peers, operators, ready, directory] = free_addresses();
+        let own = free_address();
+        let at = |index| SocketAddr::new(own.ip(), own.port() + index);
+        let [callers, peers, operators, ready, directory] = [0, 1, 2, 3, 4].map(at);
         let settings = json!({
             "router_ip": callers.ip().to_string(),
             "data_centre": "dc-a",
@@ -104,19 +109,6 @@
     }
 }
 
-/// Returns addresses on an IP number that no other test process uses.
-fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let own = std::process::id();
-    let ip = format!(
-        "127.{}.{}.{}",
-        64 + (own >> 14 & 63),
-        own >> 7 & 127,
-        1 + (own & 127)
-    );
-    let listeners = [(); N].map(|()| TcpListener::bind((ip.as_str(), 0)).expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("it listens"))
-}
-
 async fn send(
     at: SocketAddr,
     method: Method,
--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -6,11 +6,11 @@
     reason = "each test program takes what it needs of the fixture"
 )]
 
+mod address;
 pub mod client;
 pub mod daemon;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{Bounds, Organisation, Pool, Service, Target};
@@ -22,6 +22,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
+pub(crate) use self::address::free_address;
 use self::client::{Answer, Client};
 use self::daemon::Daemon;
 
@@ -289,19 +290,6 @@
         .unwrap_or_else(|_| panic!("in {PATIENCE:?} it did not come true that {what}"));
 }
 
-/// Returns an address of loopback that no other test uses.
-///
-/// Each one has an IP number of its own, made of the process and a count. A port that was only looked at
-/// could be taken by another test before the daemon listens on it.
-pub fn free_address() -> SocketAddr {
-    const PORT: u16 = 9_000;
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let host = NEXT.fetch_add(1, Ordering::Relaxed);
-    // 127.0.0.0/16 is left to everyone else.
-    SocketAddr::from(([127, high | 0x80, low, host], PORT))
-}
-
 /// Appends entries to the log.
 pub async fn publish(client: &Client, log: SocketAddr, entries: Vec<Entry>) {
     let records: Vec<String> = entries.into_iter().map(record).collect();
