Test that answers without end are cut off in time

Bytes that are no answer may come without end, in a head or a body, until the caller closes. Six kinds are played by a target over a plain socket: each request has its final answer, or is broken off, within its route's timeout, the connection is closed, and the router's memory stays below 64 MiB. No code had to change: the HTTP library bounds heads, bodies of failures are bounded, and the route's timeout bounds the rest.

--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -22,7 +22,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::address::free_address;
-use self::hosting::{Mood, Store, Target};
+use self::hosting::{Endless, Mood, Store, Target};
 
 /// The time for what should happen soon, on a busy machine too.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -289,6 +289,94 @@
     }
 }
 
+/// Guards against answers without end: they must neither hold a request beyond its route's timeout nor fill memory.
+#[tokio::test]
+async fn bytes_without_end_are_cut_off_in_time() {
+    const FILLER: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nattempt-id: a1\r\nserver-stamp: proof\r\n";
+    struct Case {
+        name: &'static str,
+        once: &'static str,
+        again: &'static str,
+    }
+    let chunked = "HTTP/1.1 200 OK\r\nattempt-id: a1\r\nserver-stamp: proof\r\ntransfer-encoding: chunked\r\n\r\n";
+    let failed = "HTTP/1.1 500 E\r\nattempt-id: a1\r\nserver-stamp: proof\r\ntransfer-encoding: chunked\r\n\r\n";
+    let cases = [
+        Case {
+            name: "no answer at all",
+            once: FILLER,
+            again: FILLER,
+        },
+        Case {
+            name: "one header line",
+            once: HEAD,
+            again: FILLER,
+        },
+        Case {
+            name: "header lines",
+            once: HEAD,
+            again: "x-more: 0123456789abcdef0123456789abcdef\r\n",
+        },
+        Case {
+            name: "the body of a success",
+            once: chunked,
+            again: "10\r\n0123456789abcdef\r\n",
+        },
+        Case {
+            name: "the body of a failure",
+            once: failed,
+            again: "10\r\n0123456789abcdef\r\n",
+        },
+        Case {
+            name: "an extension of a chunk",
+            once: chunked,
+            again: "1;x=0123456789abcdef",
+        },
+    ];
+    let (store, _, _, daemon) = start().await;
+    let mut asked = 0;
+    for (index, case) in cases.into_iter().enumerate() {
+        let (target, address) = Endless::start(case.once, case.again).await;
+        store.put("keyed.servers", "i-1", None);
+        let key = format!("i-{}", index + 2);
+        store.put("keyed.servers", &key, Some(server(address, "ready", 1)));
+        let began = Instant::now();
+        until(case.name, async || {
+            // The body of a success is passed on, so it breaks off before the caller has the whole of it.
+            let headers = [("attempt-id", "a1"), ("authorization", "Bearer k1")];
+            // Content that was met at a broken connection before would be kept from targets.
+            asked += 1;
+            let path = format!("/once/{asked}");
+            let asked = send(daemon.callers, Method::POST, &path, &headers, "body");
+            let answer = timeout(Duration::from_millis(2_500), asked).await;
+            let answer =
+                answer.unwrap_or_else(|_| panic!("{}: held beyond the timeout", case.name));
+            // Until the record is read, the target before answers.
+            let is_asked = target.figures().1 > 0;
+            let is_whole = answer.is_some_and(|answer| answer.status() == 200);
+            assert!(!(is_asked && is_whole), "{}", case.name);
+            is_asked
+        })
+        .await;
+        until("the connection is closed", async || target.figures().0 == 0).await;
+        store.put("keyed.servers", &key, None);
+        assert!(began.elapsed() < PATIENCE, "{}", case.name);
+    }
+    assert!(daemon.is_ready().await);
+    let resident = resident_mib(daemon.child.id());
+    assert!(resident < 64, "{resident} MiB");
+}
+
+/// Returns the resident memory of a process.
+fn resident_mib(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    kib.and_then(|kib| kib.parse::<u64>().ok())
+        .expect("a number")
+        / 1_024
+}
+
 #[tokio::test]
 async fn changes_of_the_configuration_hold_soon_and_strangers_are_refused() {
     let (store, _, address, daemon) = start().await;
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,7 +13,8 @@
 use axum::routing::{get, post};
 use http::{HeaderMap, StatusCode};
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 type Topic = Vec<(String, Option<Vec<u8>>)>;
 type Params = BTreeMap<String, String>;
@@ -239,6 +240,55 @@
     response
 }
 
+/// A target that answers every request with these bytes once, then with others without end.
+pub(crate) struct Endless {
+    open: AtomicUsize,
+    sent: AtomicUsize,
+    once: &'static str,
+    again: &'static str,
+}
+
+impl Endless {
+    /// Starts a target and returns it with its address.
+    pub(crate) async fn start(once: &'static str, again: &'static str) -> (Arc<Self>, SocketAddr) {
+        let target = Arc::new(Self {
+            open: AtomicUsize::new(0),
+            sent: AtomicUsize::new(0),
+            once,
+            again,
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let own = Arc::clone(&target);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(Arc::clone(&own).answer(stream));
+            }
+        });
+        (target, address)
+    }
+
+    /// Returns how many connections with an answer are open, and how many bytes were written.
+    pub(crate) fn figures(&self) -> (usize, usize) {
+        let figure = |figure: &AtomicUsize| figure.load(Ordering::Relaxed);
+        (figure(&self.open), figure(&self.sent))
+    }
+
+    async fn answer(self: Arc<Self>, mut stream: TcpStream) {
+        let mut request = [0; 4_096];
+        if stream.read(&mut request).await.unwrap_or(0) == 0 {
+            return;
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let mut next = self.once;
+        while stream.write_all(next.as_bytes()).await.is_ok() {
+            self.sent.fetch_add(next.len(), Ordering::Relaxed);
+            next = self.again;
+        }
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve(router: Router) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it listens");
