Do not heed a record that a target wrote before a newer one

Cause: the store orders records by when it took them in. A target's write that got no answer may take effect seconds later, behind the one that says that it leaves or behind its removal, and made it a target to use again. The class: another order is trusted than that of the writer. Change: a record is heeded only if the target wrote it after the last one, by the beginning of its run and its own count; without the beginning of the run everything is heeded as before. Run: target::tests, a table of twelve orders; with the check left out it fails at "an older one".

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -12,6 +12,7 @@
 use bulrushtrestle_core::key::{Offset, OrganisationId, PoolId};
 use bulrushtrestle_core::output::{MovePhase, MoveStand};
 use bulrushtrestle_core::request::{Repeat, Request, Terms};
+use bulrushtrestle_core::target::Order;
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use bulrushtrestle_platform::operator::{self, CallerLimits};
@@ -53,6 +54,8 @@
     peers: Option<PeerListener>,
     /// The routers and targets that the store names, as the platform's VM list.
     vms: BTreeMap<u32, Vm>,
+    /// Which records of targets are newer than others.
+    order: Order,
     limits: watch::Sender<Option<CallerLimits>>,
     metrics: Arc<Metrics>,
     clock: Clock,
@@ -127,6 +130,7 @@
             events,
             peers: Some(peers),
             vms: BTreeMap::new(),
+            order: Order::default(),
             limits,
             metrics,
             clock,
@@ -195,6 +199,13 @@
                     continue;
                 }
             };
+            if let Some(described) = &described
+                && !self.order.admits(&described.state)
+            {
+                let sequence = described.state.sequence;
+                log::info!(target: "target", "name={} passed_over=older offset={} sequence={sequence}", record.key, record.offset);
+                continue;
+            }
             match &described {
                 Some(described) => {
                     let entry = &described.entry;
@@ -207,12 +218,14 @@
                     };
                     let leaving = listed.leaving;
                     let before = self.vms.insert(vm, listed);
-                    if leaving && !before.is_some_and(|before| before.leaving) {
-                        log::info!(target: "target", "name={} leaving=true offset={}", record.key, record.offset);
+                    if leaving != before.is_some_and(|before| before.leaving) {
+                        let sequence = described.state.sequence;
+                        log::info!(target: "target", "name={} leaving={leaving} offset={} sequence={sequence}", record.key, record.offset);
                     }
                     states.push(described.state);
                 }
                 None => {
+                    self.order.on_gone(self.clock.now(), target::id(record));
                     if self.vms.remove(&vm).is_some() {
                         log::info!(target: "target", "name={} gone=true offset={}", record.key, record.offset);
                     }
--- a/crates/core/src/target/mod.rs
+++ b/crates/core/src/target/mod.rs
@@ -13,10 +13,12 @@
 mod config;
 mod health;
 pub mod message;
+mod order;
 mod state;
 #[cfg(test)]
 mod tests;
 
 pub use self::config::{Config, Policy};
 pub use self::health::{Cause, Sign};
+pub use self::order::Order;
 pub use self::state::{Condition, Targets};
--- a/crates/core/src/target/tests.rs
+++ b/crates/core/src/target/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of what one target is trusted with.
 
 use super::health::Health;
-use super::{Cause, Config, Sign};
-use crate::input::Report;
+use super::{Cause, Config, Order, Sign};
+use crate::input::{Report, TargetState};
 use crate::prelude::*;
 
 /// What happens to a target of eight slots.
@@ -300,3 +300,105 @@
     health.on_sign(now, &cfg, Sign::Unanswered);
     assert!(health.is_free(now + cfg.hold), "an answer ends the series");
 }
+
+/// Guards against requests to a target that leaves after a record that it wrote before saying so has reached the store
+/// behind the one that says so.
+#[test]
+fn a_record_that_a_target_wrote_before_is_not_heeded() {
+    const T: TargetId = TargetId(7);
+    const RUN: Option<u64> = Some(1_000);
+    enum Word {
+        Wrote(Option<u64>, u64),
+        Gone,
+        Minute,
+    }
+    use Word::{Gone, Minute, Wrote};
+    struct Case {
+        name: &'static str,
+        before: &'static [Word],
+        word: (Option<u64>, u64),
+        heeded: bool,
+    }
+    let case = |name, before, word, heeded| Case {
+        name,
+        before,
+        word,
+        heeded,
+    };
+    let cases = [
+        case("the first", &[], (RUN, 4), true),
+        case("a newer one", &[Wrote(RUN, 4)], (RUN, 5), true),
+        case("the same again", &[Wrote(RUN, 4)], (RUN, 4), true),
+        case("an older one", &[Wrote(RUN, 4)], (RUN, 3), false),
+        case("one of a new run", &[Wrote(RUN, 4)], (Some(1_001), 1), true),
+        case(
+            "one of the run before",
+            &[Wrote(RUN, 1)],
+            (Some(999), 9),
+            false,
+        ),
+        case(
+            "an older one of a target that is gone",
+            &[Wrote(RUN, 4), Gone],
+            (RUN, 3),
+            false,
+        ),
+        case(
+            "the last one of a target that is gone",
+            &[Wrote(RUN, 4), Gone],
+            (RUN, 4),
+            false,
+        ),
+        case(
+            "back after its entry lapsed",
+            &[Wrote(RUN, 4), Gone],
+            (RUN, 5),
+            true,
+        ),
+        case(
+            "the same again after it was back",
+            &[Wrote(RUN, 4), Gone, Wrote(RUN, 5)],
+            (RUN, 5),
+            true,
+        ),
+        case(
+            "gone for long",
+            &[Wrote(RUN, 4), Gone, Minute],
+            (RUN, 3),
+            true,
+        ),
+        case(
+            "without the beginning of its run",
+            &[Wrote(None, 4)],
+            (None, 3),
+            true,
+        ),
+    ];
+    for case in cases {
+        let mut order = Order::default();
+        let mut now = Time::from_millis(1_000_000);
+        let state = |(started_ms, sequence)| TargetState {
+            target: T,
+            leaving: false,
+            cold_for: Duration::ZERO,
+            started_ms,
+            sequence,
+        };
+        for word in case.before {
+            match *word {
+                Wrote(run, sequence) => assert!(order.admits(&state((run, sequence)))),
+                Gone => order.on_gone(now, T),
+                Minute => {
+                    now = now + Duration::from_secs(60);
+                    order.on_gone(now, TargetId(8));
+                }
+            }
+        }
+        assert_eq!(
+            order.admits(&state(case.word)),
+            case.heeded,
+            "{}",
+            case.name
+        );
+    }
+}
