Count slow starts at once, and allow a tenth of slow answers

Cause: an answer counted as slow when its pace was known, which for a long stream is seconds after its slow start; and up to 15 in 100 slow answers were never held against a version, though the measure lets a tenth pass by definition. By second 13.1, when 50 bad answers had been given, 12 of 58 counted as slow, of 4 in 100 at the old version. Tried and left: counting start and pace as one sum. A version that only goes on slowly was then used for 5.65 s after it had shown itself (moves, slow at once), 5 s allowed. Change: starts are tallied by themselves and judged like the pace. The allowed fraction is a tenth; the old version's own is taken at two standard deviations above what was seen, or a healthy version was taken back in one of 300 made-up moves. The router that decides logs the evidence. Run: version::tests (the new case of the table fails with 0.15 and no tally of starts), moves (11 good and 13 bad moves).

--- a/crates/core/src/node/version.rs
+++ b/crates/core/src/node/version.rs
@@ -106,10 +106,12 @@
         trial.route.load = trial.route.load.max(self.load_of(target));
         if let Some((measure, time)) = measured(now, attempt, event) {
             let route = trial.route;
-            let slow = self
-                .moves
-                .is_slow(pool, &version, route, measure, time)
-                .map(|slow| slow || trial.slow);
+            let is_slow = self.moves.is_slow(pool, &version, route, measure, time);
+            // The pace of a long stream is known seconds after its start, so the start counts by itself too.
+            if let Some(slow) = is_slow.filter(|_| measure == Measure::Start) {
+                self.moves.on_started(pool, &version, route, slow);
+            }
+            let slow = is_slow.map(|slow| slow || trial.slow);
             if let Some(attempt) = self.attempts.get_mut(&id) {
                 attempt.trial.route = route;
                 attempt.trial.paced |= measure == Measure::Pace;
--- a/crates/core/src/version/evidence.rs
+++ b/crates/core/src/version/evidence.rs
@@ -8,6 +8,7 @@
 //! A time is slow if it lies well above the ninetieth percentile of the old version's times on the route
 //! at that router, so the distribution's form does not matter.
 
+use core::fmt;
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
@@ -19,10 +20,12 @@
 const LOG_ODDS: f64 = 12.0;
 /// Failures up to this fraction are never held against a version.
 const FAILURES_MIN: f64 = 0.02;
-/// Slow answers up to this fraction are never held against a version.
-const SLOW_MIN: f64 = 0.15;
+/// Slow times up to this fraction are never held against a version: as many lie above the ninetieth percentile.
+const SLOW_MIN: f64 = 0.1;
 /// So many times the old version's fraction is not held against the new one.
 const MARGIN: f64 = 1.5;
+/// By how many standard deviations the old version's fraction may be higher than seen: one in forty is further off.
+const DEVIATIONS: f64 = 2.0;
 /// A time is slow if it is so many halves of the percentile.
 const SLOW_HALVES: u64 = 3;
 /// Samples before a percentile is trusted.
@@ -82,6 +85,10 @@
     pub timed: u32,
     /// Those that were slow to start or to go on.
     pub slow: u32,
+    /// Requests whose start could be compared, those that still go on included.
+    pub started: u32,
+    /// Those that were slow to start.
+    pub late: u32,
 }
 
 /// A time that is compared.
@@ -151,6 +158,13 @@
         usual.map(|usual| micros > usual.saturating_mul(SLOW_HALVES) / 2)
     }
 
+    /// Counts a request whose start was compared.
+    pub(super) fn on_started(&mut self, route: Route, new: bool, late: bool) {
+        let counts = self.counts(route, new);
+        counts.started += 1;
+        counts.late += u32::from(late);
+    }
+
     /// Counts a request whose times were compared.
     pub(super) fn on_timed(&mut self, route: Route, new: bool, slow: bool) {
         let counts = self.counts(route, new);
@@ -213,6 +227,13 @@
         self.add(now, BREAK_ROUTE, seen, true);
     }
 
+    /// Returns what was seen on all routes over the whole move.
+    pub(super) fn whole(&self) -> Tally {
+        let mut sum = Tally::default();
+        self.total.values().for_each(|tally| sum.add(*tally));
+        sum
+    }
+
     /// Returns the fault of the new version, if it shows on any route or on all taken together.
     pub(super) fn fault(&self) -> Option<(Route, Fault)> {
         fault(&self.total).or_else(|| fault(&self.recent))
@@ -246,8 +267,27 @@
             return Some(Fault::Fails);
         }
         let slow = Trials(new.slow, new.timed);
-        slow.are_worse_than(Trials(old.slow, old.timed), SLOW_MIN)
-            .then_some(Fault::Slow)
+        let late = Trials(new.late, new.started);
+        let is_slow = slow.are_worse_than(Trials(old.slow, old.timed), SLOW_MIN)
+            || late.are_worse_than(Trials(old.late, old.started), SLOW_MIN);
+        is_slow.then_some(Fault::Slow)
+    }
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            ended,
+            failed,
+            timed,
+            slow,
+            started,
+            late,
+        } = self;
+        write!(
+            f,
+            "ended={ended} failed={failed} timed={timed} slow={slow} started={started} late={late}"
+        )
     }
 }
 
@@ -257,6 +297,8 @@
         self.failed += other.failed;
         self.timed += other.timed;
         self.slow += other.slow;
+        self.started += other.started;
+        self.late += other.late;
     }
 
     const fn halve(&mut self) {
@@ -264,6 +306,8 @@
         self.failed /= 2;
         self.timed /= 2;
         self.slow /= 2;
+        self.started /= 2;
+        self.late /= 2;
     }
 
     fn since(self, before: Self) -> Option<Self> {
@@ -272,6 +316,8 @@
             failed: self.failed.checked_sub(before.failed)?,
             timed: self.timed.checked_sub(before.timed)?,
             slow: self.slow.checked_sub(before.slow)?,
+            started: self.started.checked_sub(before.started)?,
+            late: self.late.checked_sub(before.late)?,
         })
     }
 }
@@ -311,8 +357,11 @@
             return false;
         }
         let seen = f64::from(hits) / f64::from(trials);
-        // The fraction of few trials may be far off, so it is drawn towards one half.
-        let usual = (f64::from(usual.0) + 1.0) / (f64::from(usual.1) + 2.0);
+        // The fraction of few trials may be far off, so it is drawn towards one half and taken at the upper end of
+        // where it may well be.
+        let count = f64::from(usual.1) + 2.0;
+        let usual = (f64::from(usual.0) + 1.0) / count;
+        let usual = usual + DEVIATIONS * (usual * (1.0 - usual) / count).sqrt();
         let allowed = (usual * MARGIN).clamp(least, 0.9);
         seen > allowed && f64::from(trials) * divergence(seen, allowed) >= LOG_ODDS
     }
--- a/crates/core/src/version/state.rs
+++ b/crates/core/src/version/state.rs
@@ -89,6 +89,8 @@
     pooled: Pool,
     heard: BTreeMap<RouterId, Heard>,
     sent: Option<(RouterId, Heard)>,
+    /// The evidence that was logged last.
+    logged: Tally,
     /// When this router last took a step.
     stepped: Option<Time>,
     /// The targets that run the new version.
@@ -176,6 +178,14 @@
         active.own.is_slow(route, new, measure, time)
     }
 
+    /// Counts a request at a target of this version whose start was compared.
+    pub fn on_started(&mut self, pool: PoolId, version: &str, route: Route, late: bool) {
+        let new = self.is_new(pool, version);
+        if let Some(active) = self.moves.get_mut(&pool) {
+            active.own.on_started(route, new, late);
+        }
+    }
+
     /// Counts a request at a target of this version whose times were compared.
     pub fn on_timed(&mut self, pool: PoolId, version: &str, route: Route, slow: bool) {
         let new = self.is_new(pool, version);
@@ -274,6 +284,9 @@
     pub fn step(&mut self, cx: &mut Context, pool: PoolId, decider: Decider) {
         self.tell_decider(cx, pool, decider.best);
         self.judge(cx, pool);
+        if decider.best == self.me {
+            self.log_evidence(cx, pool);
+        }
         let acts = decider.fence.is_some() || (decider.log_down && decider.best == self.me);
         let Some(active) = self.moves.get(&pool).filter(|_| acts) else {
             return;
@@ -459,6 +472,18 @@
         self.merge(cx, &step);
     }
 
+    /// Writes what speaks for and against the new version, whenever that has changed.
+    fn log_evidence(&mut self, cx: &mut Context, pool: PoolId) {
+        let Some(active) = self.moves.get_mut(&pool) else {
+            return;
+        };
+        let seen = active.pooled.whole();
+        if core::mem::replace(&mut active.logged, seen) != seen {
+            let subject = format!("{}: old {} new {}", active.name, seen.old, seen.new);
+            cx.notice(NoticeKind::Version, subject);
+        }
+    }
+
     fn tell_decider(&mut self, cx: &mut Context, pool: PoolId, best: RouterId) {
         let Some(active) = self.moves.get_mut(&pool).filter(|_| best != cx.me) else {
             return;
@@ -504,6 +529,7 @@
             pooled: Pool::default(),
             heard: BTreeMap::new(),
             sent: None,
+            logged: Tally::default(),
             stepped: None,
             new_targets: BTreeSet::new(),
             operators_know: None,
--- a/crates/core/src/version/tests.rs
+++ b/crates/core/src/version/tests.rs
@@ -288,6 +288,19 @@
         ),
         case("slow", (900, 0, 50), (20, 0, 19), slow),
         case("slow half of the time", (900, 0, 50), (40, 0, 20), slow),
+        // A share of 80 in 1000 gets so many requests before the users' fiftieth bad answer.
+        case(
+            "slow three times in ten",
+            (2_400, 0, 110),
+            (80, 0, 24),
+            slow,
+        ),
+        case(
+            "slow a tenth of the time",
+            (2_400, 0, 110),
+            (400, 0, 40),
+            None,
+        ),
         case("the old one is unknown", (0, 0, 0), (20, 20, 20), None),
     ];
     for case in cases {
@@ -296,6 +309,7 @@
             failed,
             timed: ended,
             slow,
+            ..Counts::default()
         };
         let tally = Tally {
             old: counts(case.old),
@@ -308,6 +322,25 @@
     }
 }
 
+/// Guards against a move to a version that starts slowly and is kept until its long streams have ended.
+#[test]
+fn slow_starts_count_before_the_streams_end() {
+    let starts = |started, late| Counts {
+        started,
+        late,
+        ..Counts::default()
+    };
+    for (late, fault) in [(0, None), (8, None), (24, Some(Fault::Slow))] {
+        let tally = Tally {
+            old: starts(2_400, 110),
+            new: starts(80, late),
+        };
+        let mut pool = Pooled::default();
+        pool.add(Time::default(), ROUTE, tally, true);
+        assert_eq!(pool.fault().map(|(_, fault)| fault), fault, "{late} of 80");
+    }
+}
+
 #[test]
 fn a_version_that_was_good_for_long_shows_itself_within_a_few_failures() {
     let good = Counts {
@@ -345,6 +378,8 @@
                 failed: (0..ended).filter(|_| rng.random_bool(noise)).count() as u32,
                 timed: ended,
                 slow: (0..ended).filter(|_| rng.random_bool(0.1)).count() as u32,
+                started: ended,
+                late: (0..ended).filter(|_| rng.random_bool(0.1)).count() as u32,
             };
             let tally = Tally {
                 old: counts(10),
