Compare versions by kind of request

Cause: the times of all requests of a class were compared with one percentile, so a small request that took several times its time still lay below what large ones take. Change: requests are compared with those of the same objective, and judged by objective, class and all together, over all loads from one up. Run: version::tests with a new one (the small request of it cannot be told apart with one percentile), moves.

--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -333,6 +333,8 @@
         };
         let (organisation, prompt) = (active.req.organisation, active.req.prompt_tokens);
         let prefix = active.req.prefix;
+        let objective = active.req.terms.objective.unwrap_or_default();
+        let objective_ms = u32::try_from(objective.as_millis()).unwrap_or(u32::MAX);
         let bill = self.open_bill(organisation, prompt);
         let known = self.slots.owners.of(target);
         let (lane, owner) = known.unwrap_or((pool, self.cx.me));
@@ -344,7 +346,11 @@
             self.prefixes.store(target, prefix);
         }
         let load = self.load_of(target);
-        let route = Route { class, load };
+        let route = Route {
+            class,
+            objective_ms,
+            load,
+        };
         let mut state = Attempt::new(waiting.request, target, self.cx.now, bill, route);
         state.counted = resume_from;
         state.runs_as = (pool, organisation, class);
--- a/crates/core/src/version/evidence.rs
+++ b/crates/core/src/version/evidence.rs
@@ -9,7 +9,7 @@
 //! at that router, so the distribution's form does not matter.
 
 use core::fmt;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +41,7 @@
 /// Where broken connections are counted.
 const BREAK_ROUTE: Route = Route {
     class: Class::Interactive,
+    objective_ms: 0,
     load: Load::Low,
 };
 
@@ -49,6 +50,9 @@
 pub struct Route {
     /// The class of the requests.
     pub class: Class,
+    /// Their objective in milliseconds, which tells kinds of requests of one class apart: a small one that takes several
+    /// times its time is still faster than a large one. Zero if none is stated.
+    pub objective_ms: u32,
     /// The highest load of the target that was known while it had the request.
     pub load: Load,
 }
@@ -322,29 +326,47 @@
     }
 }
 
-/// Looks at every route, then at each class and at all classes over all loads from one load up: harm
-/// that begins at some load shows at every higher one, and each of them alone has few requests.
+/// Looks at every route, then at each kind of requests, each class and all classes over all loads from one load up:
+/// harm that begins at some load shows at every higher one, and each of them alone has few requests.
 fn fault(tallies: &BTreeMap<Route, Tally>) -> Option<(Route, Fault)> {
-    let sum = |class: Option<Class>, least: Load| {
+    let sum = |kinds: Kinds, least: Load| {
         let mut sum = Tally::default();
-        let is_member =
-            |route: &Route| route.load >= least && class.is_none_or(|class| route.class == class);
+        let is_member = |route: &Route| route.load >= least && kinds.contain(route);
         let members = tallies.iter().filter(|(route, _)| is_member(route));
         members.clone().for_each(|(_, tally)| sum.add(*tally));
         let (first, _) = members.into_iter().next()?;
         Some((*first, sum))
     };
-    let wider = Class::ALL
-        .map(Some)
-        .into_iter()
-        .chain([None])
-        .flat_map(|class| Load::ALL.map(|least| (class, least)));
+    let objectives: BTreeSet<u32> = tallies.keys().map(|route| route.objective_ms).collect();
+    let objectives = objectives.into_iter().map(Kinds::OfObjective);
+    let wider = objectives
+        .chain(Class::ALL.map(Kinds::OfClass))
+        .chain([Kinds::All])
+        .flat_map(|kinds| Load::ALL.map(|least| (kinds, least)));
     let routes = tallies.iter().map(|(route, tally)| (*route, *tally));
     routes
-        .chain(wider.filter_map(|(class, least)| sum(class, least)))
+        .chain(wider.filter_map(|(kinds, least)| sum(kinds, least)))
         .find_map(|(route, tally)| Some((route, tally.fault()?)))
 }
 
+/// Requests that are looked at together.
+#[derive(Debug, Clone, Copy)]
+enum Kinds {
+    OfObjective(u32),
+    OfClass(Class),
+    All,
+}
+
+impl Kinds {
+    fn contain(self, route: &Route) -> bool {
+        match self {
+            Self::OfObjective(objective) => route.objective_ms == objective,
+            Self::OfClass(class) => route.class == class,
+            Self::All => true,
+        }
+    }
+}
+
 /// So many hits in so many trials.
 #[derive(Debug, Clone, Copy)]
 struct Trials(u32, u32);
--- a/crates/core/src/version/state/stand.rs
+++ b/crates/core/src/version/state/stand.rs
@@ -9,6 +9,7 @@
 /// The route of a fault that is known only from what operators were told.
 const RECORDED_ROUTE: Route = Route {
     class: Class::Interactive,
+    objective_ms: 0,
     load: Load::Low,
 };
 
--- a/crates/core/src/version/tests.rs
+++ b/crates/core/src/version/tests.rs
@@ -17,6 +17,7 @@
 
 const ROUTE: Route = Route {
     class: Class::Interactive,
+    objective_ms: 0,
     load: Load::Low,
 };
 
@@ -439,3 +440,27 @@
         assert_eq!(slow, case.slow, "{}", case.name);
     }
 }
+
+/// Guards against a version that answers small requests several times slower, which still is less than large ones take.
+#[test]
+fn a_small_request_that_is_slow_shows_beside_large_ones() {
+    let of = |objective_ms| Route {
+        objective_ms,
+        ..ROUTE
+    };
+    let (large, small) = (of(800), of(400));
+    let mut evidence = Evidence::default();
+    for step in 0..40 {
+        for (route, millis) in [(large, 1_000), (small, 100)] {
+            let time = Duration::from_millis(millis + step);
+            evidence.is_slow(route, false, Measure::Start, time);
+        }
+    }
+    let mut is_slow = |route, millis| {
+        let time = Duration::from_millis(millis);
+        evidence.is_slow(route, true, Measure::Start, time)
+    };
+    assert_eq!(is_slow(small, 400), Some(true));
+    assert_eq!(is_slow(small, 140), Some(false));
+    assert_eq!(is_slow(large, 1_040), Some(false));
+}
