Claim no turn for what waits while nothing can be sent

Cause: requests that wait for a read of the targets still told peers whose turn it was. The class: a claim outlives the ability to use it. Change: a router that may send nothing claims no turn. Run: the new test in core/tests/local.rs, which fails without the change.

--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -143,11 +143,7 @@
 
     /// Tells peers what this router has at targets.
     pub(super) fn report_load(&mut self) {
-        let floors = self.queues.pools().into_iter().filter_map(|pool| {
-            let lowest = self.candidates(pool).first()?.time;
-            Some(FloorRow { pool, lowest })
-        });
-        let floors = floors.collect();
+        let floors = self.floors();
         let now = self.cx.now;
         let named = address::named(&self.members, now, &self.cfg.data_centre);
         let is_named = |router| named.contains(&router);
@@ -165,6 +161,19 @@
         self.load_readers = readers;
     }
 
+    /// Returns whose turn it is at this router. What waits while nothing can be sent claims no turn, or capacity would
+    /// idle for it everywhere.
+    fn floors(&self) -> Vec<FloorRow> {
+        if self.targets_are_stale() {
+            return Vec::new();
+        }
+        let lowest = |pool| {
+            let lowest = self.candidates(pool).first()?.time;
+            Some(FloorRow { pool, lowest })
+        };
+        self.queues.pools().into_iter().filter_map(lowest).collect()
+    }
+
     /// Returns the routers that need to know this one's load: all that callers are sent to, partners, and, if this
     /// router has work or is asked by callers itself, every router with work. In a large fleet few have any, and
     /// those are rarely partners.
--- a/crates/core/tests/local.rs
+++ b/crates/core/tests/local.rs
@@ -15,6 +15,7 @@
 use bulrushtrestle_core::input::{
     AttemptEvent, Input, StoreChange, StoreEvent, TargetState, Vm, VmRole,
 };
+use bulrushtrestle_core::message::{Frame, Part};
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
 use bulrushtrestle_core::output::Output;
 use bulrushtrestle_core::prelude::*;
@@ -393,6 +394,41 @@
     }
 }
 
+/// Guards against capacity that idles because the organisation whose turn it is waits behind a router that cannot send.
+///
+/// The pattern: a router has not read the targets' records for long and has requests that wait.
+#[test]
+fn a_router_that_cannot_send_claims_no_turn() {
+    for (is_read, claims) in [(true, true), (false, false)] {
+        let mut fleet = Fleet::new(2, 1, 0);
+        let asked = fleet.now;
+        fleet.input(0, Input::Store(StoreEvent::TargetsRead { asked }));
+        fleet.run(Duration::from_millis(2_100));
+        if is_read {
+            let asked = fleet.now;
+            fleet.input(0, Input::Store(StoreEvent::TargetsRead { asked }));
+        }
+        for _ in 0..8 {
+            fleet.submit(0, "one");
+        }
+        let mut claimed = false;
+        for _ in 0..200 {
+            fleet.step();
+            let own = fleet
+                .frames
+                .iter()
+                .filter(|(.., from, _)| *from == RouterId(1));
+            let frames = own.map(|(.., bytes)| Frame::decode(bytes).expect("a frame"));
+            let parts = frames.flat_map(|frame| frame.parts);
+            claimed |= parts.into_iter().any(|part| match part {
+                Part::Load(load) => !load.floors.is_empty(),
+                _ => false,
+            });
+        }
+        assert_eq!(claimed, claims, "read in time: {is_read}");
+    }
+}
+
 /// The pattern: more is asked for than can be served, for longer than callers wait.
 #[test]
 fn what_cannot_be_served_is_refused_soon_and_says_when_to_come_back() {
