Take connections at a rate that follows the processor

Cause: a router refused, and closed its listener, once what is ready had waited 150 ms, which was also the wait at which requests are refused. Ruled out: the order between organisations (each request that reaches the node is answered), the targets, the cost of a refusal alone (76 us of own time; 700 a second of them). Change: connections are taken at a rate that rises by a step and falls by a factor, with a target of 50 ms; beyond it the kernel refuses them. Answers close their connection while the target is exceeded.

--- a/crates/bulrushtrestled/src/control/backlog.rs
+++ b/crates/bulrushtrestled/src/control/backlog.rs
@@ -7,7 +7,7 @@
 //! it bears serves each of them late: its callers leave meanwhile or come again, and what it did for them is lost.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 /// How late a thread may be before requests are refused: a third of the half second in which targets have to hear that a
@@ -19,18 +19,35 @@
 
 /// Whether the control thread is behind, as both sides of the channel see it.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Backlog(Arc<AtomicBool>);
+pub(crate) struct Backlog(Arc<Shared>);
+
+#[derive(Debug, Default)]
+struct Shared {
+    is_behind: AtomicBool,
+    /// How long the last request waited that has others behind it, in microseconds.
+    waited: AtomicU64,
+}
 
 impl Backlog {
     /// Says whether requests are to be refused at the door.
     pub(crate) fn is_behind(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.is_behind.load(Ordering::Relaxed)
+    }
+
+    /// Returns how long requests wait for the control thread.
+    pub(crate) fn waited(&self) -> Duration {
+        Duration::from_micros(self.0.waited.load(Ordering::Relaxed))
     }
 
     /// Says whether a request is taken that `waited` for the control thread, while `left` others wait behind it.
     pub(super) fn takes(&self, waited: Duration, left: usize) -> bool {
         let is_late = waited >= LATE_MAX;
-        self.0.store(is_late && left > 0, Ordering::Relaxed);
+        let lasting = if left > 0 { waited } else { Duration::ZERO };
+        let micros = u64::try_from(lasting.as_micros()).unwrap_or(u64::MAX);
+        self.0.waited.store(micros, Ordering::Relaxed);
+        self.0
+            .is_behind
+            .store(is_late && left > 0, Ordering::Relaxed);
         !is_late
     }
 }
--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bulrushtrestle_core::input::{AttemptEvent, TargetLoad};
 use bulrushtrestle_core::key::{AttemptId, Offset, OrganisationId, RequestId};
@@ -116,6 +117,11 @@
         self.backlog.is_behind()
     }
 
+    /// Returns how long requests wait for the control thread.
+    pub(crate) fn waited(&self) -> Duration {
+        self.backlog.waited()
+    }
+
     /// Asks which routers callers near a data centre should use.
     pub(crate) async fn near(&self, data_centre: Option<String>) -> Result<Vec<String>, Busy> {
         self.ask(|reply| Ask::Near { data_centre, reply }).await
--- a/crates/bulrushtrestled/src/listener.rs
+++ b/crates/bulrushtrestled/src/listener.rs
@@ -59,6 +59,8 @@
 /// What happens to connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Event {
+    /// A connection was accepted, and may be refused yet.
+    Accepted,
     /// A connection was opened.
     Opened,
     /// A connection that was opened has ended.
@@ -138,6 +140,7 @@
     });
     loop {
         let accepted = tokio::select! {
+            biased;
             _ = draining.wait_for(|draining| *draining) => return,
             () = has_closed(&mut closed), if address.is_ok() => None,
             accepted = listener.accept() => Some(accepted),
@@ -158,6 +161,7 @@
             sleep(ACCEPT_RETRY).await;
             continue;
         };
+        (server.events)(Event::Accepted);
         let permit = Arc::clone(&connections).try_acquire_owned().ok();
         let share = addresses.take(from.ip(), server.limits.per_address_max);
         if let (Some(permit), Some(share)) = (permit, share) {
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -56,11 +56,11 @@
         traffic: Arc::clone(&traffic),
     });
     tokio::spawn(crate::traffic::progress::flush(Arc::clone(&traffic)));
-    let (close, closed) = watch::channel(false);
+    let closed = traffic.intake.closed();
     let measured = Arc::clone(&traffic);
     tokio::spawn(async move {
         let control = &measured.control;
-        measured.lag.measure(|| control.is_behind(), close).await;
+        measured.intake.adapt(|| control.waited()).await;
     });
     let router = Router::new().fallback(call).with_state(hosted);
     let events = move |event| traffic.note(event);
@@ -89,7 +89,12 @@
     let (head, body) = req.into_parts();
     let attempt = request::decode(&head.headers).attempt;
     match start(&hosted, head, body).await {
-        Ok(response) => response,
+        Ok(mut response) => {
+            if hosted.traffic.intake.is_late() {
+                close_after(&mut response);
+            }
+            response
+        }
         Err(refusal) => {
             hosted
                 .traffic
@@ -98,15 +103,19 @@
             log_refusal(&attempt, &refusal);
             let mut response = response(&refusal);
             if is_behind(&hosted.traffic) {
-                // The caller's next request goes to a router that takes connections.
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
+                close_after(&mut response);
             }
             response
         }
     }
 }
 
+/// Closes a connection behind an answer, so that the caller's next request goes to a router that takes connections.
+fn close_after(response: &mut Response) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 async fn start(
     hosted: &Arc<Hosted>,
     head: Parts,
@@ -170,7 +179,7 @@
 
 /// Says whether the process does not keep up with what it has taken.
 fn is_behind(traffic: &Traffic) -> bool {
-    traffic.lag.is_too_large() || traffic.control.is_behind()
+    traffic.intake.is_too_late() || traffic.control.is_behind()
 }
 
 /// Returns the size that a body may have: the operators' limit, or that of the settings until it is known.
--- a/crates/bulrushtrestled/src/traffic/lag.rs
+++ b/crates/bulrushtrestled/src/traffic/lag.rs
@@ -1,28 +1,19 @@
-//! How late the traffic threads are, so that a router that cannot keep up takes no more than it can serve.
+//! How late the traffic threads are: how long whatever is ready waits for the processor.
 //!
-//! # Invariant
-//!
-//! A request is taken only while what arrives is dealt with within [`LATE_MAX`]. Beyond that, callers that leave,
-//! targets that must get nothing more and deadlines would all be noticed too late; a request that is refused at once
-//! can still be served elsewhere.
-//!
-//! A task wakes every [`TICK`]. It runs in turn with all other tasks, so by how much it is late is how long whatever
-//! is ready waits for the processor.
+//! A task wakes every [`TICK`]. It runs in turn with all other tasks, so by how much it is late is how long they
+//! wait.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
-
-use crate::control::LATE_MAX;
+use tokio::time::Instant;
 
 /// The time between two looks at the clock.
-const TICK: Duration = Duration::from_millis(20);
+pub(super) const TICK: Duration = Duration::from_millis(20);
 
 /// The lateness of the traffic threads.
 #[derive(Debug)]
-pub(crate) struct Lag {
+pub(super) struct Lag {
     started: Instant,
     /// When the task ran last, in microseconds since the start.
     ran_at: AtomicU64,
@@ -32,7 +23,7 @@
 
 impl Lag {
     /// Starts without lateness.
-    pub(crate) fn new() -> Self {
+    pub(super) fn new() -> Self {
         Self {
             started: Instant::now(),
             ran_at: AtomicU64::new(0),
@@ -40,29 +31,15 @@
         }
     }
 
-    /// Measures for as long as the process serves, and closes its door while these threads, or those that `is_behind`
-    /// speaks for, do not keep up.
-    pub(crate) async fn measure(&self, is_behind: impl Fn() -> bool, close: watch::Sender<bool>) {
-        loop {
-            self.note(self.started.elapsed());
-            let (is_late, is_behind) = (self.is_too_large(), is_behind());
-            let closes = is_late || is_behind;
-            let changed = close.send_if_modified(|closed| {
-                let changed = *closed != closes;
-                *closed = closes;
-                changed
-            });
-            if changed {
-                let late = self.late.load(Ordering::Relaxed) / 1_000;
-                log::warn!(target: "lag", "thread=traffic late_ms={late} max_ms={} control_behind={is_behind} closed={closes}", LATE_MAX.as_millis());
-            }
-            sleep(TICK).await;
-        }
+    /// Notes that the task runs, and returns how late it is.
+    pub(super) fn tick(&self) -> Duration {
+        self.note(self.started.elapsed());
+        Duration::from_micros(self.late.load(Ordering::Relaxed))
     }
 
-    /// Says whether requests are to be refused now.
-    pub(crate) fn is_too_large(&self) -> bool {
-        self.at(self.started.elapsed()) >= LATE_MAX
+    /// Returns the lateness now.
+    pub(super) fn now(&self) -> Duration {
+        self.at(self.started.elapsed())
     }
 
     /// Notes that the task runs, `now` after the start.
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod chat;
 mod drive;
 mod hosted;
+mod intake;
 mod lag;
 mod parse;
 mod plain;
@@ -32,7 +33,7 @@
 use tokio::sync::watch;
 
 use self::admission::Admission;
-use self::lag::Lag;
+use self::intake::Intake;
 use self::pool::Pools;
 use self::progress::Progress;
 use crate::clock::Clock;
@@ -81,7 +82,7 @@
     admission: Admission,
     pools: Pools,
     progress: Progress,
-    lag: Lag,
+    intake: Intake,
     names: AttemptNames,
 }
 
@@ -98,7 +99,7 @@
             admission: Admission::new(&settings.callers, Arc::clone(&metrics)),
             pools: Pools::new(settings.targets.clone()),
             progress: Progress::default(),
-            lag: Lag::new(),
+            intake: Intake::new(),
             names,
             settings,
             control,
@@ -111,6 +112,7 @@
     fn note(&self, event: Event) {
         let metrics = &self.metrics;
         match event {
+            Event::Accepted => self.intake.take(),
             Event::Opened => metrics.connections.inc(),
             Event::Closed => metrics.connections.dec(),
             Event::TurnedAway => {
