Show three faults of an overloaded or late router with failing tests

Cause: a router takes its own lateness, or its caller's, for something else. The wait for the control thread counts from the head of a request, so a body that takes 300 ms to arrive is refused as overloaded by an idle router. The backlog is looked at only when a request is taken, so the door stays open while none is. Silence is reckoned over a pause of the router's own, so that after it all partners count as dead.

Ruled out: load on the machine as the cause of the failures; two of the tests use no process, and the third one has a single request.

No test that was there is changed.

Seen: 503 overloaded instead of 200; the door open after 300 ms; 8 living partners of 8 declared dead. Each was run once, in a debug build.

--- a/crates/bulrushtrestled/src/control/tests.rs
+++ b/crates/bulrushtrestled/src/control/tests.rs
@@ -3,7 +3,13 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use bulrushtrestle_core::catalogue::entry::Service;
+use bulrushtrestle_core::key::{Fingerprint, OrganisationId};
+use bulrushtrestle_core::request::Repeat;
+use bulrushtrestle_core::time::Time;
+
 use crate::control::backlog::{Backlog, LATE_MAX};
+use crate::control::{Arrival, channels};
 
 const STEP: Duration = Duration::from_millis(1);
 
@@ -107,3 +113,26 @@
         assert!(seen.refused <= case.refused_max, "{name}: {seen:?}");
     }
 }
+
+/// Guards against a door that stays open because the control thread, busy with other things, does not even look at what waits.
+#[test]
+fn a_request_that_waits_for_too_long_shuts_the_door_before_anybody_takes_it() {
+    let (handle, _receivers) = channels(16);
+    let arrival = Arrival {
+        id: handle.next_request(),
+        organisation: OrganisationId(1),
+        arrived: Time::default(),
+        pool: "m".to_owned(),
+        kind: Service::Model,
+        class: None,
+        repeat: Repeat::Allowed,
+        deadline: None,
+        prompt_tokens: 0,
+        hint_tokens: None,
+        fingerprint: Fingerprint::default(),
+        prefix: None,
+    };
+    let _decisions = handle.request(arrival).expect("the door is open");
+    std::thread::sleep(2 * LATE_MAX);
+    assert!(handle.is_behind());
+}
--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -14,6 +14,8 @@
 
 use http::Method;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use self::hosted::{Daemon, HOST, PATIENCE, send, until};
@@ -310,3 +312,25 @@
     )
     .await;
 }
+
+/// Guards against a router that counts the time in which a caller sends its body as its own backlog, and refuses it.
+#[tokio::test]
+async fn a_caller_that_sends_slowly_is_not_refused_as_if_the_router_were_behind() {
+    let (_store, _, _, daemon) = start().await;
+    let mut stream = TcpStream::connect(daemon.callers)
+        .await
+        .expect("it is there");
+    let head = format!(
+        "POST /again/x HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: a1\r\ndeadline-ms: 3000\r\n\
+         authorization: Bearer k1\r\ncontent-length: 4\r\nconnection: close\r\n\r\nbo"
+    );
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    sleep(Duration::from_millis(300)).await;
+    stream.write_all(b"dy").await.expect("it is sent");
+    let mut answer = String::new();
+    timeout(PATIENCE, stream.read_to_string(&mut answer))
+        .await
+        .expect("it answers in time")
+        .expect("it answers");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -180,3 +180,13 @@
         .collect();
     assert_eq!(dated, [now]);
 }
+
+/// Guards against a router that was frozen and takes its own silence for the death of all its partners.
+#[test]
+fn a_router_that_was_paused_itself_declares_nobody_dead() {
+    let mut group = Group::new(60);
+    group.rounds(12);
+    group.now = group.now + Duration::from_secs(10);
+    let dead = group.members[3].find_silent(group.now);
+    assert!(dead.is_empty(), "{dead:?}");
+}
