Wait anew for partners after a pause of the router's own

Cause: silence was reckoned over a pause of the router itself. Change: when the last look for silent partners is half a time-out ago, silence counts from now on.

--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -13,6 +13,10 @@
 /// The most rows in one heartbeat.
 const ROWS_PER_HEARTBEAT: usize = 64;
 
+/// A pause of its own after which a router waits anew before it takes silence for a death, in hundredths of the time-out. The
+/// rest of it covers the period and the way of a heartbeat.
+const OWN_PAUSE: u32 = 50;
+
 /// How long routers wait for one another, and with how many they keep contact.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -76,6 +80,10 @@
     news: bool,
     /// Rows to pass on, with the number of heartbeat rounds that are left.
     rumours: BTreeMap<RouterId, u32>,
+    /// When silent partners were looked for last.
+    looked: Time,
+    /// When this router went on after the last pause of its own, in which it could hear nobody.
+    resumed: Time,
 }
 
 /// Another router.
@@ -131,6 +139,8 @@
             partners: BTreeSet::new(),
             news: false,
             rumours: BTreeMap::new(),
+            looked: now,
+            resumed: now,
         }
     }
 
@@ -212,12 +222,18 @@
     /// Looks for silent partners and returns those whose death is news.
     pub fn find_silent(&mut self, now: Time) -> Vec<RouterId> {
         let timeout = self.contact().timeout;
+        if now.since(self.looked) >= timeout * OWN_PAUSE / 100 {
+            self.resumed = now;
+        }
+        self.looked = now;
+        let resumed = self.resumed;
         let mut dead = Vec::new();
         for id in &self.partners {
             let Some(peer) = self.peers.get_mut(id) else {
                 continue;
             };
-            let silent = now.since(peer.expected_since) >= timeout && !peer.is_heard(now, timeout);
+            let expected = peer.expected_since.max(resumed);
+            let silent = now.since(expected) >= timeout && !peer.is_heard(now, timeout);
             let Some(row) = peer.row.as_mut().filter(|_| silent) else {
                 continue;
             };
