Count the wait for the control thread from the hand-over, and spread retries

Cause: whether the control thread is behind was known only when it took a request, and its wait counted from the head of the request. While it took none the door stayed open; a caller that took 300 ms to send its body was refused by an idle router. All who were refused came back after exactly one second. Change: the hand-over times of those that wait are kept; the oldest counts while it waits, and the shortest wait since the last look is the delay that the rate of connections follows. Proposed waits are spread from 0.5 to 1.5 s. The test of the backlog keeps its cases and bounds, and now gets the time handed in.

--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bulrushtrestle_core::input::{AttemptEvent, TargetLoad};
 use bulrushtrestle_core::key::{AttemptId, Offset, OrganisationId, RequestId};
@@ -114,12 +114,12 @@
 
     /// Says whether the control thread is so far behind that it takes no requests.
     pub(crate) fn is_behind(&self) -> bool {
-        self.backlog.is_behind()
+        self.backlog.is_behind(Instant::now())
     }
 
-    /// Returns how long requests wait for the control thread.
-    pub(crate) fn waited(&self) -> Duration {
-        self.backlog.waited()
+    /// Returns how long requests wait for the control thread at least, since the last time this was asked.
+    pub(crate) fn delay(&self) -> Duration {
+        self.backlog.look(Instant::now())
     }
 
     /// Asks which routers callers near a data centre should use.
@@ -165,10 +165,15 @@
             return Err(Busy);
         }
         let (decisions, receiver) = mpsc::unbounded_channel();
-        self.arrivals
-            .try_send(arriving(decisions))
-            .map_err(|_| Busy)?;
-        Ok(receiver)
+        // The control thread may take it before this returns.
+        self.backlog.enter(Instant::now());
+        match self.arrivals.try_send(arriving(decisions)) {
+            Ok(()) => Ok(receiver),
+            Err(_) => {
+                self.backlog.withdraw();
+                Err(Busy)
+            }
+        }
     }
 
     async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Result<T, Busy> {
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -389,9 +389,14 @@
         tokio::task::spawn_local(follow::tell_rollout(store, status));
     }
 
-    /// Takes in a call of a hosting platform, or refuses it.
-    pub(super) fn on_call(&mut self, call: HostedCall, decisions: mpsc::UnboundedSender<Decision>) {
-        match self.resolve(&call) {
+    /// Takes in a call of a hosting platform that was `handed` over so long ago, or refuses it.
+    pub(super) fn on_call(
+        &mut self,
+        call: HostedCall,
+        handed: Duration,
+        decisions: mpsc::UnboundedSender<Decision>,
+    ) {
+        match self.resolve(&call, handed) {
             Ok((passage, request)) => {
                 let taken = decisions.send(Decision::Taken(Arc::new(passage)));
                 if taken.is_ok() {
@@ -407,7 +412,11 @@
         }
     }
 
-    fn resolve(&mut self, call: &HostedCall) -> Result<(Passage, Request), Refusal> {
+    fn resolve(
+        &mut self,
+        call: &HostedCall,
+        handed: Duration,
+    ) -> Result<(Passage, Request), Refusal> {
         let found = self.node.resolve(&call.host, &call.path);
         let (route, pool) = found.ok_or_else(|| self.not_found(Reason::UnknownPool))?;
         let (organisation, name) = self.caller(call, &route)?;
@@ -415,7 +424,7 @@
         let deadline = call.said.patience.map(|patience| call.arrived + patience);
         let passage = Passage {
             route: route.name.clone(),
-            handed: self.clock.now().since(call.arrived),
+            handed,
             organisation: (!route.anonymous).then_some(name),
             until,
             deadline,
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -115,11 +115,11 @@
 }
 
 impl Arriving {
-    /// Returns when the request was there.
-    pub(crate) const fn arrived(&self) -> Time {
+    /// Returns the identity that events about the request carry.
+    pub(crate) const fn id(&self) -> RequestId {
         match self {
-            Self::Request(arrival, _) => arrival.arrived,
-            Self::Call(call, _) => call.arrived,
+            Self::Request(arrival, _) => arrival.id,
+            Self::Call(call, _) => call.id,
         }
     }
 
@@ -157,7 +157,7 @@
 pub(crate) struct Passage {
     /// The name of the route, for logs.
     pub(crate) route: String,
-    /// How long the request waited to be taken by the control thread, for logs.
+    /// How long the request waited for the control thread, for logs.
     pub(crate) handed: Duration,
     /// The caller's organisation, if the route's callers show a token.
     pub(crate) organisation: Option<String>,
--- a/crates/bulrushtrestled/src/control/mod.rs
+++ b/crates/bulrushtrestled/src/control/mod.rs
@@ -22,7 +22,7 @@
 mod watch;
 mod withdrawn;
 
-pub(crate) use self::backlog::{LATE_MAX, RETRY_SOON};
+pub(crate) use self::backlog::{LATE_MAX, RETRY_SOON, retry_soon};
 pub(crate) use self::handle::Handle;
 pub(crate) use self::message::{Arrival, AttemptNames, Decision, HostedCall, Identity, Passage};
 pub(crate) use self::run::{Control, Ends, Receivers, channels};
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -22,7 +22,7 @@
 use tokio::time::sleep_until;
 
 use crate::clock::Clock;
-use crate::control::backlog::{Backlog, RETRY_SOON};
+use crate::control::backlog::{Backlog, LATE_MAX, retry_soon};
 use crate::control::follow::Followed;
 use crate::control::handle::Handle;
 use crate::control::hosting::{Hosting, hosted_event};
@@ -147,8 +147,8 @@
     Note(Note),
     Ask(Ask),
     Store(Followed),
-    /// A request, and how many wait behind it.
-    Arriving(Arriving, usize),
+    /// A request.
+    Arriving(Arriving),
 }
 
 impl Event {
@@ -161,7 +161,7 @@
             Self::Note(Note::Progress(_)) => "progress",
             Self::Note(Note::Cancelled(_) | Note::TimedOut(_) | Note::Stop) => "note",
             Self::Ask(_) => "ask",
-            Self::Arriving(..) => "request",
+            Self::Arriving(_) => "request",
             Self::Store(_) => "store",
         }
     }
@@ -357,9 +357,7 @@
                     None => return,
                 },
                 Some(input) = self.inputs.recv() => Event::Input(input),
-                Some(arriving) = from.arrivals.recv() => {
-                    Event::Arriving(arriving, from.arrivals.len())
-                }
+                Some(arriving) = from.arrivals.recv() => Event::Arriving(arriving),
             };
             let kind = event.kind();
             let began = Instant::now();
@@ -368,7 +366,7 @@
                 Event::Note(note) => self.on_note(note),
                 Event::Store(event) => self.on_hosted(event),
                 Event::Ask(ask) => self.on_ask(ask),
-                Event::Arriving(arriving, left) => self.on_arriving(arriving, left),
+                Event::Arriving(arriving) => self.on_arriving(arriving),
             }
             self.metrics.control_busy(kind, began.elapsed());
         }
@@ -542,15 +540,15 @@
     }
 
     /// Takes a request in, unless its caller has left or it has waited for too long.
-    fn on_arriving(&mut self, arriving: Arriving, left: usize) {
-        let waited = self.clock.now().since(arriving.arrived());
+    fn on_arriving(&mut self, arriving: Arriving) {
+        let waited = self.backlog.leave(Instant::now());
         self.metrics.handed(waited);
-        let takes = self.backlog.takes(waited, left);
         if arriving.decisions().is_closed() {
             return;
         }
-        if !takes {
-            let refusal = Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON));
+        if waited >= LATE_MAX {
+            let wait = retry_soon(arriving.id());
+            let refusal = Refusal::not_run(Reason::Overloaded, Some(wait));
             self.metrics.count(Counter::Refused(refusal.reason));
             // Who asked may have left.
             drop(arriving.decisions().send(Decision::Refuse(refusal)));
@@ -558,7 +556,7 @@
         }
         match arriving {
             Arriving::Request(arrival, decisions) => self.on_request(arrival, decisions),
-            Arriving::Call(call, decisions) => self.on_call(call, decisions),
+            Arriving::Call(call, decisions) => self.on_call(call, waited, decisions),
         }
     }
 
--- a/crates/bulrushtrestled/src/control/tests.rs
+++ b/crates/bulrushtrestled/src/control/tests.rs
@@ -1,14 +1,14 @@
 //! What a control thread that falls behind does with requests that arrive.
 
 use std::collections::VecDeque;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bulrushtrestle_core::catalogue::entry::Service;
-use bulrushtrestle_core::key::{Fingerprint, OrganisationId};
+use bulrushtrestle_core::key::{Fingerprint, OrganisationId, RequestId};
 use bulrushtrestle_core::request::Repeat;
 use bulrushtrestle_core::time::Time;
 
-use crate::control::backlog::{Backlog, LATE_MAX};
+use crate::control::backlog::{Backlog, LATE_MAX, RETRY_SOON, retry_soon};
 use crate::control::{Arrival, channels};
 
 const STEP: Duration = Duration::from_millis(1);
@@ -25,15 +25,18 @@
 /// Lets requests arrive `each_ms` apart at a control thread that spends `busy_ms` on one that it takes, and nothing on one
 /// that it refuses.
 fn flood(each_ms: u32, busy_ms: u32, stalls: bool) -> Seen {
-    let backlog = Backlog::default();
+    let (backlog, start) = (Backlog::default(), Instant::now());
     let mut waiting: VecDeque<u32> = VecDeque::new();
     let mut seen = Seen::default();
     let mut free_at = 0;
     for now in 0..10_000_u32 {
         if now.is_multiple_of(each_ms) {
-            match backlog.is_behind() {
+            match backlog.is_behind(start + STEP * now) {
                 true => seen.refused += 1,
-                false => waiting.push_back(now),
+                false => {
+                    backlog.enter(start + STEP * now);
+                    waiting.push_back(now);
+                }
             }
         }
         // The thread has no turn for a second in the middle.
@@ -43,7 +46,8 @@
             && let Some(arrived) = waiting.pop_front()
         {
             let waited = STEP * (now - arrived);
-            match backlog.takes(waited, waiting.len()) {
+            assert_eq!(backlog.leave(start + STEP * now), waited);
+            match waited < LATE_MAX {
                 true => {
                     seen.taken += 1;
                     seen.waited = seen.waited.max(waited);
@@ -136,3 +140,23 @@
     std::thread::sleep(2 * LATE_MAX);
     assert!(handle.is_behind());
 }
+
+/// Guards against callers that are refused together and come back together, one second later, again and again.
+#[test]
+fn callers_that_are_refused_together_come_back_spread_out() {
+    const REFUSED: u64 = 1_000;
+    const SLOTS: u128 = 10;
+    let mut slots = [0_u64; 10];
+    for id in 0..REFUSED {
+        let wait = retry_soon(RequestId(id));
+        assert!(
+            wait >= RETRY_SOON / 2 && wait < RETRY_SOON * 3 / 2,
+            "{wait:?}"
+        );
+        let slot = (wait - RETRY_SOON / 2).as_millis() * SLOTS / RETRY_SOON.as_millis();
+        slots[usize::try_from(slot).expect("it is one of ten")] += 1;
+    }
+    let fair = REFUSED / 10;
+    let spread = slots.iter().all(|&count| count.abs_diff(fair) <= fair / 10);
+    assert!(spread, "{slots:?}");
+}
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -33,12 +33,12 @@
 
 use self::connections::Connections;
 use self::drive::drive;
-use crate::control::HostedCall;
+use crate::control::{HostedCall, retry_soon};
 use crate::listener::{self, Gate};
 use crate::traffic::admission::Admission;
 use crate::traffic::callers::read_body;
 use crate::traffic::parse::{fingerprint, malformed};
-use crate::traffic::refusal::{self, RETRY_SOON};
+use crate::traffic::refusal;
 use crate::traffic::reply::Reply;
 use crate::traffic::{Traffic, limits};
 
@@ -60,7 +60,7 @@
     let measured = Arc::clone(&traffic);
     tokio::spawn(async move {
         let control = &measured.control;
-        measured.intake.adapt(|| control.waited()).await;
+        measured.intake.adapt(|| control.delay()).await;
     });
     let router = Router::new().fallback(call).with_state(hosted);
     let events = move |event| traffic.note(event);
@@ -122,8 +122,10 @@
     body: axum::body::Body,
 ) -> Result<Response, Refusal> {
     let traffic = &hosted.traffic;
+    let id = traffic.control.next_request();
+    let overloaded = || Refusal::not_run(Reason::Overloaded, Some(retry_soon(id)));
     if is_behind(traffic) {
-        return Err(Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)));
+        return Err(overloaded());
     }
     let arrived = traffic.clock.now();
     let host = host(&head).ok_or_else(malformed)?;
@@ -145,7 +147,7 @@
     };
     let own_part = call.said.parts.last().map_or(0, |part| part.content.0);
     let asked = HostedCall {
-        id: traffic.control.next_request(),
+        id,
         host: call.host.clone(),
         path: head.uri.path().to_owned(),
         token,
@@ -159,11 +161,7 @@
             &call.body,
         ]),
     };
-    let id = asked.id;
-    let decisions = traffic
-        .control
-        .call(asked)
-        .map_err(|_| Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)))?;
+    let decisions = traffic.control.call(asked).map_err(|_| overloaded())?;
     let (reply, answer) = Reply::new(traffic.settings.callers.unread_timeout);
     let driven = drive(
         Arc::clone(hosted),
