--- a/crates/bulrushtrestled/tests/support/hosted.rs
+++ b/crates/bulrushtrestled/tests/support/hosted.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -43,10 +43,15 @@
 
 impl Daemon {
     pub(crate) fn start(store: SocketAddr) -> Self {
+        Self::start_with(store, |_| {})
+    }
+
+    /// Starts a daemon whose settings are changed by `tune` before.
+    pub(crate) fn start_with(store: SocketAddr, tune: impl FnOnce(&mut Value)) -> Self {
         let own = free_address();
         let at = |index| SocketAddr::new(own.ip(), own.port() + index);
         let [callers, peers, operators, ready, directory] = [0, 1, 2, 3, 4].map(at);
-        let settings = json!({
+        let mut settings = json!({
             "router_ip": callers.ip().to_string(),
             "data_centre": "dc-a",
             "traffic_threads": 1,
@@ -59,6 +64,7 @@
                 "regions": {"dc-a": "north"}, "retry_ratio": 0.2, "retry_burst": 50
             }
         });
+        tune(&mut settings);
         let path = std::env::temp_dir().join(format!("hosted-{}.json", uuid::Uuid::now_v7()));
         fs::write(&path, settings.to_string()).expect("the settings are written");
         let child = Command::new(env!("CARGO_BIN_EXE_bulrushtrestled"))
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -3,17 +3,19 @@
 #![allow(dead_code, reason = "each program uses another part of the support")]
 
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Bytes;
+use axum::body::{Body, Bytes};
 use axum::extract::{Query, Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
-use http::{HeaderMap, StatusCode};
+use futures::{StreamExt, stream};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -165,8 +167,18 @@
     Confused,
     /// It runs them and says nothing.
     Dark,
+    /// It answers each with a short stream, and remembers nothing.
+    Streaming,
 }
 
+/// The events of a stream, each of the 80 bytes that the users' have in the mean.
+const EVENTS: [&str; 2] = [
+    "id: 1\ndata: 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\n\n",
+    "id: 2\ndata: 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\n\n",
+];
+/// The time before each event of a stream.
+const PAUSE: Duration = Duration::from_millis(30);
+
 /// A target that remembers what it was sent.
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -223,6 +235,9 @@
     if mood == Mood::Full {
         return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
     }
+    if mood == Mood::Streaming {
+        return streamed(attempt);
+    }
     target.note(headers);
     if mood == Mood::Dark {
         tokio::time::sleep(Duration::from_secs(60)).await;
@@ -233,7 +248,7 @@
     };
     let mut response = (status, [("server-stamp", "proof")], "the answer").into_response();
     let attempt = match mood {
-        Mood::Confused => Some(http::HeaderValue::from_static("another")),
+        Mood::Confused => Some(HeaderValue::from_static("another")),
         _ => attempt,
     };
     if let Some(attempt) = attempt {
@@ -242,6 +257,27 @@
     response
 }
 
+/// Returns an answer whose events come one after the other.
+fn streamed(attempt: Option<HeaderValue>) -> Response {
+    let events = stream::iter(EVENTS).then(|event| async move {
+        tokio::time::sleep(PAUSE).await;
+        Ok::<_, Infallible>(event)
+    });
+    let mut response = Body::from_stream(events).into_response();
+    let headers = response.headers_mut();
+    for (name, value) in [
+        ("content-type", "text/event-stream"),
+        ("server-stamp", "proof"),
+        ("server-load", "1,0,16"),
+    ] {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    if let Some(attempt) = attempt {
+        headers.insert("attempt-id", attempt);
+    }
+    response
+}
+
 /// A target that answers every request with these bytes once, then with others without end.
 pub(crate) struct Endless {
     open: AtomicUsize,
--- a/crates/core/benches/report/mod.rs
+++ b/crates/core/benches/report/mod.rs
@@ -1,11 +1,14 @@
 //! A table of figures, some of them against bounds.
 
+#![allow(dead_code, reason = "each benchmark has another kind of bounds")]
+
 use std::process::ExitCode;
 
 /// A limit that comes from a stated target.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Bound {
     AtMost(f64),
+    AtLeast(f64),
 }
 
 /// The figures of one benchmark, printed as they come.
@@ -38,6 +41,7 @@
     ) {
         let (kept, text) = match bound {
             Bound::AtMost(limit) => (value <= limit, format!("<= {limit}")),
+            Bound::AtLeast(limit) => (value >= limit, format!(">= {limit}")),
         };
         let verdict = if kept { "" } else { "  BROKEN" };
         println!("{name:<62} {value:>12.2} {unit:<8} {text} ({source}){verdict}");
