--- a/crates/bulrushtrestled/benches/goodput.rs
+++ b/crates/bulrushtrestled/benches/goodput.rs
@@ -3,7 +3,8 @@
 //! The router is a process of its own that gets the share of a core of the users' weakest VMs. Its store and targets are
 //! stand-ins, and everything runs on loopback. Load is open: callers do not wait for one another.
 //!
-//! The share is taken from `GOODPUT_SHARE`, for comparison with a whole core.
+//! For comparison, `GOODPUT_SHARE` gives another share, 1 a whole core, and `GOODPUT_PERIOD_MS` another period: in a short
+//! one the router is slow instead of stopped for a time.
 
 #[path = "../tests/support/address.rs"]
 mod address;
@@ -31,7 +32,7 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use self::callers::{CALLERS, Callers, Plan};
 use self::hosted::{Daemon, HOST, until};
@@ -46,15 +47,19 @@
 const TARGETS: usize = 140;
 /// The share of a core of the users' weakest VMs.
 const SHARE: f64 = 0.12;
+/// The time in which they run at full speed until their share is used up.
+const PERIOD_MS: f64 = 100.0;
 /// The part of requests that use a connection that was kept; the others open one.
 const KEPT: f64 = 0.5;
 const SEED: u64 = 22;
 
-/// Requests at a time while it is measured how many the router can answer at most.
-const CLOSED_LOOP: usize = 32;
+const IDLE_FOR: Duration = Duration::from_secs(2);
+/// Requests at a time for each core, while it is measured how many the router can answer at most.
+const CLOSED_LOOP: f64 = 500.0;
 const CLOSED_LOOP_FOR: Duration = Duration::from_secs(3);
-/// The parts of that rate that are offered, one after the other, until the router bears one.
-const TRIED: [f64; 6] = [1.0, 0.85, 0.7, 0.55, 0.4, 0.25];
+/// The factor between two loads of which it is asked whether they are borne.
+const TRIED_FACTOR: f64 = 1.2;
+const TRIED_MAX: u32 = 6;
 const TRIED_FOR: Duration = Duration::from_secs(2);
 /// A load is borne if this part of the requests is answered in time.
 const BORNE: f64 = 0.95;
@@ -83,27 +88,25 @@
 }
 
 async fn measure() -> ExitCode {
-    let share = std::env::var("GOODPUT_SHARE").map_or(SHARE, |share| {
-        share.parse().expect("GOODPUT_SHARE is a number")
-    });
+    let share = variable("GOODPUT_SHARE").unwrap_or(SHARE);
+    let period = variable("GOODPUT_PERIOD_MS").unwrap_or(PERIOD_MS);
     let daemon = start().await;
     let bench = Bench {
         callers: Callers::new(daemon.callers),
-        quota: Quota::start(daemon.child.id(), share),
+        quota: Quota::start(
+            daemon.child.id(),
+            share,
+            Duration::from_secs_f64(period / 1e3),
+        ),
     };
-    println!("goodput, {share} of a core");
+    println!(
+        "goodput, {share} of a core in each {period} ms, {:.3} of a core without load",
+        bench.idle().await
+    );
     Figures::print_names();
-    let most = bench.closed_loop().await;
+    let most = bench.closed_loop(share).await;
     most.print("closed loop");
-    let mut rate = 0.0;
-    for part in TRIED {
-        rate = most.in_time * part;
-        let tried = bench.offer(rate, TRIED_FOR).await.figures().await;
-        tried.print("tried");
-        if tried.in_time >= BORNE * tried.offered {
-            break;
-        }
-    }
+    let rate = bench.find_borne(most.in_time).await;
     let mut steps = Vec::new();
     for times in STEPS {
         steps.push((times, bench.offer(rate * times, STEP_FOR).await));
@@ -117,6 +120,14 @@
     judge(rate, &figures)
 }
 
+fn variable(name: &str) -> Option<f64> {
+    let text = std::env::var(name).ok()?;
+    Some(
+        text.parse()
+            .unwrap_or_else(|_| panic!("{name} is a number")),
+    )
+}
+
 /// Compares what was seen with the bounds.
 fn judge(rate: f64, steps: &[(f64, Figures)]) -> ExitCode {
     let mut report = Report::new("goodput");
@@ -215,15 +226,45 @@
 }
 
 impl Bench {
+    /// Returns how much of a core is used without load.
+    async fn idle(&self) -> f64 {
+        let used = self.quota.used();
+        sleep(IDLE_FOR).await;
+        (self.quota.used() - used).as_secs_f64() / IDLE_FOR.as_secs_f64()
+    }
+
+    /// Returns the largest load that is borne, searched for from `rate` on, up or down.
+    async fn find_borne(&self, mut rate: f64) -> f64 {
+        let mut borne = None;
+        let mut was_too_much = false;
+        for _ in 0..TRIED_MAX {
+            let tried = self.offer(rate, TRIED_FOR).await.figures().await;
+            tried.print("tried");
+            match tried.in_time >= BORNE * tried.offered {
+                true if was_too_much => return rate,
+                true => {
+                    borne = Some(rate);
+                    rate *= TRIED_FACTOR;
+                }
+                false if borne.is_some() => break,
+                false => {
+                    was_too_much = true;
+                    rate /= TRIED_FACTOR;
+                }
+            }
+        }
+        borne.unwrap_or(rate)
+    }
+
     /// Keeps as many requests going as there are in the closed loop.
-    async fn closed_loop(&self) -> Figures {
+    async fn closed_loop(&self, share: f64) -> Figures {
         let tally = Arc::new(Mutex::new(Tally::default()));
         let (began, used) = (Instant::now(), self.quota.used());
         let end = began + CLOSED_LOOP_FOR;
         let mut loops = JoinSet::new();
-        for at in 0..CLOSED_LOOP {
+        for at in 0..(share * CLOSED_LOOP) as u64 {
             let (callers, tally) = (Arc::clone(&self.callers), Arc::clone(&tally));
-            let mut rng = StdRng::seed_from_u64(SEED + at as u64);
+            let mut rng = StdRng::seed_from_u64(SEED + at);
             loops.spawn(async move {
                 while Instant::now() < end {
                     let tries = callers.ask(plan(&mut rng)).await;
--- a/crates/bulrushtrestled/benches/goodput/callers.rs
+++ b/crates/bulrushtrestled/benches/goodput/callers.rs
@@ -232,17 +232,21 @@
 async fn look_for_unread(router: SocketAddr, tell: watch::Sender<HashSet<SocketAddr>>) {
     while !tell.is_closed() {
         let began = Instant::now();
-        let unread = tokio::task::spawn_blocking(move || unread(router)).await;
-        tell.send_replace(unread.expect("it does not panic"));
+        let looking = tokio::task::spawn_blocking(move || unread(router));
+        // Without a free file handle the last list stands.
+        if let Ok(Ok(unread)) = looking.await {
+            tell.send_replace(unread);
+        }
         // A long list of connections is looked at less often.
         sleep(LOOK_EVERY.max(4 * began.elapsed())).await;
     }
 }
 
 /// Returns the far ends of the router's connections on which something waits to be read.
-fn unread(router: SocketAddr) -> HashSet<SocketAddr> {
-    let list = fs::read_to_string("/proc/net/tcp").expect("the kernel lists connections");
-    list.lines()
+fn unread(router: SocketAddr) -> std::io::Result<HashSet<SocketAddr>> {
+    let list = fs::read_to_string("/proc/net/tcp")?;
+    let unread = list
+        .lines()
         .skip(1)
         .filter_map(|line| {
             let mut fields = line.split_whitespace().skip(1);
@@ -251,7 +255,8 @@
             let waits = received.bytes().any(|digit| digit != b'0');
             (waits && address(near)? == router).then(|| address(far))?
         })
-        .collect()
+        .collect();
+    Ok(unread)
 }
 
 /// Decodes an address of the kernel's list: the bytes of the number in the machine's order, and the port.
--- a/crates/bulrushtrestled/benches/goodput/quota.rs
+++ b/crates/bulrushtrestled/benches/goodput/quota.rs
@@ -1,4 +1,4 @@
-//! A processor that runs at full speed until its share of each tenth of a second is used up, and then not at all.
+//! A processor that runs at full speed until its share of each period is used up, and then not at all.
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
@@ -10,8 +10,6 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-/// The time for which a share is given, as on the users' VMs.
-const PERIOD: Duration = Duration::from_millis(100);
 /// The time between two looks at what was used.
 const LOOK_EVERY: Duration = Duration::from_micros(500);
 
@@ -24,14 +22,15 @@
 }
 
 impl Quota {
-    /// Holds a child of this process to a share of one core.
-    pub(crate) fn start(process: u32, share: f64) -> Self {
+    /// Holds a child of this process to a share of one core in each period.
+    pub(crate) fn start(process: u32, share: f64, period: Duration) -> Self {
         let used = Arc::new(AtomicU64::new(0));
         let ended = Arc::new(AtomicBool::new(false));
         let held = Held {
             used: Used::new(process),
             signals: Signals::new(process),
-            share: PERIOD.mul_f64(share),
+            period,
+            share: period.mul_f64(share),
         };
         let thread = {
             let (used, ended) = (Arc::clone(&used), Arc::clone(&ended));
@@ -63,6 +62,7 @@
 struct Held {
     used: Used,
     signals: Signals,
+    period: Duration,
     /// The processor time of one period.
     share: Duration,
 }
@@ -75,7 +75,7 @@
             let used = self.used.read();
             total.store(nanos(used), Ordering::Relaxed);
             if Instant::now() >= period_ends {
-                period_ends += PERIOD;
+                period_ends += self.period;
                 // What was left is lost; what was used beyond is taken off.
                 allowed = allowed.min(used) + self.share;
                 self.used.find_threads();
