--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -212,8 +212,29 @@
     }
 }
 
+/// Events of a streamed answer, and the pause before each but the first.
+const EVENTS: u64 = 8;
+const EVENT_PAUSE: Duration = Duration::from_millis(5);
+
+/// Returns a stream of events.
+fn events() -> Response {
+    let events = futures::stream::unfold(1, |id| async move {
+        if id > EVENTS {
+            return None;
+        }
+        if id > 1 {
+            tokio::time::sleep(EVENT_PAUSE).await;
+        }
+        let event = Bytes::from(format!("id: {id}\ndata: token\n\n"));
+        Some((Ok::<_, std::convert::Infallible>(event), id + 1))
+    });
+    let head = [("content-type", "text/event-stream")];
+    (head, axum::body::Body::from_stream(events)).into_response()
+}
+
 async fn answer(State(target): State<Arc<Target>>, req: Request) -> Response {
     let headers = req.headers().clone();
+    let is_stream = req.uri().path().starts_with("/stream/");
     let attempt = headers.get("attempt-id").cloned();
     let expected = headers.get("expect-instance").map(|name| name.as_bytes());
     if expected.is_some_and(|name| name != target.name.as_bytes()) {
@@ -231,7 +252,12 @@
         Mood::Failing => StatusCode::INTERNAL_SERVER_ERROR,
         _ => StatusCode::OK,
     };
-    let mut response = (status, [("server-stamp", "proof")], "the answer").into_response();
+    let mut response = match is_stream {
+        true => events(),
+        false => (status, "the answer").into_response(),
+    };
+    let proof = http::HeaderValue::from_static("proof");
+    response.headers_mut().insert("server-stamp", proof);
     let attempt = match mood {
         Mood::Confused => Some(http::HeaderValue::from_static("another")),
         _ => attempt,
