Write log lines a few times a second

Cause: each line woke the thread that writes, which cost two system calls and two changes of thread a line. Change: after the first line the thread waits 50 ms for others and writes all at once; what waits at the end of the process is written before it ends, for which a quarter of a second is allowed.

--- a/crates/bulrushtrestled/src/main.rs
+++ b/crates/bulrushtrestled/src/main.rs
@@ -55,11 +55,16 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logging::start() {
-        eprintln!("cannot start: {error}");
-        return ExitCode::from(EXIT_FAILURE);
-    }
-    match process::run(settings) {
+    let writer = match logging::start() {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("cannot start: {error}");
+            return ExitCode::from(EXIT_FAILURE);
+        }
+    };
+    let outcome = process::run(settings);
+    writer.finish();
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
