Refuse at the door from the head alone, with a few lines a second

Cause: a router that is behind decoded each head whole and wrote a line for each of the hundreds of requests that it refused in a second. Change: the caller's identity is looked at only for a line.

--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -16,7 +16,8 @@
 use crate::traffic::attempt;
 use crate::traffic::drive::{Guard, interruption};
 use crate::traffic::hosted::relay::{Ended, Failed, Relay, Sent};
-use crate::traffic::hosted::{Call, Hosted, log_refusal, response};
+use crate::traffic::hosted::door::log_refusal;
+use crate::traffic::hosted::{Call, Hosted, response};
 use crate::traffic::reply::Reply;
 
 /// How long before the operators' timeout a request gets its final answer, so that it is out in time.
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -11,6 +11,7 @@
 
 mod connections;
 mod directory;
+mod door;
 mod drive;
 mod relay;
 
@@ -32,6 +33,7 @@
 use tokio::time::timeout;
 
 use self::connections::Connections;
+use self::door::{Door, log_refusal};
 use self::drive::drive;
 use crate::control::HostedCall;
 use crate::listener::{self, Gate};
@@ -53,6 +55,7 @@
     let limits = limits(&traffic);
     let hosted = Arc::new(Hosted {
         connections: Connections::new(traffic.settings.targets.clone()),
+        door: Arc::default(),
         traffic: Arc::clone(&traffic),
     });
     tokio::spawn(crate::traffic::progress::flush(Arc::clone(&traffic)));
@@ -72,6 +75,7 @@
 struct Hosted {
     traffic: Arc<Traffic>,
     connections: Connections,
+    door: Arc<Door>,
 }
 
 /// A request as targets will see it, but for what the router adds.
@@ -87,7 +91,7 @@
 
 async fn call(State(hosted): State<Arc<Hosted>>, req: Request) -> Response {
     let (head, body) = req.into_parts();
-    let attempt = request::decode(&head.headers).attempt;
+    let attempt = request::attempt(&head.headers).cloned();
     match start(&hosted, head, body).await {
         Ok(response) => response,
         Err(refusal) => {
@@ -95,7 +99,10 @@
                 .traffic
                 .metrics
                 .count(Counter::Refused(refusal.reason));
-            log_refusal(&attempt, &refusal);
+            if refusal.reason != Reason::Overloaded || hosted.door.admits() {
+                let attempt = attempt.as_ref().and_then(|id| id.to_str().ok());
+                log_refusal(attempt.unwrap_or_default(), &refusal);
+            }
             let mut response = response(&refusal);
             if is_behind(&hosted.traffic) {
                 // The caller's next request goes to a router that takes connections.
@@ -206,9 +213,3 @@
     }
     response
 }
-
-fn log_refusal(attempt: &str, refusal: &Refusal) {
-    let (reason, verdict) = (refusal.reason, refusal.verdict);
-    let wait = refusal.retry_after.map_or(0, |wait| wait.as_millis());
-    log::info!(target: "refused", "attempt={attempt} reason={reason} verdict={verdict} retry_after_ms={wait}");
-}
