--- a/crates/bulrushtrestled/src/listener.rs
+++ b/crates/bulrushtrestled/src/listener.rs
@@ -7,13 +7,16 @@
 mod tests;
 
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use axum::Router;
+use axum::response::Response;
 use bytes::Bytes;
+use http::Request;
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -21,7 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, timeout};
-use tower::ServiceExt;
+use tower::{Service, ServiceExt};
 
 /// The wait after a connection could not be accepted, for want of file handles for example.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -41,6 +44,15 @@
 /// The time between two pings on a connection of HTTP/2, and for the answer.
 const PING_EVERY: Duration = Duration::from_secs(10);
 
+/// What callers may speak at a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Protocols {
+    /// HTTP/1, which needs no look at the first bytes of a connection.
+    Http1,
+    /// HTTP/1 or HTTP/2, as the caller begins.
+    Both,
+}
+
 /// The limits of a listener.
 #[derive(Debug, Clone)]
 pub(crate) struct Limits {
@@ -54,6 +66,8 @@
     pub(crate) header_timeout: Duration,
     /// The whole answer to a connection over the limit.
     pub(crate) turned_away: Bytes,
+    /// What callers may speak.
+    pub(crate) protocols: Protocols,
 }
 
 /// What happens to connections.
@@ -115,13 +129,15 @@
 }
 
 /// Serves connections until the gate's `draining` is set, then finishes what is open.
-pub(crate) async fn serve(
+pub(crate) async fn serve<S>(
     mut listener: TcpListener,
-    router: Router,
+    service: S,
     limits: Limits,
     events: impl Fn(Event) + Send + Sync + 'static,
     gate: Gate,
-) {
+) where
+    S: Serves,
+{
     let Gate {
         mut closed,
         mut draining,
@@ -132,7 +148,7 @@
     let turned_away = Arc::new(Semaphore::new(TURNED_AWAY_MAX));
     let server = Arc::new(Server {
         builder: builder(&limits),
-        router,
+        service,
         limits,
         events,
     });
@@ -223,15 +239,34 @@
     }
 }
 
+/// What answers the requests of a listener's connections.
+pub(crate) trait Serves:
+    Service<Request<Incoming>, Response = Response, Error = Infallible, Future: Send>
+    + Clone
+    + Send
+    + Sync
+    + 'static
+{
+}
+
+impl<S> Serves for S where
+    S: Service<Request<Incoming>, Response = Response, Error = Infallible, Future: Send>
+        + Clone
+        + Send
+        + Sync
+        + 'static
+{
+}
+
 /// What serves one connection after the other.
-struct Server<F> {
-    router: Router,
+struct Server<S, F> {
+    service: S,
     builder: auto::Builder<TokioExecutor>,
     limits: Limits,
     events: F,
 }
 
-impl<F: Fn(Event)> Server<F> {
+impl<S: Serves, F: Fn(Event)> Server<S, F> {
     async fn serve(&self, stream: TcpStream, mut draining: watch::Receiver<bool>) {
         let _open = Open::new(&self.events);
         // A connection without the option works as well, only slower.
@@ -239,10 +274,10 @@
         let has_asked = Arc::new(AtomicBool::new(false));
         let service = {
             let has_asked = Arc::clone(&has_asked);
-            let router = self.router.clone();
+            let service = self.service.clone();
             service_fn(move |req| {
                 has_asked.store(true, Ordering::Relaxed);
-                router.clone().oneshot(req)
+                service.clone().oneshot(req)
             })
         };
         let connection = self.builder.serve_connection(TokioIo::new(stream), service);
@@ -318,7 +353,10 @@
         .max_header_list_size(u32::try_from(limits.header_bytes_max).unwrap_or(u32::MAX))
         .keep_alive_interval(PING_EVERY)
         .keep_alive_timeout(PING_EVERY);
-    builder
+    match limits.protocols {
+        Protocols::Http1 => builder.http1_only(),
+        Protocols::Both => builder,
+    }
 }
 
 /// Gives a connection over the limit its answer, once it has begun to ask: clients take an answer that
--- a/crates/bulrushtrestled/src/listener/tests.rs
+++ b/crates/bulrushtrestled/src/listener/tests.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::listener::{Gate, Limits, serve};
+use crate::listener::{Gate, Limits, Protocols, serve};
 
 /// The time for what should happen soon, on a busy machine too.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -47,6 +47,7 @@
         header_bytes_max: 8_192,
         header_timeout: PATIENCE,
         turned_away: Bytes::new(),
+        protocols: Protocols::Both,
     };
     let router = Router::new().route("/", get(|| async { "here" }));
     let gate = Gate { closed, draining };
--- a/crates/bulrushtrestled/src/operators.rs
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -23,7 +23,7 @@
 use tower::ServiceBuilder;
 
 use crate::control::Handle;
-use crate::listener::{self, Event, Gate, Limits};
+use crate::listener::{self, Event, Gate, Limits, Protocols};
 use crate::metrics::{Edge, Metrics};
 use crate::settings;
 
@@ -96,6 +96,7 @@
         header_bytes_max: HEADER_BYTES_MAX,
         header_timeout: HEADER_TIMEOUT,
         turned_away: Bytes::from_static(TURNED_AWAY),
+        protocols: Protocols::Both,
     };
     let events = move |event| {
         if event == Event::TurnedAway {
--- a/crates/bulrushtrestled/src/traffic/callers.rs
+++ b/crates/bulrushtrestled/src/traffic/callers.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use axum::body::Body;
 use axum::error_handling::HandleErrorLayer;
 use axum::extract::{Path, Request, State};
 use axum::response::{IntoResponse, Response};
@@ -16,6 +15,7 @@
 use http::header::{AUTHORIZATION, CONTENT_LENGTH};
 use http::{HeaderMap, request};
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use serde::Serialize;
 use tokio::time::timeout;
 use tower::ServiceBuilder;
@@ -284,12 +284,15 @@
     }
 }
 
-pub(super) async fn read_body(
+pub(super) async fn read_body<B>(
     traffic: &Arc<Traffic>,
-    mut body: Body,
+    mut body: B,
     limit: usize,
     memory: &mut BodyMemory,
-) -> Result<Bytes, Refusal> {
+) -> Result<Bytes, Refusal>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| malformed())?.into_data() else {
--- a/crates/bulrushtrestled/src/traffic/hosted/directory.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/directory.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::listener::{self, Gate, Limits};
+use crate::listener::{self, Gate, Limits, Protocols};
 use crate::settings;
 use crate::traffic::Traffic;
 
@@ -40,6 +40,7 @@
         header_bytes_max: HEADER_BYTES_MAX,
         header_timeout: traffic.settings.callers.header_timeout,
         turned_away: Bytes::from_static(TURNED_AWAY),
+        protocols: Protocols::Http1,
     };
     let router = Router::new()
         .route(directory::RESOLVE_PATH, get(resolve))
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -17,8 +17,6 @@
 
 use std::sync::Arc;
 
-use axum::Router;
-use axum::extract::{Request, State};
 use axum::response::Response;
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
@@ -26,17 +24,19 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, Request};
+use hyper::body::Incoming;
 use sha2::{Digest, Sha256};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::timeout;
+use tower::service_fn;
 
 use self::connections::Connections;
 use self::door::{Door, log_refusal};
 use self::drive::drive;
 use crate::control::HostedCall;
-use crate::listener::{self, Gate};
+use crate::listener::{self, Gate, Protocols};
 use crate::traffic::admission::Admission;
 use crate::traffic::callers::read_body;
 use crate::traffic::parse::{fingerprint, malformed};
@@ -52,7 +52,7 @@
     traffic: Arc<Traffic>,
     draining: watch::Receiver<bool>,
 ) {
-    let limits = limits(&traffic);
+    let limits = limits(&traffic, Protocols::Http1);
     let hosted = Arc::new(Hosted {
         connections: Connections::new(traffic.settings.targets.clone()),
         door: Arc::default(),
@@ -65,9 +65,12 @@
         let control = &measured.control;
         measured.lag.measure(|| control.is_behind(), close).await;
     });
-    let router = Router::new().fallback(call).with_state(hosted);
+    let service = service_fn(move |req| {
+        let hosted = Arc::clone(&hosted);
+        async move { Ok(call(&hosted, req).await) }
+    });
     let events = move |event| traffic.note(event);
-    listener::serve(listener, router, limits, events, Gate { closed, draining }).await;
+    listener::serve(listener, service, limits, events, Gate { closed, draining }).await;
 }
 
 /// What all requests share.
@@ -89,10 +92,10 @@
     body: Bytes,
 }
 
-async fn call(State(hosted): State<Arc<Hosted>>, req: Request) -> Response {
+async fn call(hosted: &Arc<Hosted>, req: Request<Incoming>) -> Response {
     let (head, body) = req.into_parts();
     let attempt = request::attempt(&head.headers).cloned();
-    match start(&hosted, head, body).await {
+    match start(hosted, head, body).await {
         Ok(response) => response,
         Err(refusal) => {
             hosted
@@ -117,7 +120,7 @@
 async fn start(
     hosted: &Arc<Hosted>,
     head: Parts,
-    body: axum::body::Body,
+    body: Incoming,
 ) -> Result<Response, Refusal> {
     let traffic = &hosted.traffic;
     if is_behind(traffic) {
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -37,7 +37,7 @@
 use self::progress::Progress;
 use crate::clock::Clock;
 use crate::control::{AttemptNames, Handle};
-use crate::listener::{self, Event, Gate, Limits};
+use crate::listener::{self, Event, Gate, Limits, Protocols};
 use crate::metrics::{Edge, Metrics};
 use crate::settings::Settings;
 
@@ -50,14 +50,14 @@
     draining: watch::Receiver<bool>,
 ) {
     tokio::spawn(progress::flush(Arc::clone(&traffic)));
-    let limits = limits(&traffic);
+    let limits = limits(&traffic, Protocols::Both);
     let router = callers::router(Arc::clone(&traffic));
     let events = move |event| traffic.note(event);
     listener::serve(listener, router, limits, events, Gate::open(draining)).await;
 }
 
 /// Returns the limits of the callers' listener.
-fn limits(traffic: &Traffic) -> Limits {
+fn limits(traffic: &Traffic, protocols: Protocols) -> Limits {
     let cfg = &traffic.settings.callers;
     Limits {
         connections_max: cfg.connections_max,
@@ -65,6 +65,7 @@
         header_bytes_max: cfg.header_bytes_max,
         header_timeout: cfg.header_timeout,
         turned_away: refusal::raw(&TURNED_AWAY),
+        protocols,
     }
 }
 
