--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -11,13 +11,12 @@
 
 mod connections;
 mod directory;
+mod door;
 mod drive;
 mod relay;
 
 use std::sync::Arc;
 
-use axum::Router;
-use axum::extract::{Request, State};
 use axum::response::Response;
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
@@ -25,16 +24,19 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, Request};
+use hyper::body::Incoming;
 use sha2::{Digest, Sha256};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::timeout;
+use tower::service_fn;
 
 use self::connections::Connections;
+use self::door::{Door, log_refusal};
 use self::drive::drive;
 use crate::control::{HostedCall, retry_soon};
-use crate::listener::{self, Gate};
+use crate::listener::{self, Gate, Protocols};
 use crate::traffic::admission::Admission;
 use crate::traffic::callers::read_body;
 use crate::traffic::parse::{fingerprint, malformed};
@@ -50,9 +52,10 @@
     traffic: Arc<Traffic>,
     draining: watch::Receiver<bool>,
 ) {
-    let limits = limits(&traffic);
+    let limits = limits(&traffic, Protocols::Http1);
     let hosted = Arc::new(Hosted {
         connections: Connections::new(traffic.settings.targets.clone()),
+        door: Arc::default(),
         traffic: Arc::clone(&traffic),
     });
     tokio::spawn(crate::traffic::progress::flush(Arc::clone(&traffic)));
@@ -62,9 +65,12 @@
         let control = &measured.control;
         measured.intake.adapt(|| control.delay()).await;
     });
-    let router = Router::new().fallback(call).with_state(hosted);
+    let service = service_fn(move |req| {
+        let hosted = Arc::clone(&hosted);
+        async move { Ok(call(&hosted, req).await) }
+    });
     let events = move |event| traffic.note(event);
-    listener::serve(listener, router, limits, events, Gate { closed, draining }).await;
+    listener::serve(listener, service, limits, events, Gate { closed, draining }).await;
 }
 
 /// What all requests share.
@@ -72,6 +78,7 @@
 struct Hosted {
     traffic: Arc<Traffic>,
     connections: Connections,
+    door: Arc<Door>,
 }
 
 /// A request as targets will see it, but for what the router adds.
@@ -85,10 +92,10 @@
     body: Bytes,
 }
 
-async fn call(State(hosted): State<Arc<Hosted>>, req: Request) -> Response {
+async fn call(hosted: &Arc<Hosted>, req: Request<Incoming>) -> Response {
     let (head, body) = req.into_parts();
-    let attempt = request::decode(&head.headers).attempt;
-    match start(&hosted, head, body).await {
+    let attempt = request::attempt(&head.headers).cloned();
+    match start(hosted, head, body).await {
         Ok(mut response) => {
             if hosted.traffic.intake.is_late() {
                 close_after(&mut response);
@@ -100,7 +107,10 @@
                 .traffic
                 .metrics
                 .count(Counter::Refused(refusal.reason));
-            log_refusal(&attempt, &refusal);
+            if refusal.reason != Reason::Overloaded || hosted.door.admits() {
+                let attempt = attempt.as_ref().and_then(|id| id.to_str().ok());
+                log_refusal(attempt.unwrap_or_default(), &refusal);
+            }
             let mut response = response(&refusal);
             if is_behind(&hosted.traffic) {
                 close_after(&mut response);
@@ -116,11 +126,7 @@
     response.headers_mut().insert(CONNECTION, close);
 }
 
-async fn start(
-    hosted: &Arc<Hosted>,
-    head: Parts,
-    body: axum::body::Body,
-) -> Result<Response, Refusal> {
+async fn start(hosted: &Arc<Hosted>, head: Parts, body: Incoming) -> Result<Response, Refusal> {
     let traffic = &hosted.traffic;
     let id = traffic.control.next_request();
     let overloaded = || Refusal::not_run(Reason::Overloaded, Some(retry_soon(id)));
@@ -213,9 +219,3 @@
     }
     response
 }
-
-fn log_refusal(attempt: &str, refusal: &Refusal) {
-    let (reason, verdict) = (refusal.reason, refusal.verdict);
-    let wait = refusal.retry_after.map_or(0, |wait| wait.as_millis());
-    log::info!(target: "refused", "attempt={attempt} reason={reason} verdict={verdict} retry_after_ms={wait}");
-}
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -224,8 +224,29 @@
     }
 }
 
+/// The number of events of a long stream, and the pause before each but the first.
+const LONG_EVENTS: u64 = 8;
+const LONG_PAUSE: Duration = Duration::from_millis(5);
+
+/// Returns a long stream.
+fn long_stream() -> Response {
+    let events = futures::stream::unfold(1, |id| async move {
+        if id > LONG_EVENTS {
+            return None;
+        }
+        if id > 1 {
+            tokio::time::sleep(LONG_PAUSE).await;
+        }
+        let event = Bytes::from(format!("id: {id}\ndata: token\n\n"));
+        Some((Ok::<_, std::convert::Infallible>(event), id + 1))
+    });
+    let head = [("content-type", "text/event-stream")];
+    (head, axum::body::Body::from_stream(events)).into_response()
+}
+
 async fn answer(State(target): State<Arc<Target>>, req: Request) -> Response {
     let headers = req.headers().clone();
+    let is_stream = req.uri().path().starts_with("/stream/");
     let attempt = headers.get("attempt-id").cloned();
     let expected = headers.get("expect-instance").map(|name| name.as_bytes());
     if expected.is_some_and(|name| name != target.name.as_bytes()) {
@@ -246,7 +267,12 @@
         Mood::Failing => StatusCode::INTERNAL_SERVER_ERROR,
         _ => StatusCode::OK,
     };
-    let mut response = (status, [("server-stamp", "proof")], "the answer").into_response();
+    let mut response = match is_stream {
+        true => long_stream(),
+        false => (status, "the answer").into_response(),
+    };
+    let proof = http::HeaderValue::from_static("proof");
+    response.headers_mut().insert("server-stamp", proof);
     let attempt = match mood {
         Mood::Confused => Some(HeaderValue::from_static("another")),
         _ => attempt,
