Take a quota that is used up once for no overload

Change: without a limit the target has to be exceeded at two looks, or by a quota's period. A connection that is taken meanwhile looks at the clock as well, since the look waits in turn with all else.

--- a/crates/bulrushtrestled/src/traffic/intake.rs
+++ b/crates/bulrushtrestled/src/traffic/intake.rs
@@ -31,6 +31,13 @@
 /// VMs bear in about a third of a second.
 const RISE: f64 = 1.0;
 
+/// Ticks in a row at which the target has to be exceeded before there is a limit: a quota of the processor that was used up for
+/// once shows at one only.
+const LATE_TICKS: u32 = 2;
+
+/// A wait that is too long to be that of a quota: the users' VMs get theirs anew each tenth of a second.
+pub(super) const QUOTA_WAIT_MAX: Duration = Duration::from_millis(100);
+
 /// What is left of the rate when the target is exceeded: the usual factor of loss-based congestion control, as in CUBIC.
 const FALL: f64 = 0.7;
 
@@ -53,33 +60,34 @@
     left: f64,
     /// Connections that were taken since the last tick.
     taken: u32,
-    /// Whether the target was exceeded at the last tick.
-    is_late: bool,
+    /// Ticks in a row at which the target was exceeded.
+    late: u32,
 }
 
 impl Rate {
     /// Adapts the rate, `since` after the last tick, to how long what is ready waits for the processor.
     pub(super) fn tick(&mut self, delay: Duration, since: Duration) {
         let ticks = (since.as_secs_f64() / TICK.as_secs_f64()).max(1.0);
-        let was_late = self.is_late;
-        self.is_late = delay >= DELAY_TARGET;
-        match (self.is_late, was_late) {
-            (true, false) => {
-                let seen = f64::from(self.taken) / ticks;
-                let rate = self.per_tick.unwrap_or(seen);
-                self.per_tick = Some((rate.min(RATE_MAX) * FALL).max(RATE_MIN));
-                self.left = self.left.min(0.0);
-            }
-            (true, true) => {}
-            (false, _) => {
-                let rate = self.per_tick.map(|rate| rate + RISE);
-                self.per_tick = rate.filter(|&rate| rate < RATE_MAX);
-            }
+        let is_late = delay >= DELAY_TARGET;
+        self.late = if is_late { self.late + 1 } else { 0 };
+        let falls = match self.per_tick {
+            None => self.late >= LATE_TICKS || delay >= QUOTA_WAIT_MAX,
+            // What was taken before it fell has yet to be served.
+            Some(_) => self.late == 1,
+        };
+        if falls {
+            let seen = f64::from(self.taken) / ticks;
+            let rate = self.per_tick.unwrap_or(seen).min(RATE_MAX);
+            self.per_tick = Some((rate * FALL).max(RATE_MIN));
+            self.left = 0.0;
+        } else if !is_late {
+            let rate = self.per_tick.map(|rate| rate + RISE);
+            self.per_tick = rate.filter(|&rate| rate < RATE_MAX);
         }
         self.taken = 0;
         if let Some(rate) = self.per_tick {
             // Some callers are let in at all times.
-            let granted = if self.is_late { RATE_MIN } else { rate };
+            let granted = if is_late { RATE_MIN } else { rate };
             self.left = (self.left + granted).min(rate.max(1.0));
         }
     }
@@ -95,9 +103,9 @@
         self.per_tick.is_none() || self.left >= 1.0
     }
 
-    /// Says whether what is ready waits for the processor for longer than it should.
+    /// Says whether what is ready waits for the processor for longer than it should, under a limit.
     pub(super) const fn is_late(&self) -> bool {
-        self.is_late
+        self.late > 0 && self.per_tick.is_some()
     }
 
     /// Returns the connections that are taken in a second, under a limit.
@@ -134,7 +142,8 @@
     pub(crate) fn take(&self) {
         let mut rate = self.rate();
         rate.take();
-        self.close_unless(rate.is_open());
+        // The look at the clock waits in turn with all else; until it comes nothing else tells how late it is.
+        self.close_unless(rate.is_open() && self.lag.now() < QUOTA_WAIT_MAX);
     }
 
     /// Says whether what is ready waits so long that requests are refused: those on connections that were open before.
--- a/crates/bulrushtrestled/src/traffic/intake/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/intake/tests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::control::LATE_MAX;
-use crate::traffic::intake::{DELAY_TARGET, Rate};
+use crate::traffic::intake::{DELAY_TARGET, QUOTA_WAIT_MAX, Rate};
 use crate::traffic::lag::{Lag, TICK};
 
 /// The step of the model: time passes, and the processor works, in units of it.
@@ -68,7 +68,8 @@
             knocks.push(true);
         }
         for is_again in knocks {
-            match rate.is_open() {
+            let is_late = lag.at(Duration::from_micros(now)) >= QUOTA_WAIT_MAX;
+            match rate.is_open() && !is_late {
                 true => {
                     rate.take();
                     jobs.push_back(Job::Caller(now));
@@ -199,27 +200,45 @@
             limit: None,
             is_open: true,
         },
+        Case {
+            name: "a processor that was away once is no overload",
+            ticks: &[(10, LATE), (10, FREE), (10, LATE)],
+            limit: None,
+            is_open: true,
+        },
         Case {
             name: "what was taken is the measure of what is borne",
-            ticks: &[(10, LATE)],
+            ticks: &[(10, LATE), (10, LATE)],
             limit: Some(350.0),
             is_open: false,
         },
         Case {
             name: "it falls once for each time that it is late",
-            ticks: &[(10, LATE), (0, LATE), (0, LATE)],
+            ticks: &[(10, LATE), (10, LATE), (0, LATE), (0, LATE)],
             limit: Some(350.0),
             is_open: false,
         },
         Case {
             name: "it rises by a step",
-            ticks: &[(10, LATE), (0, FREE), (0, FREE)],
+            ticks: &[(10, LATE), (10, LATE), (0, FREE), (0, FREE)],
             limit: Some(450.0),
             is_open: true,
         },
+        Case {
+            name: "a wait that no quota explains is an overload at once",
+            ticks: &[(10, QUOTA_WAIT_MAX)],
+            limit: Some(350.0),
+            is_open: false,
+        },
+        Case {
+            name: "under a limit it falls at once",
+            ticks: &[(10, LATE), (10, LATE), (0, FREE), (0, LATE)],
+            limit: Some(280.0),
+            is_open: false,
+        },
         Case {
             name: "some are let in however late it is",
-            ticks: &[(0, LATE); 12],
+            ticks: &[(0, LATE); 13],
             limit: Some(5.0),
             is_open: true,
         },
