--- a/crates/bulrushtrestled/benches/goodput.rs
+++ b/crates/bulrushtrestled/benches/goodput.rs
@@ -1,5 +1,7 @@
 //! Goodput of one router on a hosting platform against the load that callers offer it.
 //!
+//! Guards against the collapse of goodput: a router that is offered more than it bears answers nearly everybody too late.
+//!
 //! The router is a process of its own that gets the share of a core of the users' weakest VMs. Its store and targets are
 //! stand-ins, and everything runs on loopback. Load is open: callers do not wait for one another.
 //!
--- a/crates/bulrushtrestled/benches/goodput/callers.rs
+++ b/crates/bulrushtrestled/benches/goodput/callers.rs
@@ -39,8 +39,10 @@
     Answered(Duration),
     /// The router says that the request did not run, and when to come back.
     Refused(Duration),
-    /// The kernel refused the connection, or none was made in time.
+    /// The kernel refused the connection.
     NotConnected,
+    /// The kernel did not take the connection in time.
+    Dropped,
     /// The router did not read the request in time.
     Unread,
     /// The connection ended without an answer, which says that the request was not read.
@@ -108,7 +110,7 @@
             let wait = match end {
                 End::Answered(_) | End::Unread | End::Failed | End::Late => return tries,
                 End::Refused(wait) => wait.min(left(until) / 3),
-                End::NotConnected | End::Closed => CONNECT_AGAIN,
+                End::NotConnected | End::Dropped | End::Closed => CONNECT_AGAIN,
             };
             if tries.len() == TRIES || wait >= left(until) {
                 return tries;
@@ -129,7 +131,8 @@
                 let connecting = connect(plan.caller, self.router);
                 match timeout_at(until.min(Instant::now() + UNREAD_MAX), connecting).await {
                     Ok(Ok(stream)) => stream,
-                    Ok(Err(_)) | Err(_) => return End::NotConnected,
+                    Ok(Err(_)) => return End::NotConnected,
+                    Err(_) => return End::Dropped,
                 }
             }
         };
@@ -141,7 +144,7 @@
             }
             // The port is free at once; that a request was given up on shows as it does elsewhere.
             End::Answered(_) | End::Refused(_) => drop(stream.set_zero_linger()),
-            End::NotConnected | End::Unread | End::Closed | End::Failed | End::Late => {}
+            _ => {}
         }
         end
     }
--- a/crates/bulrushtrestled/benches/goodput/tally.rs
+++ b/crates/bulrushtrestled/benches/goodput/tally.rs
@@ -14,9 +14,10 @@
     offered: u32,
     in_time: u32,
     answered: u32,
-    /// Tries that were refused by the router, by the kernel, and not at all.
+    /// Tries that the router refused, that the kernel refused, that the kernel let wait, and that the router did not read.
     refused: u32,
     not_connected: u32,
+    dropped: u32,
     unread: u32,
     /// Tries that failed, or that the caller's time ended.
     lost: u32,
@@ -43,6 +44,7 @@
                     self.refusals.push(one.took);
                 }
                 End::NotConnected | End::Closed => self.not_connected += 1,
+                End::Dropped => self.dropped += 1,
                 End::Unread => self.unread += 1,
                 End::Failed | End::Late => self.lost += 1,
             }
@@ -59,6 +61,7 @@
             answered: rate(self.answered),
             refused: rate(self.refused),
             not_connected: rate(self.not_connected),
+            dropped: rate(self.dropped),
             unread: rate(self.unread),
             lost: rate(self.lost),
             used_us: used.as_secs_f64() * 1e6 / f64::from(self.answered.max(1)),
@@ -78,6 +81,7 @@
     pub(crate) answered: f64,
     pub(crate) refused: f64,
     pub(crate) not_connected: f64,
+    pub(crate) dropped: f64,
     pub(crate) unread: f64,
     pub(crate) lost: f64,
     pub(crate) used_us: f64,
@@ -91,13 +95,14 @@
     /// Prints the names of the columns.
     pub(crate) fn print_names() {
         println!(
-            "{:>18} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>6} {:>8} {:>10} {:>9}",
+            "{:>18} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>6} {:>8} {:>10} {:>9}",
             "a second:",
             "offered",
             "in time",
             "answered",
             "refused",
-            "no conn.",
+            "kernel",
+            "dropped",
             "unread",
             "lost",
             "us each",
@@ -112,12 +117,13 @@
     pub(crate) fn print(&self, name: &str) {
         let text = |ms: Option<f64>| ms.map_or_else(|| "-".to_owned(), |ms| format!("{ms:.0}"));
         println!(
-            "{name:>18} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>6.3} {:>8} {:>10} {:>9}",
+            "{name:>18} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>9.0} {:>6.3} {:>8} {:>10} {:>9}",
             self.offered,
             self.in_time,
             self.answered,
             self.refused,
             self.not_connected,
+            self.dropped,
             self.unread,
             self.lost,
             self.used_us,
