Say what the threads' time goes into, by stage

Lines and metrics said that it is behind, not what it does meanwhile, nor where it refuses; the time of a request until the control thread took it held the reading of its body.

Change: each moment in which a thread runs counts for the innermost stage that it is in (accept, connection, admit, refuse, relay, target, log, the control thread's events, the tasks beside its loop): counters of seconds and turns on the metrics page, in place of bulrushtrestle_control_busy_seconds_total. The lines that say that a router starts or stops being behind tell what was spent, answered, connected and refused since the last one, and the mean times of reading and of hand-over. Edge events tell refusals at the door, at the hand-over and as late apart. The line of a request has read_ms.

A turn costs two reads of the clock and two atomic additions.

The test of the listener gets its new argument; nothing else of it changes.

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -415,6 +415,7 @@
         let deadline = call.said.patience.map(|patience| call.arrived + patience);
         let passage = Passage {
             route: route.name.clone(),
+            read: call.handed_over.since(call.arrived),
             handed: self.clock.now().since(call.arrived),
             organisation: (!route.anonymous).then_some(name),
             until,
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -123,6 +123,14 @@
         }
     }
 
+    /// Returns when it was handed over, if that is known.
+    pub(crate) const fn handed_over(&self) -> Option<Time> {
+        match self {
+            Self::Request(..) => None,
+            Self::Call(call, _) => Some(call.handed_over),
+        }
+    }
+
     /// Returns where it is told what is decided.
     pub(crate) const fn decisions(&self) -> &mpsc::UnboundedSender<Decision> {
         match self {
@@ -144,6 +152,8 @@
     pub(crate) token: Option<[u8; 32]>,
     /// When the request was there.
     pub(crate) arrived: Time,
+    /// When it had been read and was handed over.
+    pub(crate) handed_over: Time,
     /// What else its head says.
     pub(crate) said: bulrushtrestle_platform::request::Said,
     /// The size of the body, in bytes.
@@ -157,7 +167,9 @@
 pub(crate) struct Passage {
     /// The name of the route, for logs.
     pub(crate) route: String,
-    /// How long the request waited to be taken by the control thread, for logs.
+    /// How long the request took to be read, for logs.
+    pub(crate) read: Duration,
+    /// How long it took until the control thread took it, for logs.
     pub(crate) handed: Duration,
     /// The caller's organisation, if the route's callers show a token.
     pub(crate) organisation: Option<String>,
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -35,7 +35,7 @@
 use crate::control::watch::{Reports, Watched, watch_vms};
 use crate::control::withdrawn::Withdrawn;
 use crate::logging::Journal;
-use crate::metrics::Metrics;
+use crate::metrics::{Edge, Metrics, Stage};
 use crate::platform::{Http, HttpLog, HttpVmList, HttpWeights};
 use crate::settings::{self, Platform, Settings};
 
@@ -152,17 +152,17 @@
 }
 
 impl Event {
-    const fn kind(&self) -> &'static str {
+    const fn stage(&self) -> Stage {
         match self {
-            Self::Input(Input::Peer { .. }) => "peer",
-            Self::Input(_) => "other",
-            Self::Note(Note::Attempt(..)) => "attempt",
-            Self::Note(Note::Load(..)) => "load",
-            Self::Note(Note::Progress(_)) => "progress",
-            Self::Note(Note::Cancelled(_) | Note::TimedOut(_) | Note::Stop) => "note",
-            Self::Ask(_) => "ask",
-            Self::Arriving(..) => "request",
-            Self::Store(_) => "store",
+            Self::Input(Input::Peer { .. }) => Stage::ControlPeer,
+            Self::Input(_) => Stage::ControlOther,
+            Self::Note(Note::Attempt(..)) => Stage::ControlAttempt,
+            Self::Note(Note::Load(..)) => Stage::ControlLoad,
+            Self::Note(Note::Progress(_)) => Stage::ControlProgress,
+            Self::Note(Note::Cancelled(_) | Note::TimedOut(_) | Note::Stop) => Stage::ControlNote,
+            Self::Ask(_) => Stage::ControlAsk,
+            Self::Arriving(..) => Stage::ControlRequest,
+            Self::Store(_) => Stage::ControlStore,
         }
     }
 }
@@ -336,15 +336,14 @@
     /// Carries until the traffic threads are gone.
     pub(crate) async fn run(mut self, mut from: Receivers) {
         self.handle(Input::Timer);
+        let busy = self.metrics.busy.clone();
         for event in 1_u64.. {
             if event.is_multiple_of(EVENTS_PER_TURN) {
                 yield_now().await;
             }
-            let due = self.next_due();
-            let began = Instant::now();
-            if due <= began {
+            if self.next_due() <= Instant::now() {
+                let _within = busy.enter(Stage::ControlTimer);
                 self.on_due();
-                self.metrics.control_busy("timer", began.elapsed());
             }
             // What the router knows, and the requests that it has, go before those that arrive.
             let event = tokio::select! {
@@ -361,8 +360,7 @@
                     Event::Arriving(arriving, from.arrivals.len())
                 }
             };
-            let kind = event.kind();
-            let began = Instant::now();
+            let _within = busy.enter(event.stage());
             match event {
                 Event::Input(input) => self.handle(input),
                 Event::Note(note) => self.on_note(note),
@@ -370,7 +368,6 @@
                 Event::Ask(ask) => self.on_ask(ask),
                 Event::Arriving(arriving, left) => self.on_arriving(arriving, left),
             }
-            self.metrics.control_busy(kind, began.elapsed());
         }
     }
 
@@ -545,11 +542,15 @@
     fn on_arriving(&mut self, arriving: Arriving, left: usize) {
         let waited = self.clock.now().since(arriving.arrived());
         self.metrics.handed(waited);
+        if let Some(handed_over) = arriving.handed_over() {
+            self.metrics.read(handed_over.since(arriving.arrived()));
+        }
         let takes = self.backlog.takes(waited, left);
         if arriving.decisions().is_closed() {
             return;
         }
         if !takes {
+            self.metrics.edge(Edge::RefusedLate);
             let refusal = Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON));
             self.metrics.count(Counter::Refused(refusal.reason));
             // Who asked may have left.
--- a/crates/bulrushtrestled/src/listener.rs
+++ b/crates/bulrushtrestled/src/listener.rs
@@ -23,6 +23,8 @@
 use tokio::time::{sleep, timeout};
 use tower::ServiceExt;
 
+use crate::metrics::{Busy, Stage};
+
 /// The wait after a connection could not be accepted, for want of file handles for example.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
@@ -63,6 +65,8 @@
     Opened,
     /// A connection that was opened has ended.
     Closed,
+    /// The listener was closed because the process is behind.
+    ListenerClosed,
     /// A connection was turned away because too many are open.
     TurnedAway,
     /// No whole request head arrived in time.
@@ -121,6 +125,7 @@
     limits: Limits,
     events: impl Fn(Event) + Send + Sync + 'static,
     gate: Gate,
+    busy: Busy,
 ) {
     let Gate {
         mut closed,
@@ -135,6 +140,7 @@
         router,
         limits,
         events,
+        busy,
     });
     loop {
         let accepted = tokio::select! {
@@ -145,6 +151,7 @@
         let accepted = match (accepted, &address) {
             (None, Ok(address)) => {
                 drop(listener);
+                (server.events)(Event::ListenerClosed);
                 listener = tokio::select! {
                     _ = draining.wait_for(|draining| *draining) => return,
                     again = reopen(&mut closed, *address) => again,
@@ -164,7 +171,8 @@
             let server = Arc::clone(&server);
             let draining = draining.clone();
             tokio::spawn(async move {
-                server.serve(stream, draining).await;
+                let serve = server.serve(stream, draining);
+                server.busy.run(Stage::Connection, serve).await;
                 drop((permit, share));
             });
             continue;
@@ -229,6 +237,7 @@
     builder: auto::Builder<TokioExecutor>,
     limits: Limits,
     events: F,
+    busy: Busy,
 }
 
 impl<F: Fn(Event)> Server<F> {
--- a/crates/bulrushtrestled/src/listener/tests.rs
+++ b/crates/bulrushtrestled/src/listener/tests.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::listener::{Gate, Limits, serve};
+use crate::metrics::Metrics;
 
 /// The time for what should happen soon, on a busy machine too.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -50,7 +51,8 @@
     };
     let router = Router::new().route("/", get(|| async { "here" }));
     let gate = Gate { closed, draining };
-    let served = tokio::spawn(serve(listener, router, limits, |_| {}, gate));
+    let busy = Metrics::new().busy.clone();
+    let served = tokio::spawn(serve(listener, router, limits, |_| {}, gate, busy));
     let mut open = TcpStream::connect(address).await.expect("it listens");
     assert!(asks(&mut open).await, "before it is closed");
     for _ in 0..3 {
--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -23,6 +23,16 @@
 }
 
 edges! {
+    /// A caller's connection was taken.
+    CallerConnected = "caller_connected";
+    /// A request was refused before it was read, because the router does not keep up.
+    RefusedAtDoor = "refused_at_door";
+    /// A request was refused after it was read, because the control thread takes no more.
+    RefusedAtHandover = "refused_at_handover";
+    /// A request was refused because it had waited too long for the control thread.
+    RefusedLate = "refused_late";
+    /// The callers' listener was closed, because the router does not keep up.
+    ListenerClosed = "listener_closed";
     /// A caller's connection was turned away because too many are open.
     CallerConnectionRefused = "caller_connection_refused";
     /// A caller's connection was closed because no whole request head arrived in time.
--- a/crates/bulrushtrestled/src/metrics/mod.rs
+++ b/crates/bulrushtrestled/src/metrics/mod.rs
@@ -3,8 +3,11 @@
 //! Every member of the closed sets has its counter from the start, so that a reason that never
 //! occurred reads zero instead of being absent.
 
+mod busy;
 mod edge;
 mod memory;
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,10 +17,11 @@
 use bulrushtrestle_core::verdict::Reason;
 use bulrushtrestle_wire::Refused;
 use prometheus::{
-    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
-    IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
+pub(crate) use self::busy::{Account, Busy, Stage};
 pub(crate) use self::edge::Edge;
 
 /// The bounds of the histogram of timer lag, in seconds.
@@ -33,6 +37,9 @@
 /// The bounds of the histogram of peers.
 const PEERS_BOUNDS: [f64; 7] = [0.0, 1.0, 3.0, 7.0, 15.0, 63.0, 429.0];
 
+/// The outcome of a request whose whole answer was passed on.
+pub(crate) const ANSWERED: &str = "answered";
+
 /// All counters, gauges and histograms of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -46,9 +53,11 @@
     waited: HistogramVec,
     targets_age: Histogram,
     peers_heard: Histogram,
+    read: Histogram,
     handed: Histogram,
-    control_busy: CounterVec,
     memory: IntGauge,
+    /// What the threads' time goes into.
+    pub(crate) busy: Busy,
     /// Connections of callers.
     pub(crate) connections: IntGauge,
     /// Requests of callers that are not answered as a whole.
@@ -145,13 +154,19 @@
                 "Peers that had told lately what they have at targets, at a dispatch.",
                 &PEERS_BOUNDS,
             ),
+            read: histogram(
+                &registry,
+                "bulrushtrestle_read_seconds",
+                "From the head of a request until it was handed over, of those that the control thread took.",
+                &REQUEST_BOUNDS,
+            ),
             handed: histogram(
                 &registry,
                 "bulrushtrestle_handover_seconds",
                 "From the arrival of a request until the control thread took it.",
                 &REQUEST_BOUNDS,
             ),
-            control_busy: control_busy(&registry),
+            busy: Busy::new(&registry),
             memory: gauge(
                 &registry,
                 "bulrushtrestle_resident_bytes",
@@ -195,6 +210,17 @@
         }
     }
 
+    /// Returns how often an event at an edge of the process was counted.
+    fn edges(&self, event: Edge) -> u64 {
+        self.edge.get(&event).map_or(0, IntCounter::get)
+    }
+
+    /// Returns how many requests were answered.
+    fn answered(&self) -> u64 {
+        let histogram = self.requests_took.with_label_values(&[ANSWERED]);
+        histogram.get_sample_count()
+    }
+
     /// Counts a greeting that was turned down.
     pub(crate) fn peer_refused(&self, refused: Refused) {
         self.peers_refused
@@ -207,17 +233,16 @@
         self.timer_lag.observe(lag.as_secs_f64());
     }
 
+    /// Notes how long a request took to be read.
+    pub(crate) fn read(&self, after: Duration) {
+        self.read.observe(after.as_secs_f64());
+    }
+
     /// Notes how long a request waited to be taken by the control thread.
     pub(crate) fn handed(&self, after: Duration) {
         self.handed.observe(after.as_secs_f64());
     }
 
-    /// Notes how long the control thread worked on one event.
-    pub(crate) fn control_busy(&self, event: &str, took: Duration) {
-        let busy = self.control_busy.with_label_values(&[event]);
-        busy.inc_by(took.as_secs_f64());
-    }
-
     /// Notes how long a request took, and after how long its caller got the first of the answer.
     pub(crate) fn took(&self, outcome: &str, took: Duration, first: Option<Duration>) {
         let histogram = self.requests_took.with_label_values(&[outcome]);
@@ -258,18 +283,6 @@
     vec
 }
 
-fn control_busy(registry: &Registry) -> CounterVec {
-    let opts = Opts::new(
-        "bulrushtrestle_control_busy_seconds_total",
-        "Time that the control thread worked, by kind of event.",
-    );
-    let vec = CounterVec::new(opts, &["event"]).expect("the name is valid");
-    registry
-        .register(Box::new(vec.clone()))
-        .expect("names are registered once");
-    vec
-}
-
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("the name is valid");
     registry
--- /dev/null
+++ b/crates/bulrushtrestled/src/metrics/tests.rs
@@ -0,0 +1,44 @@
+//! What the time of threads is accounted to.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::{Account, Metrics, Stage};
+
+const STEP: Duration = Duration::from_millis(20);
+
+/// Returns the milliseconds that a line gives a field, zero if it does not have it.
+fn field(line: &str, name: &str) -> u128 {
+    let value = line.split(' ').find_map(|field| field.strip_prefix(name));
+    value.map_or(0, |value| value.parse().expect("a number"))
+}
+
+/// Guards against time that is told twice, for a stage and for the one around it, or for a task that waits.
+#[tokio::test]
+async fn time_counts_for_the_innermost_stage_and_not_while_a_task_waits() {
+    let metrics = Arc::new(Metrics::new());
+    let mut account = Account::new(Arc::clone(&metrics));
+    let began = Instant::now();
+    let outer = metrics.busy.enter(Stage::Refuse);
+    thread::sleep(STEP);
+    let inner = metrics.busy.enter(Stage::Log);
+    thread::sleep(STEP);
+    drop(inner);
+    thread::sleep(STEP);
+    drop(outer);
+    let took = began.elapsed().as_millis();
+    let waits = async {
+        tokio::time::sleep(10 * STEP).await;
+        thread::sleep(STEP);
+    };
+    metrics.busy.run(Stage::Relay, waits).await;
+    let line = account.tell();
+    let (refuse, log) = (field(&line, "refuse_ms="), field(&line, "log_ms="));
+    let (relay, step) = (field(&line, "relay_ms="), STEP.as_millis());
+    assert!(refuse >= 2 * step && log >= step && relay >= step, "{line}");
+    // Each figure is rounded by itself.
+    assert!(refuse + log <= took + 2, "{line}, took {took}");
+    assert!(relay < 10 * step, "{line}");
+    assert!(!account.tell().contains("refuse_ms="), "told twice");
+}
--- a/crates/bulrushtrestled/src/operators.rs
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -73,6 +73,7 @@
 /// Serves operators for as long as the process lives.
 pub(crate) async fn serve(listener: TcpListener, app: App) {
     let counters = Arc::clone(&app.metrics);
+    let busy = counters.busy.clone();
     let app = Arc::new(app);
     let limits = ServiceBuilder::new()
         .layer(HandleErrorLayer::new(|_: BoxError| async {
@@ -104,7 +105,8 @@
     };
     // Operators watch a planned stop to its end.
     let (_open, never) = watch::channel(false);
-    listener::serve(listener, router, limits, events, Gate::open(never)).await;
+    let gate = Gate::open(never);
+    listener::serve(listener, router, limits, events, gate, busy).await;
 }
 
 async fn authorise(State(app): State<Arc<App>>, req: Request, next: Next) -> Response {
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -23,7 +23,7 @@
 use crate::clock::Clock;
 use crate::control::{self, AttemptNames, Control, Ends};
 use crate::logging::Journal;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Stage};
 use crate::operators;
 use crate::settings::{self, Platform, Settings};
 use crate::traffic::{self, Traffic};
@@ -309,7 +309,9 @@
             .enable_all()
             .build()?;
         let seed = rand::rng().next_u64();
-        LocalSet::new().block_on(&runtime, async move {
+        let busy = self.metrics.busy.clone();
+        let tasks = LocalSet::new();
+        let run = tasks.run_until(async move {
             let listener = TcpListener::from_std(self.listener)?;
             let node = Node::new(self.config, self.clock.now(), seed);
             let ends = Ends {
@@ -323,6 +325,7 @@
             let control = Control::start(node, &self.settings, self.clock, &self.metrics, ends);
             control.run(self.receivers).await;
             Ok(())
-        })
+        });
+        runtime.block_on(busy.run(Stage::ControlBeside, run))
     }
 }
--- a/crates/bulrushtrestled/src/traffic/hosted/connections.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/connections.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::metrics::{Busy, Stage};
 use crate::settings;
 
 /// How much earlier than the target a connection is let go of: the longest way between data centres and the
@@ -34,6 +35,7 @@
 #[derive(Debug)]
 pub(super) struct Connections {
     cfg: settings::Targets,
+    busy: Busy,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
@@ -49,9 +51,10 @@
 pub(super) struct NotConnected;
 
 impl Connections {
-    pub(super) fn new(cfg: settings::Targets) -> Self {
+    pub(super) fn new(cfg: settings::Targets, busy: Busy) -> Self {
         Self {
             cfg,
+            busy,
             idle: Mutex::default(),
         }
     }
@@ -66,7 +69,7 @@
         if let Some(sender) = self.take_idle(address, runs_once) {
             return Ok(sender);
         }
-        timeout(self.cfg.connect_timeout, connect(address))
+        timeout(self.cfg.connect_timeout, connect(address, &self.busy))
             .await
             .map_err(|_| NotConnected)?
     }
@@ -116,7 +119,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, NotConnected> {
+async fn connect(address: SocketAddr, busy: &Busy) -> Result<Sender, NotConnected> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|_| NotConnected)?;
@@ -125,9 +128,10 @@
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| NotConnected)?;
+    let busy = busy.clone();
     tokio::spawn(async move {
         // How the connection ended shows in the request that used it.
-        drop(connection.await);
+        drop(busy.run(Stage::Target, connection).await);
     });
     Ok(sender)
 }
--- a/crates/bulrushtrestled/src/traffic/hosted/directory.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/directory.rs
@@ -41,12 +41,14 @@
         header_timeout: traffic.settings.callers.header_timeout,
         turned_away: Bytes::from_static(TURNED_AWAY),
     };
+    let busy = traffic.metrics.busy.clone();
     let router = Router::new()
         .route(directory::RESOLVE_PATH, get(resolve))
         .route(directory::READY_PATH, get(ready))
         .with_state(Arc::new(Directory { traffic, cfg }));
     let (_open, never) = watch::channel(false);
-    listener::serve(listener, router, limits, |_| {}, Gate::open(never)).await;
+    let gate = Gate::open(never);
+    listener::serve(listener, router, limits, |_| {}, gate, busy).await;
 }
 
 async fn resolve(State(own): State<Arc<Directory>>, RawQuery(query): RawQuery) -> Response {
--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::control::{Decision, Passage};
+use crate::metrics::{ANSWERED, Stage};
 use crate::traffic::admission::BodyMemory;
 use crate::traffic::attempt;
 use crate::traffic::drive::{Guard, interruption};
@@ -210,6 +211,7 @@
 
     fn log(&self, end: &End) {
         let traffic = &self.hosted.traffic;
+        let _within = traffic.metrics.busy.enter(Stage::Log);
         let attempt = &self.call.said.attempt;
         let took = traffic.clock.now().since(self.arrived);
         let (route, organisation) = match &self.passage {
@@ -217,14 +219,16 @@
             None => ("-", None),
         };
         let organisation = organisation.unwrap_or("-");
-        let handed = self.passage.as_ref().map_or_else(
-            || "-".to_owned(),
-            |passage| passage.handed.as_millis().to_string(),
-        );
+        let millis = |took: fn(&Passage) -> Duration| {
+            let took = self.passage.as_deref().map(took);
+            took.map_or_else(|| "-".to_owned(), |took| took.as_millis().to_string())
+        };
+        let read = millis(|passage| passage.read);
+        let handed = millis(|passage| passage.handed);
         let outcome = match end {
-            End::Answered => "answered",
+            End::Answered => ANSWERED,
             End::Refused(refusal) => {
-                log_refusal(attempt, refusal);
+                log_refusal(&traffic.metrics.busy, attempt, refusal);
                 "refused"
             }
             End::TimedOut => "timed_out",
@@ -239,7 +243,7 @@
             .map_or(0, |first| first.as_millis());
         log::info!(
             target: "request",
-            "attempt={attempt} route={route} organisation={organisation} outcome={outcome} attempts={} target={} first_ms={first} took_ms={} handed_ms={handed}{}",
+            "attempt={attempt} route={route} organisation={organisation} outcome={outcome} attempts={} target={} first_ms={first} took_ms={} read_ms={read} handed_ms={handed}{}",
             self.attempts,
             self.relay.last_target(),
             took.as_millis(),
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -35,6 +35,7 @@
 use self::drive::drive;
 use crate::control::HostedCall;
 use crate::listener::{self, Gate};
+use crate::metrics::{Account, Busy, Edge, Stage};
 use crate::traffic::admission::Admission;
 use crate::traffic::callers::read_body;
 use crate::traffic::parse::{fingerprint, malformed};
@@ -52,7 +53,10 @@
 ) {
     let limits = limits(&traffic);
     let hosted = Arc::new(Hosted {
-        connections: Connections::new(traffic.settings.targets.clone()),
+        connections: Connections::new(
+            traffic.settings.targets.clone(),
+            traffic.metrics.busy.clone(),
+        ),
         traffic: Arc::clone(&traffic),
     });
     tokio::spawn(crate::traffic::progress::flush(Arc::clone(&traffic)));
@@ -60,11 +64,17 @@
     let measured = Arc::clone(&traffic);
     tokio::spawn(async move {
         let control = &measured.control;
-        measured.lag.measure(|| control.is_behind(), close).await;
+        let mut account = Account::new(Arc::clone(&measured.metrics));
+        let spent = || account.tell();
+        let lag = &measured.lag;
+        lag.measure(|| control.is_behind(), close, spent).await;
     });
     let router = Router::new().fallback(call).with_state(hosted);
+    let busy = traffic.metrics.busy.clone();
     let events = move |event| traffic.note(event);
-    listener::serve(listener, router, limits, events, Gate { closed, draining }).await;
+    let gate = Gate { closed, draining };
+    let serve = listener::serve(listener, router, limits, events, gate, busy.clone());
+    busy.run(Stage::Accept, serve).await;
 }
 
 /// What all requests share.
@@ -87,15 +97,18 @@
 
 async fn call(State(hosted): State<Arc<Hosted>>, req: Request) -> Response {
     let (head, body) = req.into_parts();
+    let busy = &hosted.traffic.metrics.busy;
     let attempt = request::decode(&head.headers).attempt;
-    match start(&hosted, head, body).await {
+    let started = busy.run(Stage::Admit, start(&hosted, head, body));
+    match started.await {
         Ok(response) => response,
         Err(refusal) => {
+            let _within = busy.enter(Stage::Refuse);
             hosted
                 .traffic
                 .metrics
                 .count(Counter::Refused(refusal.reason));
-            log_refusal(&attempt, &refusal);
+            log_refusal(busy, &attempt, &refusal);
             let mut response = response(&refusal);
             if is_behind(&hosted.traffic) {
                 // The caller's next request goes to a router that takes connections.
@@ -114,6 +127,7 @@
 ) -> Result<Response, Refusal> {
     let traffic = &hosted.traffic;
     if is_behind(traffic) {
+        traffic.metrics.edge(Edge::RefusedAtDoor);
         return Err(Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)));
     }
     let arrived = traffic.clock.now();
@@ -141,6 +155,7 @@
         path: head.uri.path().to_owned(),
         token,
         arrived,
+        handed_over: traffic.clock.now(),
         said: call.said.clone(),
         body_bytes: u32::try_from(call.body.len()).unwrap_or(u32::MAX),
         fingerprint: fingerprint([
@@ -151,10 +166,10 @@
         ]),
     };
     let id = asked.id;
-    let decisions = traffic
-        .control
-        .call(asked)
-        .map_err(|_| Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)))?;
+    let decisions = traffic.control.call(asked).map_err(|_| {
+        traffic.metrics.edge(Edge::RefusedAtHandover);
+        Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON))
+    })?;
     let (reply, answer) = Reply::new(traffic.settings.callers.unread_timeout);
     let driven = drive(
         Arc::clone(hosted),
@@ -164,7 +179,8 @@
         reply,
         memory,
     );
-    tokio::spawn(driven);
+    let busy = traffic.metrics.busy.clone();
+    tokio::spawn(async move { busy.run(Stage::Relay, driven).await });
     Ok(answer.response().await)
 }
 
@@ -207,7 +223,8 @@
     response
 }
 
-fn log_refusal(attempt: &str, refusal: &Refusal) {
+fn log_refusal(busy: &Busy, attempt: &str, refusal: &Refusal) {
+    let _within = busy.enter(Stage::Log);
     let (reason, verdict) = (refusal.reason, refusal.verdict);
     let wait = refusal.retry_after.map_or(0, |wait| wait.as_millis());
     log::info!(target: "refused", "attempt={attempt} reason={reason} verdict={verdict} retry_after_ms={wait}");
--- a/crates/bulrushtrestled/src/traffic/lag.rs
+++ b/crates/bulrushtrestled/src/traffic/lag.rs
@@ -41,8 +41,13 @@
     }
 
     /// Measures for as long as the process serves, and closes its door while these threads, or those that `is_behind`
-    /// speaks for, do not keep up.
-    pub(crate) async fn measure(&self, is_behind: impl Fn() -> bool, close: watch::Sender<bool>) {
+    /// speaks for, do not keep up. Whenever that changes, a line says what `spent` tells of the time since the last change.
+    pub(crate) async fn measure(
+        &self,
+        is_behind: impl Fn() -> bool,
+        close: watch::Sender<bool>,
+        mut spent: impl FnMut() -> String,
+    ) {
         loop {
             self.note(self.started.elapsed());
             let (is_late, is_behind) = (self.is_too_large(), is_behind());
@@ -54,7 +59,7 @@
             });
             if changed {
                 let late = self.late.load(Ordering::Relaxed) / 1_000;
-                log::warn!(target: "lag", "thread=traffic late_ms={late} max_ms={} control_behind={is_behind} closed={closes}", LATE_MAX.as_millis());
+                log::warn!(target: "lag", "thread=traffic late_ms={late} max_ms={} control_behind={is_behind} closed={closes} {}", LATE_MAX.as_millis(), spent());
             }
             sleep(TICK).await;
         }
--- a/crates/bulrushtrestled/src/traffic/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/mod.rs
@@ -52,8 +52,9 @@
     tokio::spawn(progress::flush(Arc::clone(&traffic)));
     let limits = limits(&traffic);
     let router = callers::router(Arc::clone(&traffic));
+    let busy = traffic.metrics.busy.clone();
     let events = move |event| traffic.note(event);
-    listener::serve(listener, router, limits, events, Gate::open(draining)).await;
+    listener::serve(listener, router, limits, events, Gate::open(draining), busy).await;
 }
 
 /// Returns the limits of the callers' listener.
@@ -111,12 +112,16 @@
     fn note(&self, event: Event) {
         let metrics = &self.metrics;
         match event {
-            Event::Opened => metrics.connections.inc(),
+            Event::Opened => {
+                metrics.edge(Edge::CallerConnected);
+                metrics.connections.inc();
+            }
             Event::Closed => metrics.connections.dec(),
             Event::TurnedAway => {
                 metrics.edge(Edge::CallerConnectionRefused);
                 self.refused(TURNED_AWAY);
             }
+            Event::ListenerClosed => metrics.edge(Edge::ListenerClosed),
             Event::HeadTimeout => metrics.edge(Edge::CallerHeadTimeout),
             Event::HeadTooLarge => metrics.edge(Edge::CallerHeadTooLarge),
             Event::HeadMalformed => metrics.edge(Edge::CallerHeadMalformed),
