--- a/crates/bulrushtrestled/src/listener.rs
+++ b/crates/bulrushtrestled/src/listener.rs
@@ -26,6 +26,8 @@
 use tokio::time::{sleep, timeout};
 use tower::{Service, ServiceExt};
 
+use crate::metrics::{Busy, Stage};
+
 /// The wait after a connection could not be accepted, for want of file handles for example.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
@@ -79,6 +81,8 @@
     Opened,
     /// A connection that was opened has ended.
     Closed,
+    /// The listener was closed because the process is behind.
+    ListenerClosed,
     /// A connection was turned away because too many are open.
     TurnedAway,
     /// No whole request head arrived in time.
@@ -137,6 +141,7 @@
     limits: Limits,
     events: impl Fn(Event) + Send + Sync + 'static,
     gate: Gate,
+    busy: Busy,
 ) where
     S: Serves,
 {
@@ -153,6 +158,7 @@
         service,
         limits,
         events,
+        busy,
     });
     loop {
         let accepted = tokio::select! {
@@ -164,6 +170,7 @@
         let accepted = match (accepted, &address) {
             (None, Ok(address)) => {
                 drop(listener);
+                (server.events)(Event::ListenerClosed);
                 listener = tokio::select! {
                     _ = draining.wait_for(|draining| *draining) => return,
                     again = reopen(&mut closed, *address) => again,
@@ -184,7 +191,8 @@
             let server = Arc::clone(&server);
             let draining = draining.clone();
             tokio::spawn(async move {
-                server.serve(stream, draining).await;
+                let serve = server.serve(stream, draining);
+                server.busy.run(Stage::Connection, serve).await;
                 drop((permit, share));
             });
             continue;
@@ -268,6 +276,7 @@
     builder: auto::Builder<TokioExecutor>,
     limits: Limits,
     events: F,
+    busy: Busy,
 }
 
 impl<S: Serves, F: Fn(Event)> Server<S, F> {
--- a/crates/bulrushtrestled/src/traffic/hosted/door.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/door.rs
@@ -9,6 +9,8 @@
 use bulrushtrestle_core::verdict::Refusal;
 use tokio::time::sleep;
 
+use crate::metrics::{Busy, Stage};
+
 /// Refusals in a second that have a line of their own: enough to find some of them at their callers.
 const LINES_PER_SECOND: u32 = 8;
 const SECOND: Duration = Duration::from_secs(1);
@@ -58,7 +60,8 @@
 }
 
 /// Writes the line of a refusal.
-pub(super) fn log_refusal(attempt: &str, refusal: &Refusal) {
+pub(super) fn log_refusal(busy: &Busy, attempt: &str, refusal: &Refusal) {
+    let _within = busy.enter(Stage::Log);
     let (reason, verdict) = (refusal.reason, refusal.verdict);
     let wait = refusal.retry_after.map_or(0, |wait| wait.as_millis());
     log::info!(target: "refused", "attempt={attempt} reason={reason} verdict={verdict} retry_after_ms={wait}");
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -37,6 +37,7 @@
 use self::drive::drive;
 use crate::control::{HostedCall, retry_soon};
 use crate::listener::{self, Gate, Protocols};
+use crate::metrics::{Account, Edge, Stage};
 use crate::traffic::admission::Admission;
 use crate::traffic::callers::read_body;
 use crate::traffic::parse::{fingerprint, malformed};
@@ -54,7 +55,10 @@
 ) {
     let limits = limits(&traffic, Protocols::Http1);
     let hosted = Arc::new(Hosted {
-        connections: Connections::new(traffic.settings.targets.clone()),
+        connections: Connections::new(
+            traffic.settings.targets.clone(),
+            traffic.metrics.busy.clone(),
+        ),
         door: Arc::default(),
         traffic: Arc::clone(&traffic),
     });
@@ -63,14 +67,19 @@
     let measured = Arc::clone(&traffic);
     tokio::spawn(async move {
         let control = &measured.control;
-        measured.intake.adapt(|| control.delay()).await;
+        let mut account = Account::new(Arc::clone(&measured.metrics));
+        let spent = || account.tell();
+        measured.intake.adapt(|| control.delay(), spent).await;
     });
     let service = service_fn(move |req| {
         let hosted = Arc::clone(&hosted);
         async move { Ok(call(&hosted, req).await) }
     });
+    let busy = traffic.metrics.busy.clone();
     let events = move |event| traffic.note(event);
-    listener::serve(listener, service, limits, events, Gate { closed, draining }).await;
+    let gate = Gate { closed, draining };
+    let serve = listener::serve(listener, service, limits, events, gate, busy.clone());
+    busy.run(Stage::Accept, serve).await;
 }
 
 /// What all requests share.
@@ -94,8 +103,10 @@
 
 async fn call(hosted: &Arc<Hosted>, req: Request<Incoming>) -> Response {
     let (head, body) = req.into_parts();
+    let busy = &hosted.traffic.metrics.busy;
     let attempt = request::attempt(&head.headers).cloned();
-    match start(hosted, head, body).await {
+    let started = busy.run(Stage::Admit, start(hosted, head, body));
+    match started.await {
         Ok(mut response) => {
             if hosted.traffic.intake.is_late() {
                 close_after(&mut response);
@@ -103,13 +114,14 @@
             response
         }
         Err(refusal) => {
+            let _within = busy.enter(Stage::Refuse);
             hosted
                 .traffic
                 .metrics
                 .count(Counter::Refused(refusal.reason));
             if refusal.reason != Reason::Overloaded || hosted.door.admits() {
                 let attempt = attempt.as_ref().and_then(|id| id.to_str().ok());
-                log_refusal(attempt.unwrap_or_default(), &refusal);
+                log_refusal(busy, attempt.unwrap_or_default(), &refusal);
             }
             let mut response = response(&refusal);
             if is_behind(&hosted.traffic) {
@@ -131,6 +143,7 @@
     let id = traffic.control.next_request();
     let overloaded = || Refusal::not_run(Reason::Overloaded, Some(retry_soon(id)));
     if is_behind(traffic) {
+        traffic.metrics.edge(Edge::RefusedAtDoor);
         return Err(overloaded());
     }
     let arrived = traffic.clock.now();
@@ -158,6 +171,7 @@
         path: head.uri.path().to_owned(),
         token,
         arrived,
+        handed_over: traffic.clock.now(),
         said: call.said.clone(),
         body_bytes: u32::try_from(call.body.len()).unwrap_or(u32::MAX),
         fingerprint: fingerprint([
@@ -167,7 +181,10 @@
             &call.body,
         ]),
     };
-    let decisions = traffic.control.call(asked).map_err(|_| overloaded())?;
+    let decisions = traffic.control.call(asked).map_err(|_| {
+        traffic.metrics.edge(Edge::RefusedAtHandover);
+        overloaded()
+    })?;
     let (reply, answer) = Reply::new(traffic.settings.callers.unread_timeout);
     let driven = drive(
         Arc::clone(hosted),
@@ -177,7 +194,8 @@
         reply,
         memory,
     );
-    tokio::spawn(driven);
+    let busy = traffic.metrics.busy.clone();
+    tokio::spawn(async move { busy.run(Stage::Relay, driven).await });
     Ok(answer.response().await)
 }
 
--- a/crates/bulrushtrestled/src/traffic/intake.rs
+++ b/crates/bulrushtrestled/src/traffic/intake.rs
@@ -157,8 +157,12 @@
     }
 
     /// Adapts the rate for as long as the process serves. `control` tells how long requests wait for the control thread, which
-    /// runs on the same processor.
-    pub(crate) async fn adapt(&self, control: impl Fn() -> Duration) {
+    /// runs on the same processor; `spent` tells what it did since the last line.
+    pub(crate) async fn adapt(
+        &self,
+        control: impl Fn() -> Duration,
+        mut spent: impl FnMut() -> String,
+    ) {
         let mut ticked = Instant::now();
         let mut reported: Option<Instant> = None;
         loop {
@@ -176,11 +180,11 @@
             match (limit, reported) {
                 (Some(limit), _) if is_due => {
                     reported = Some(ticked);
-                    log::warn!(target: "intake", "limited=true per_second={limit:.0} late_ms={late} control_ms={control} target_ms={}", DELAY_TARGET.as_millis());
+                    log::warn!(target: "intake", "limited=true per_second={limit:.0} late_ms={late} control_ms={control} target_ms={} {}", DELAY_TARGET.as_millis(), spent());
                 }
                 (None, Some(_)) => {
                     reported = None;
-                    log::warn!(target: "intake", "limited=false late_ms={late} control_ms={control}");
+                    log::warn!(target: "intake", "limited=false late_ms={late} control_ms={control} {}", spent());
                 }
                 _ => {}
             }
