--- a/crates/bulrushtrestled/benches/hosted.rs
+++ b/crates/bulrushtrestled/benches/hosted.rs
@@ -157,7 +157,9 @@
         }
         let before = Spent::read(&daemon);
         let count = load(daemon.callers, case).await;
-        kept &= Spent::read(&daemon).since(&before).report(case.name, count, case.us_max);
+        kept &= Spent::read(&daemon)
+            .since(&before)
+            .report(case.name, count, case.us_max);
     }
     let name = "refused at the door, kept connection";
     if is_selected(name) {
@@ -171,7 +173,10 @@
 }
 
 fn is_selected(name: &str) -> bool {
-    let mut words = std::env::args().skip(1).filter(|word| !word.starts_with('-')).peekable();
+    let mut words = std::env::args()
+        .skip(1)
+        .filter(|word| !word.starts_with('-'))
+        .peekable();
     words.peek().is_none() || words.any(|word| name.contains(&word))
 }
 
@@ -246,7 +251,9 @@
             Err(_) => sleep(PAUSE).await,
         }
     };
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("a connection");
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .expect("a connection");
     tokio::spawn(connection);
     sender
 }
@@ -286,7 +293,9 @@
             let number = |text: &str| text.trim().parse().unwrap_or(0.0);
             spent.nanos += read("schedstat").split(' ').next().map_or(0.0, number);
             let status = read("status");
-            let switches = status.lines().filter_map(|line| line.split_once("_ctxt_switches:"));
+            let switches = status
+                .lines()
+                .filter_map(|line| line.split_once("_ctxt_switches:"));
             spent.switches += switches.map(|(_, count)| number(count)).sum::<f64>();
         }
         spent
@@ -308,7 +317,11 @@
     fn report(&self, name: &str, count: usize, us_max: f64) -> bool {
         let each = |figure: f64| figure / count.max(1) as f64;
         let us = each(self.nanos) / 1e3;
-        let broken = if us <= us_max && count > 0 { "" } else { "  BROKEN" };
+        let broken = if us <= us_max && count > 0 {
+            ""
+        } else {
+            "  BROKEN"
+        };
         println!(
             "{name}: {us:.1} us <= {us_max:.0}, {:.2} changes of thread ({count} requests){broken}",
             each(self.switches),
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -46,6 +46,10 @@
 /// leaves must get nothing. The rest is for the way of a request to its target.
 const TARGETS_STALE: u32 = 66;
 
+/// How many tasks of the traffic have their turn between two looks at sockets, and at what decides, where both share a thread.
+/// A request takes about twice as many turns of tasks as events of what decides, and that stops after four of these.
+const TASKS_PER_TURN: u32 = 16;
+
 /// Why the process cannot start or has to end.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -83,17 +87,51 @@
 ///
 /// Fails if a listener or thread cannot be started, or if the control thread ends.
 pub(crate) fn run(settings: Settings) -> Result<(), Error> {
+    if settings.traffic_threads == 1 {
+        let runtime = runtime::Builder::new_current_thread()
+            .event_interval(TASKS_PER_TURN)
+            .enable_all()
+            .build()?;
+        return LocalSet::new().block_on(&runtime, run_traffic(settings, start_beside));
+    }
     let traffic = runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
         .enable_all()
         .build()?;
-    let outcome = traffic.block_on(run_traffic(settings));
+    let outcome = traffic.block_on(run_traffic(settings, start_apart));
     traffic.shutdown_background();
     outcome
 }
 
-async fn run_traffic(settings: Settings) -> Result<(), Error> {
+/// Starts what decides as a task of the thread that carries the traffic. On a VM with one processor, threads of their own would
+/// wake each other several times for each request, and decide nothing sooner.
+fn start_beside(control: Controller, ended: oneshot::Sender<()>) -> io::Result<()> {
+    tokio::task::spawn_local(async move {
+        let _ended = ended;
+        control.run().await
+    });
+    Ok(())
+}
+
+/// Starts what decides on a thread of its own.
+fn start_apart(control: Controller, ended: oneshot::Sender<()>) -> io::Result<()> {
+    let run = move || {
+        let _ended = ended;
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        LocalSet::new().block_on(&runtime, control.run())
+    };
+    let thread = thread::Builder::new().name("control".to_owned());
+    thread.spawn(run).map(drop)
+}
+
+/// Carries traffic; `start` starts what decides about it.
+async fn run_traffic(
+    settings: Settings,
+    start: impl FnOnce(Controller, oneshot::Sender<()>) -> io::Result<()>,
+) -> Result<(), Error> {
     let listeners = Listeners::open(&settings).await?;
     let callers_address = listeners.callers.local_addr()?;
     let settings = Arc::new(settings);
@@ -107,7 +145,7 @@
     let names = AttemptNames::new(settings.router, incarnation);
     let (stopped, mut has_stopped) = watch::channel(false);
     let (ended, has_ended) = oneshot::channel::<()>();
-    let control = ControlThread {
+    let control = Controller {
         settings: Arc::clone(&settings),
         metrics: Arc::clone(&metrics),
         clock,
@@ -117,12 +155,7 @@
         stopped,
         receivers,
     };
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            let _ended = ended;
-            control.run()
-        })?;
+    start(control, ended)?;
 
     let (drain, draining) = watch::channel(false);
     let traffic = Arc::new(Traffic::new(
@@ -290,8 +323,8 @@
         })
 }
 
-/// What the control thread is started with.
-struct ControlThread {
+/// What decides, before it is started.
+struct Controller {
     settings: Arc<Settings>,
     metrics: Arc<Metrics>,
     clock: Clock,
@@ -302,27 +335,22 @@
     receivers: control::Receivers,
 }
 
-impl ControlThread {
-    /// Runs until the traffic threads are gone. What keeps it from starting shows as its end.
-    fn run(self) -> io::Result<()> {
-        let runtime = runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
+impl Controller {
+    /// Runs inside a `LocalSet` until the traffic threads are gone. What keeps it from starting shows as its end.
+    async fn run(self) -> io::Result<()> {
+        let listener = TcpListener::from_std(self.listener)?;
         let seed = rand::rng().next_u64();
-        LocalSet::new().block_on(&runtime, async move {
-            let listener = TcpListener::from_std(self.listener)?;
-            let node = Node::new(self.config, self.clock.now(), seed);
-            let ends = Ends {
-                listener,
-                names: self.names,
-                stopped: self.stopped,
-                limits: self.receivers.limits(),
-                backlog: self.receivers.backlog(),
-                withdrawn: self.receivers.withdrawn(),
-            };
-            let control = Control::start(node, &self.settings, self.clock, &self.metrics, ends);
-            control.run(self.receivers).await;
-            Ok(())
-        })
+        let node = Node::new(self.config, self.clock.now(), seed);
+        let ends = Ends {
+            listener,
+            names: self.names,
+            stopped: self.stopped,
+            limits: self.receivers.limits(),
+            backlog: self.receivers.backlog(),
+            withdrawn: self.receivers.withdrawn(),
+        };
+        let control = Control::start(node, &self.settings, self.clock, &self.metrics, ends);
+        control.run(self.receivers).await;
+        Ok(())
     }
 }
--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -15,8 +15,8 @@
 use crate::traffic::admission::BodyMemory;
 use crate::traffic::attempt;
 use crate::traffic::drive::{Guard, interruption};
-use crate::traffic::hosted::relay::{Ended, Failed, Relay, Sent};
 use crate::traffic::hosted::door::log_refusal;
+use crate::traffic::hosted::relay::{Ended, Failed, Relay, Sent};
 use crate::traffic::hosted::{Call, Hosted, response};
 use crate::traffic::reply::Reply;
 
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -117,11 +117,7 @@
     }
 }
 
-async fn start(
-    hosted: &Arc<Hosted>,
-    head: Parts,
-    body: Incoming,
-) -> Result<Response, Refusal> {
+async fn start(hosted: &Arc<Hosted>, head: Parts, body: Incoming) -> Result<Response, Refusal> {
     let traffic = &hosted.traffic;
     if is_behind(traffic) {
         return Err(Refusal::not_run(Reason::Overloaded, Some(RETRY_SOON)));
