Keep one timer in the control loop

Cause: the loop made a timer for each event. Each was the runtime's earliest, so that registering it wrote to the thread's own event descriptor, and the next look at sockets returned for nothing: by strace about three of the twelve system calls of a request that is answered. Change: one timer, reset when what is due next changes.

--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -336,6 +337,9 @@
     /// Carries until the traffic threads are gone.
     pub(crate) async fn run(mut self, mut from: Receivers) {
         self.handle(Input::Timer);
+        // A timer that is made anew for each event is each time the runtime's earliest, and wakes its own thread.
+        let timer = sleep_until(self.next_due().into());
+        let mut timer = pin!(timer);
         for event in 1_u64.. {
             if event.is_multiple_of(EVENTS_PER_TURN) {
                 yield_now().await;
@@ -346,10 +350,14 @@
                 self.on_due();
                 self.metrics.control_busy("timer", began.elapsed());
             }
+            let due = self.next_due().into();
+            if timer.is_elapsed() || timer.deadline() != due {
+                timer.as_mut().reset(due);
+            }
             // What the router knows, and the requests that it has, go before those that arrive.
             let event = tokio::select! {
                 biased;
-                () = sleep_until(self.next_due().into()) => continue,
+                () = &mut timer => continue,
                 event = hosted_event(&mut self.hosting) => Event::Store(event),
                 Some(note) = from.notes.recv() => Event::Note(note),
                 ask = from.asks.recv() => match ask {
