--- a/crates/bulrushtrestled/src/listener/tests.rs
+++ b/crates/bulrushtrestled/src/listener/tests.rs
@@ -70,3 +70,40 @@
     let ended = timeout(PATIENCE, served).await;
     assert!(ended.is_ok(), "it ends");
 }
+
+/// Guards against connections that stay open for ever, and for nothing, at a listener that does not look at their first bytes.
+#[tokio::test]
+async fn a_listener_for_http_1_lets_go_of_callers_that_send_no_head_or_speak_http_2() {
+    for (name, sent) in [
+        ("nothing", &b""[..]),
+        ("part of a head", b"GET / HTTP/1.1\r\nhost:"),
+        ("http/2", b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let (_drain, draining) = watch::channel(false);
+        let limits = Limits {
+            connections_max: 8,
+            per_address_max: 8,
+            header_bytes_max: 8_192,
+            header_timeout: Duration::from_millis(50),
+            turned_away: Bytes::new(),
+            protocols: Protocols::Http1,
+        };
+        let router = Router::new().route("/", get(|| async { "here" }));
+        tokio::spawn(serve(
+            listener,
+            router,
+            limits,
+            |_| {},
+            Gate::open(draining),
+        ));
+        let mut stream = TcpStream::connect(address).await.expect("it listens");
+        assert!(asks(&mut stream).await, "{name}: a request");
+        stream.write_all(sent).await.expect("it is open");
+        let mut rest = Vec::new();
+        let ended = timeout(PATIENCE, stream.read_to_end(&mut rest)).await;
+        assert!(ended.is_ok(), "{name}: it ends");
+        assert!(!rest.starts_with(b"HTTP/1.1 200"), "{name}: {rest:?}");
+    }
+}
--- a/crates/bulrushtrestled/src/main.rs
+++ b/crates/bulrushtrestled/src/main.rs
@@ -5,7 +5,8 @@
 //! - one control thread holds the node, the connections to peers and the platform's clients
 //!   ([`control`], [`platform`]);
 //! - other threads hold the callers' and the targets' connections, and streams flow between these
-//!   without touching the control thread ([`traffic`]);
+//!   without touching the control thread ([`traffic`]); where the settings give the traffic one thread, both are
+//!   tasks of the same thread;
 //! - the operators' listener shows metrics, health and status ([`operators`]).
 //!
 //! See `docs/DESIGN.md` for the interfaces and `docs/OPERATIONS.md` for the settings.
--- a/crates/bulrushtrestled/src/traffic/hosted/door.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/door.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 /// Refusals in a second that have a line of their own: enough to find some of them at their callers.
-const LINES_PER_SECOND: u32 = 8;
+pub(super) const LINES_PER_SECOND: u32 = 8;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// The refusals of the present second.
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -14,6 +14,8 @@
 mod door;
 mod drive;
 mod relay;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 
