--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -47,10 +47,10 @@
 /// answer of the directory may take.
 const LATE: Duration = Duration::from_millis(250);
 
-/// After how many events the tasks beside the loop have their turn: those that read the store and hear peers. Otherwise
-/// a router with more requests than it bears would go by what it knew seconds ago. At a millisecond or two for each event
-/// on the weakest VMs of the users' fleets, a turn comes within some ten milliseconds.
-const EVENTS_PER_TURN: u64 = 4;
+/// For how long events are dealt with before the tasks beside the loop have their turn: those that read the store and hear peers.
+/// Otherwise a router with more requests than it bears would go by what it knew seconds ago. A tenth of the time after which
+/// a caller's leaving has to be known, less the time of the one event that may exceed it.
+const TURN_MAX: Duration = Duration::from_millis(10);
 
 /// The most data centres of which it is remembered what callers were told; callers may name any.
 const NAMED_MAX: usize = 64;
@@ -341,13 +341,17 @@
         // A timer that is made anew for each event is each time the runtime's earliest, and wakes its own thread.
         let timer = sleep_until(self.next_due().into());
         let mut timer = pin!(timer);
-        for event in 1_u64.. {
-            if event.is_multiple_of(EVENTS_PER_TURN) {
+        let mut turn = Duration::ZERO;
+        loop {
+            if turn >= TURN_MAX {
+                turn = Duration::ZERO;
                 yield_now().await;
             }
-            if self.next_due() <= Instant::now() {
+            let began = Instant::now();
+            if self.next_due() <= began {
                 let _within = busy.enter(Stage::ControlTimer);
                 self.on_due();
+                turn += began.elapsed();
             }
             let due = self.next_due().into();
             if timer.is_elapsed() || timer.deadline() != due {
@@ -367,6 +371,7 @@
                 Some(arriving) = from.arrivals.recv() => Event::Arriving(arriving),
             };
             let _within = busy.enter(event.stage());
+            let began = Instant::now();
             match event {
                 Event::Input(input) => self.handle(input),
                 Event::Note(note) => self.on_note(note),
@@ -374,6 +379,7 @@
                 Event::Ask(ask) => self.on_ask(ask),
                 Event::Arriving(arriving) => self.on_arriving(arriving),
             }
+            turn += began.elapsed();
         }
     }
 
--- a/crates/bulrushtrestled/src/traffic/hosted/door.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/door.rs
@@ -12,7 +12,7 @@
 use crate::metrics::{Busy, Stage};
 
 /// Refusals in a second that have a line of their own: enough to find some of them at their callers.
-const LINES_PER_SECOND: u32 = 8;
+pub(super) const LINES_PER_SECOND: u32 = 8;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// The refusals of the present second.
