--- a/crates/bulrushtrestled/src/listener/tests.rs
+++ b/crates/bulrushtrestled/src/listener/tests.rs
@@ -99,6 +99,7 @@
             limits,
             |_| {},
             Gate::open(draining),
+            Metrics::new().busy.clone(),
         ));
         let mut stream = TcpStream::connect(address).await.expect("it listens");
         assert!(asks(&mut stream).await, "{name}: a request");
