Don't ask for another look at a pool for which nothing waits

Once a request had its target, the node looked for a next one, found none, and asked to be called again in ten milliseconds; so each request that went at once cost a wake-up of the control thread that had nothing to do. What comes next into an empty queue is looked at in its own event anyway. A pool with a version move still goes through it, because the move counts missed turns there.

Ruled out: asking for the call at a request's deadline only if it still waits at the end of the event.

--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -114,6 +114,11 @@
         let mut field = self.field(pool, arm, roster);
         self.open_turns(pool, &field);
         for _ in 0..DISPATCHES {
+            if self.queues.is_empty(pool) && !self.moves.has(pool) {
+                // What comes next finds nothing before it and is looked at once.
+                self.next_looks.remove(&pool);
+                return;
+            }
             let due = self.moves.next_arm(pool);
             if due != arm {
                 arm = due;
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -179,7 +179,7 @@
         };
         let (pool, organisation, class) = (active.req.pool, active.req.organisation, active.class);
         let enters = self.queues.lane_mut(pool, organisation).is_none();
-        if self.queues.backlogged(pool).next().is_none() {
+        if self.queues.is_empty(pool) {
             self.look_at_once(pool);
         }
         self.queues.push(pool, organisation, class, waiting);
--- a/crates/core/src/queue/state.rs
+++ b/crates/core/src/queue/state.rs
@@ -103,6 +103,11 @@
         self.pools.keys().copied().collect()
     }
 
+    /// Says whether nothing waits for a pool.
+    pub fn is_empty(&self, pool: PoolId) -> bool {
+        !self.pools.contains_key(&pool)
+    }
+
     /// Returns the organisations of which something waits for a pool.
     pub fn backlogged(&self, pool: PoolId) -> impl Iterator<Item = (OrganisationId, &Lane)> {
         self.pools
