--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -48,8 +48,8 @@
 const LATE: Duration = Duration::from_millis(250);
 
 /// For how long events are dealt with before the tasks beside the loop have their turn: those that read the store and hear peers.
-/// Otherwise a router with more requests than it bears would go by what it knew seconds ago. A tenth of the time after which
-/// a caller's leaving has to be known, less the time of the one event that may exceed it.
+/// Otherwise a router with more requests than it bears would go by what it knew seconds ago. A fifth of the wait for the
+/// processor at which no more connections are taken.
 const TURN_MAX: Duration = Duration::from_millis(10);
 
 /// The most data centres of which it is remembered what callers were told; callers may name any.
--- a/crates/bulrushtrestled/src/listener.rs
+++ b/crates/bulrushtrestled/src/listener.rs
@@ -96,8 +96,8 @@
 /// When a listener takes connections.
 #[derive(Debug, Clone)]
 pub(crate) struct Gate {
-    /// Set while the process is behind. Connections are then refused by the kernel, at no cost to the process and without a
-    /// wait for callers, who go to another address.
+    /// Set while no connections are taken. They are then refused by the kernel, at no cost to the process and without a wait
+    /// for callers, who may go to another address.
     pub(crate) closed: watch::Receiver<bool>,
     /// Set for good once the process stops.
     pub(crate) draining: watch::Receiver<bool>,
--- a/crates/bulrushtrestled/src/traffic/intake.rs
+++ b/crates/bulrushtrestled/src/traffic/intake.rs
@@ -27,8 +27,8 @@
 /// are refused, so that those that were taken are still served.
 pub(super) const DELAY_TARGET: Duration = Duration::from_millis(50);
 
-/// By how many connections in a tick the rate rises with each tick: from nothing to the 900 a second that the users' weakest
-/// VMs bear in about a third of a second.
+/// By how many connections in a tick the rate rises with each tick: the least step that is a connection, 50 a second each time,
+/// where the users' weakest VMs bear some 100 answers a second.
 const RISE: f64 = 1.0;
 
 /// Ticks in a row at which the target has to be exceeded before there is a limit: a quota of the processor that was used up for
