--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -155,7 +155,7 @@
         move |view| {
             let is_held = known.get(view.id).is_some_and(|it| !it.health.is_free(now));
             let out = view.out || self.out.contains(&view.entry.data_centre);
-            !out && !is_held && !(any_leaving && self.is_leaving(view))
+            !(out || is_held || any_leaving && self.is_leaving(view))
         }
     }
 
