Tell what each version was sent, the share in force, and a target's status

Ruled out: a line for each comparison, whose volume grows with the load. Change: the line of a stage names the share in force; the evidence of the router that decides begins with it and counts requests sent; `failed` has the status.

--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -182,7 +182,8 @@
                 sent: was_sent,
                 answer,
             } => {
-                log::info!(target: "failed", "attempt={attempt} target={target} kind={kind:?} sent={was_sent} delivered={}", self.relay.delivered());
+                let status = answer.as_ref().map_or(0, |answer| answer.status());
+                log::info!(target: "failed", "attempt={attempt} target={target} kind={kind:?} status={status} sent={was_sent} delivered={}", self.relay.delivered());
                 traffic.metrics.edge(attempt::edge(kind));
                 if matches!(kind, FailureKind::Silent | FailureKind::Crossed) {
                     self.hosted.connections.forget(sent.address);
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -48,6 +48,13 @@
     body: Bytes,
 }
 
+impl Failed {
+    /// Returns the status that the target answered with.
+    pub(super) fn status(&self) -> u16 {
+        self.head.status.as_u16()
+    }
+}
+
 /// How a dispatch ended.
 #[derive(Debug)]
 pub(super) enum Ended {
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -359,7 +359,7 @@
             && let Some((pool, version)) = self.version_of(target)
         {
             let version = version.to_owned();
-            self.moves.on_dispatch(pool, &version);
+            self.moves.on_dispatch(pool, &version, route);
         }
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
--- a/crates/core/src/version/evidence.rs
+++ b/crates/core/src/version/evidence.rs
@@ -81,6 +81,8 @@
 /// What was seen of one version on one route.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
+    /// Requests that were dispatched.
+    pub sent: u32,
     /// Requests that ended well or ill at the target.
     pub ended: u32,
     /// Those that failed.
@@ -137,6 +139,11 @@
 }
 
 impl Evidence {
+    /// Counts a request that was dispatched.
+    pub(super) fn on_sent(&mut self, route: Route, new: bool) {
+        self.counts(route, new).sent += 1;
+    }
+
     /// Counts the end of a request.
     pub(super) fn on_end(&mut self, route: Route, new: bool, failed: bool) {
         let counts = self.counts(route, new);
@@ -281,6 +288,7 @@
 impl fmt::Display for Counts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
+            sent,
             ended,
             failed,
             timed,
@@ -290,13 +298,14 @@
         } = self;
         write!(
             f,
-            "ended={ended} failed={failed} timed={timed} slow={slow} started={started} late={late}"
+            "sent={sent} ended={ended} failed={failed} timed={timed} slow={slow} started={started} late={late}"
         )
     }
 }
 
 impl Counts {
     const fn add(&mut self, other: Self) {
+        self.sent += other.sent;
         self.ended += other.ended;
         self.failed += other.failed;
         self.timed += other.timed;
@@ -306,6 +315,7 @@
     }
 
     const fn halve(&mut self) {
+        self.sent /= 2;
         self.ended /= 2;
         self.failed /= 2;
         self.timed /= 2;
@@ -316,6 +326,7 @@
 
     fn since(self, before: Self) -> Option<Self> {
         Some(Self {
+            sent: self.sent.checked_sub(before.sent)?,
             ended: self.ended.checked_sub(before.ended)?,
             failed: self.failed.checked_sub(before.failed)?,
             timed: self.timed.checked_sub(before.timed)?,
--- a/crates/core/src/version/state.rs
+++ b/crates/core/src/version/state.rs
@@ -435,7 +435,7 @@
                 cx.notice(NoticeKind::Version, format!("{name}: finished"));
             }
             None if after.stage != before.stage => {
-                let share = after.stage.map_or(0, share);
+                let share = after.stage.map_or(0, share).min(self.cfg.share_max);
                 let subject = format!("{name}: {share} in 1000 requests go to the new version");
                 cx.notice(NoticeKind::Version, subject);
             }
@@ -474,12 +474,15 @@
 
     /// Writes what speaks for and against the new version, whenever that has changed.
     fn log_evidence(&mut self, cx: &mut Context, pool: PoolId) {
+        let share = self.moves.get(&pool);
+        let share = share.map_or(0, |active| self.share_of(pool, active));
         let Some(active) = self.moves.get_mut(&pool) else {
             return;
         };
         let seen = active.pooled.whole();
         if core::mem::replace(&mut active.logged, seen) != seen {
-            let subject = format!("{}: old {} new {}", active.name, seen.old, seen.new);
+            let name = &active.name;
+            let subject = format!("{name}: share={share} old {} new {}", seen.old, seen.new);
             cx.notice(NoticeKind::Version, subject);
         }
     }
--- a/crates/core/src/version/tests.rs
+++ b/crates/core/src/version/tests.rs
@@ -90,7 +90,7 @@
         let arm = moves.next_arm(pool);
         let version = if arm == Arm::New { "v2" } else { "v1" };
         new += u32::from(arm == Arm::New);
-        moves.on_dispatch(pool, version);
+        moves.on_dispatch(pool, version, ROUTE);
     }
     new
 }
@@ -381,6 +381,7 @@
                 slow: (0..ended).filter(|_| rng.random_bool(0.1)).count() as u32,
                 started: ended,
                 late: (0..ended).filter(|_| rng.random_bool(0.1)).count() as u32,
+                ..Counts::default()
             };
             let tally = Tally {
                 old: counts(10),
