--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -14,10 +14,12 @@
 use bulrushtrestle_core::catalogue::Scope;
 use bulrushtrestle_core::catalogue::derived_id;
 use bulrushtrestle_core::catalogue::entry::{
-    Bounds, DataCentre, DataCentreState, Entry, Kind, Limits, Organisation, Pool, PoolShare, Route,
-    RouteRepeat, Service, Target,
+    Bounds, DataCentre, DataCentreState, Entry, Kind, Limits, Move, Organisation, Pool, PoolShare,
+    Route, RouteRepeat, Service, Target,
+};
+use bulrushtrestle_core::input::{
+    AttemptEvent, Failure, FailureKind, Input, StoreChange, StoreEvent, Vm, VmRole,
 };
-use bulrushtrestle_core::input::{AttemptEvent, Input, StoreChange, StoreEvent, Vm, VmRole};
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
 use bulrushtrestle_core::output::Output;
 use bulrushtrestle_core::prelude::*;
@@ -28,6 +30,10 @@
 const MESH_MAX: usize = 15;
 /// The slots of a target, unless a test says otherwise.
 const SLOTS: u32 = 128;
+/// The largest share of a new version before it has shown itself good, and how long before its time a move ends, as the
+/// daemon sets them on a hosting platform.
+const SHARE_MAX: u32 = 80;
+const MARGIN: Duration = Duration::from_millis(1_500);
 /// Prompt tokens that a target reads in a step.
 pub(crate) const PACE: u64 = 80;
 pub(crate) const OBJECTIVE: Duration = Duration::from_millis(800);
@@ -130,6 +136,36 @@
     }
 }
 
+/// Returns the targets `first` to `last` of another version.
+pub(crate) fn other_version(first: u32, last: u32) -> Vec<StoreChange> {
+    let change = |number: u32| {
+        let name = format!("n{number}");
+        let mut change = target_change(&name, u64::from(number), true);
+        for entry in &mut change.entries {
+            if let Entry::Target(target) = entry {
+                target.version = "v2".to_owned();
+            }
+        }
+        change
+    };
+    (first..=last).map(change).collect()
+}
+
+/// Returns the order to move all traffic to the other version until then.
+pub(crate) fn move_order(finish_at: Time) -> StoreChange {
+    let entry = Move {
+        pool: "m".to_owned(),
+        from: "v1".to_owned(),
+        to: "v2".to_owned(),
+        finish_at,
+    };
+    StoreChange {
+        revision: Offset(5),
+        scope: Scope::One(Kind::Move, "m".to_owned()),
+        entries: vec![Entry::Move(entry)],
+    }
+}
+
 /// A request at a target: who sent it, and the tokens that are still to be read.
 pub(crate) type Job = (usize, AttemptId, u64);
 
@@ -141,6 +177,14 @@
     pub(crate) targets: BTreeMap<TargetId, Vec<Job>>,
     pub(crate) dispatched: Vec<(Time, usize, TargetId, RequestId)>,
     pub(crate) refused: BTreeMap<(usize, RequestId), Refusal>,
+    /// Of ten requests, how many fail at a target that has them.
+    pub(crate) of_ten: BTreeMap<TargetId, u64>,
+    /// When requests failed, and where.
+    pub(crate) failed: Vec<(Time, TargetId)>,
+    /// Routers that the store turns away.
+    pub(crate) blind: BTreeSet<usize>,
+    /// What the store holds that they have not read.
+    unread: Vec<(usize, StoreChange)>,
     /// When routers asked to be woken.
     wakes: BTreeSet<(Time, usize)>,
     /// How long a target generates for a request after it has read its prompt.
@@ -204,6 +248,8 @@
             cfg.slots.policy = Policy::Local;
             cfg.membership.mesh_max = MESH_MAX;
             cfg.share.all_up_to = MESH_MAX + 1;
+            cfg.version.share_max = SHARE_MAX;
+            cfg.version.margin = MARGIN;
             cfg.data_centre = "a".to_owned();
             cfg.caller_address = format!("127.0.0.1:{me}");
             Node::new(cfg, now, u64::from(me))
@@ -215,6 +261,10 @@
             targets: BTreeMap::new(),
             dispatched: Vec::new(),
             refused: BTreeMap::new(),
+            of_ten: BTreeMap::new(),
+            failed: Vec::new(),
+            blind: BTreeSet::new(),
+            unread: Vec::new(),
             wakes: BTreeSet::new(),
             generates_for: Duration::ZERO,
             generating: Vec::new(),
@@ -288,15 +338,26 @@
             self.input(to, Input::Peer { from, bytes });
         }
         let mut done = Vec::new();
-        for jobs in self.targets.values_mut() {
+        for (&target, jobs) in &mut self.targets {
             if let Some(first) = jobs.first_mut() {
                 first.2 = first.2.saturating_sub(PACE);
                 if first.2 == 0 {
-                    done.push(jobs.remove(0));
+                    done.push((target, jobs.remove(0)));
                 }
             }
         }
-        for (at, attempt, _) in done {
+        for (target, (at, attempt, _)) in done {
+            let drawn = (attempt.0 * 16 + at as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+            if drawn % 10 < self.of_ten.get(&target).copied().unwrap_or(0) {
+                self.failed.push((self.now, target));
+                let failure = Failure {
+                    kind: FailureKind::Error,
+                    sent: true,
+                    tokens: 0,
+                };
+                self.input(at, Input::Attempt(attempt, AttemptEvent::Failed(failure)));
+                continue;
+            }
             self.input(at, Input::Attempt(attempt, AttemptEvent::Started));
             self.generating
                 .push((self.now + self.generates_for, at, attempt));
@@ -320,6 +381,19 @@
         if self.now.as_millis().is_multiple_of(10) {
             let asked = self.now;
             for at in 0..self.nodes.len() {
+                if self.blind.contains(&at) {
+                    self.input(at, Input::Store(StoreEvent::Failed));
+                    continue;
+                }
+                let (read, unread) = std::mem::take(&mut self.unread)
+                    .into_iter()
+                    .partition(|(of, _)| *of == at);
+                self.unread = unread;
+                let read: Vec<(usize, StoreChange)> = read;
+                let read: Vec<StoreChange> = read.into_iter().map(|(_, change)| change).collect();
+                if !read.is_empty() {
+                    self.input(at, Input::Store(StoreEvent::Changed(read)));
+                }
                 let current = StoreEvent::Current {
                     known: Offset(9),
                     asked,
@@ -329,6 +403,14 @@
         }
     }
 
+    /// Writes changes to the store, which each router reads as soon as it is not turned away.
+    pub(crate) fn write(&mut self, changes: &[StoreChange]) {
+        for at in 0..self.nodes.len() {
+            let unread = changes.iter().map(|change| (at, change.clone()));
+            self.unread.extend(unread);
+        }
+    }
+
     /// Hands a request with a prompt of 12000 tokens of its own to a router.
     pub(crate) fn submit(&mut self, at: usize, organisation: &str) -> RequestId {
         self.submit_late(at, organisation, Duration::ZERO)
