Make a version move go on by proof, and bound what an unproven version gets

Cause: a move went on, and became final, unless the new version was surely bad, by a test without power beside an old version that is not clean. It allowed one and a half times the old fraction, let faulty targets excuse the version, and took the finishing time for proof. The one router that takes steps was one that could not read the store; all others waited for it, and it caught up a step a second, past the finishing time. Change: a sequential likelihood-ratio test with an added margin, which convicts and which shows a version good; targets far worse than the best of their version are left out; times are compared with those for as much work; steps beyond a set share, and the last one, need proof; what the new version gets before the move is final is bounded; 40 bad answers without proof take it back; five routers see the evidence of all and take steps.

--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -42,6 +42,10 @@
 /// a router that has died.
 const RETRY_SHARE: u32 = 75;
 
+/// The part of what a new version may get in all that it gets before it has shown itself good, in hundredths. The rest is
+/// for the stages after that.
+const UNPROVEN_SHARE: u32 = 80;
+
 /// The age of the view of the targets at which no more work is given out, in hundredths of the time after which a target that
 /// leaves must get nothing. The rest is for the way of a request to its target.
 const TARGETS_STALE: u32 = 66;
@@ -248,7 +252,11 @@
     config.share.prompt_token = Cost(Cost::TOKEN.0 / 2);
     config.share.all_up_to = HOSTED_MESH_MAX + 1;
     config.version.margin = hosting.move_margin;
-    config.version.share_max = hosting.move_share_max;
+    let exposure = hosting.move_exposure;
+    config.version.share_max = hosting
+        .move_share_max
+        .min(exposure.share * UNPROVEN_SHARE / 100);
+    config.version.exposure = exposure;
 }
 
 impl Listeners {
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -14,8 +14,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use bulrushtrestle_core::balance;
 use bulrushtrestle_core::cost::Cost;
+use bulrushtrestle_core::{balance, version};
 use bulrushtrestle_wire::FleetKey;
 
 pub(crate) use self::error::Error;
@@ -144,8 +144,11 @@
     pub(crate) retry_burst: u32,
     /// How long before its finishing time a version move has to be final.
     pub(crate) move_margin: Duration,
-    /// The largest share of a new version before its move is final, in thousandths.
+    /// The largest share of a new version before it has shown itself good, in thousandths.
     pub(crate) move_share_max: u32,
+    /// What a new version may get of a pool's requests in the time of its move. Default: a tenth and 50 more, as the
+    /// users' deployments have it.
+    pub(crate) move_exposure: version::Exposure,
 }
 
 /// Where the services of the platform are.
@@ -301,6 +304,13 @@
             retry_burst: s.int("retry_burst", 0..=1_000_000, 0)?,
             move_margin: s.millis("move_margin_ms", 0..=600_000, 1_500)?,
             move_share_max: s.int("move_share_max_millis", 1..=1_000, 80)?,
+            move_exposure: version::Exposure {
+                share: match s.has("move_exposure_share") {
+                    true => s.thousandths("move_exposure_share", 0.002..=1.0)?,
+                    false => 100,
+                },
+                slack: s.int("move_exposure_slack", 0..=1_000_000, 50)?,
+            },
         };
         s.finish()?;
         Ok(hosting)
--- a/crates/bulrushtrestled/src/settings/tests.rs
+++ b/crates/bulrushtrestled/src/settings/tests.rs
@@ -384,6 +384,12 @@
             Some(json!(1.5)),
             &["hosting.retry_ratio", "from 0 to 1"],
         ),
+        case_of(
+            "an exposure out of range",
+            "/hosting/move_exposure_share",
+            Some(json!(0)),
+            &["hosting.move_exposure_share", "from 0.002 to 1"],
+        ),
         case_of(
             "regions of another type",
             "/hosting/regions",
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -14,7 +14,6 @@
 use crate::share::Bill;
 use crate::slots::Policy;
 use crate::target::Sign;
-use crate::version::evidence::Route;
 
 /// The time without a token on any stream after which a target counts as gone dark: three times the longest pause
 /// that the users' sheets allow between events.
@@ -66,7 +65,7 @@
         target: TargetId,
         now: Time,
         bill: Bill,
-        route: Route,
+        trial: Trial,
     ) -> Self {
         Self {
             request,
@@ -77,7 +76,7 @@
             bill,
             charged_until: now,
             runs_as: <(PoolId, OrganisationId, Class)>::default(),
-            trial: Trial::new(route),
+            trial,
             unread: 0,
             is_balanced: false,
         }
--- a/crates/core/src/node/local.rs
+++ b/crates/core/src/node/local.rs
@@ -520,6 +520,7 @@
             && let Some(attempt) = self.attempts.get_mut(&attempt)
         {
             attempt.unread = choice.unread;
+            attempt.trial.tokens = choice.unread;
             attempt.is_balanced = true;
         }
     }
--- a/crates/core/src/node/pump.rs
+++ b/crates/core/src/node/pump.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::node::attempt::Attempt;
 use crate::node::request::Stage;
+use crate::node::version::Trial;
 use crate::output::{Basis, Dispatch, Output};
 use crate::prelude::*;
 use crate::queue::Waiting;
@@ -12,7 +13,7 @@
 use crate::slots::Policy;
 use crate::slots::lane::new_lane;
 use crate::version::Arm;
-use crate::version::evidence::Route;
+use crate::version::evidence::{Route, Slice};
 
 /// How often a node deals with itself in one event; the rest is left to the next event.
 const ROUNDS: u32 = 16;
@@ -351,7 +352,8 @@
             objective_ms,
             load,
         };
-        let mut state = Attempt::new(waiting.request, target, self.cx.now, bill, route);
+        let trial = Trial::new(route, prompt);
+        let mut state = Attempt::new(waiting.request, target, self.cx.now, bill, trial);
         state.counted = resume_from;
         state.runs_as = (pool, organisation, class);
         self.attempts.insert(attempt, state);
@@ -359,7 +361,8 @@
             && let Some((pool, version)) = self.version_of(target)
         {
             let version = version.to_owned();
-            self.moves.on_dispatch(pool, &version, route);
+            let slice = Slice::of(route, target);
+            self.moves.on_dispatch(pool, &version, slice);
         }
         self.cx.count(Counter::Dispatched);
         self.cx.out.push(Output::Dispatch(dispatch));
--- a/crates/core/src/node/version.rs
+++ b/crates/core/src/node/version.rs
@@ -7,15 +7,20 @@
 use crate::node::{CatalogueSource, Node};
 use crate::output::Output;
 use crate::prelude::*;
-use crate::version::evidence::{Load, Measure, Route};
-use crate::version::{Arm, Decider};
+use crate::version::evidence::{Load, Measure, Route, Slice};
+use crate::version::{Arm, Deciders};
 
 /// Tokens after which the pace of a stream is compared.
 const PACE_TOKENS: u64 = 8;
+/// How much longer a decider waits than the one before it, before it tells operators: a few answers of the store.
+const TELL_AFTER: Duration = Duration::from_millis(300);
+
 /// What is compared of an attempt.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Trial {
     pub(super) route: Route,
+    /// The tokens that the target has to read before it starts.
+    pub(super) tokens: u32,
     /// Whether its pace has been compared.
     paced: bool,
     /// Whether it was slow to start.
@@ -23,9 +28,10 @@
 }
 
 impl Trial {
-    pub(super) const fn new(route: Route) -> Self {
+    pub(super) const fn new(route: Route, tokens: u32) -> Self {
         Self {
             route,
+            tokens,
             paced: false,
             slow: false,
         }
@@ -49,24 +55,27 @@
         // Without a log there are no leases: the preferred router decides, and facts only merge.
         let log_down = self.reader.down || self.cfg.log.source == CatalogueSource::Store;
         for pool in pools {
-            let best = membership::owner(move_key(pool), self.members.live(now));
-            let best = best.unwrap_or(self.cx.me);
-            let is_best = best == self.cx.me;
+            let count = self.moves.cfg().deciders;
+            let deciders = membership::best(move_key(pool), self.members.live(now), count);
+            let rank = deciders.iter().position(|&router| router == self.cx.me);
             if open.contains(&pool) {
-                self.take_steps(pool, best);
+                self.take_steps(pool, &deciders);
             }
+            let is_best = rank == Some(0);
             self.moves
                 .spread(&mut self.cx, pool, is_best, log_down, &partners);
-            if is_best {
-                self.tell_operators(pool);
+            if let Some(rank) = rank {
+                self.tell_operators(pool, rank);
             }
         }
     }
 
-    /// Asks the embedding to record how a move stands, whenever that changed.
-    fn tell_operators(&mut self, pool: PoolId) {
+    /// Asks the embedding to record how a move stands, whenever that changed. A decider of a higher rank waits, so
+    /// that the others find it recorded unless the better ones cannot reach the store.
+    fn tell_operators(&mut self, pool: PoolId, rank: usize) {
+        let wait = TELL_AFTER * u32::try_from(rank).unwrap_or(u32::MAX);
         if self.cfg.log.source == CatalogueSource::Store
-            && let Some(stand) = self.moves.news_for_operators(pool)
+            && let Some(stand) = self.moves.news_for_operators(self.cx.now, pool, wait)
         {
             self.cx.out.push(Output::Moved(stand));
         }
@@ -106,10 +115,12 @@
         trial.route.load = trial.route.load.max(self.load_of(target));
         if let Some((measure, time)) = measured(now, attempt, event) {
             let route = trial.route;
-            let is_slow = self.moves.is_slow(pool, &version, route, measure, time);
+            let slice = Slice::of(route, target);
+            let took = (trial.tokens, time);
+            let is_slow = self.moves.is_slow(pool, &version, route, measure, took);
             // The pace of a long stream is known seconds after its start, so the start counts by itself too.
             if let Some(slow) = is_slow.filter(|_| measure == Measure::Start) {
-                self.moves.on_started(pool, &version, route, slow);
+                self.moves.on_started(pool, &version, slice, slow);
             }
             let slow = is_slow.map(|slow| slow || trial.slow);
             if let Some(attempt) = self.attempts.get_mut(&id) {
@@ -118,9 +129,13 @@
                 attempt.trial.slow = slow.unwrap_or(trial.slow);
             }
             if let Some(slow) = slow.filter(|_| measure == Measure::Pace) {
-                self.moves.on_timed(pool, &version, route, slow);
+                self.moves.on_timed(pool, &version, slice, slow);
             }
         }
+        let slice = Slice::of(trial.route, target);
+        if event == AttemptEvent::Declined {
+            self.moves.on_declined(pool, &version, slice);
+        }
         if is_break(event) {
             self.moves.on_break(&mut self.cx, pool, target, &version);
         }
@@ -129,7 +144,7 @@
             && let Some(failed) = ended(event)
         {
             self.moves
-                .on_end(&mut self.cx, pool, &version, trial.route, failed);
+                .on_end(&mut self.cx, pool, &version, slice, failed);
         }
     }
 
@@ -139,27 +154,28 @@
             return;
         };
         let version = version.to_owned();
-        self.moves.on_end(&mut self.cx, pool, &version, route, true);
+        let slice = Slice::of(route, target);
+        self.moves.on_end(&mut self.cx, pool, &version, slice, true);
     }
 
-    fn take_steps(&mut self, pool: PoolId, best: RouterId) {
+    fn take_steps(&mut self, pool: PoolId, deciders: &[RouterId]) {
         let now = self.cx.now;
         let lease = Lease::Move(pool);
         let log_down = self.reader.down || self.cfg.log.source == CatalogueSource::Store;
-        if best == self.cx.me && !log_down {
+        if deciders.first() == Some(&self.cx.me) && !log_down {
             self.leases.want(&mut self.cx, lease);
         }
         let usable = self.catalogue.targets_of(pool).any(|view| {
             let new = self.moves.takes(pool, Arm::New, &view.entry.version);
             new && self.targets.usable(now, &view)
         });
-        let decider = Decider {
-            best,
+        let deciders = Deciders {
+            routers: deciders,
             fence: self.leases.held(now, lease),
             log_down,
             has_target: usable,
         };
-        self.moves.step(&mut self.cx, pool, decider);
+        self.moves.step(&mut self.cx, pool, deciders);
     }
 }
 
@@ -183,17 +199,19 @@
     (!attempt.trial.paced).then(|| (Measure::Pace, now.since(at) / tokens))
 }
 
-/// Says whether the attempt ended at the target, and ill. That no connection could be made or that one
+/// Says whether the attempt ran at the target and ended, and ill. That no connection could be made or that one
 /// went silent says nothing of the version; broken ones are counted by target.
 const fn ended(event: AttemptEvent) -> Option<bool> {
     match event {
         AttemptEvent::Finished { .. } => Some(false),
-        AttemptEvent::Declined => Some(true),
         AttemptEvent::Failed(failure) => match failure.kind {
             FailureKind::Connect | FailureKind::Silent | FailureKind::Broken => None,
             _ => Some(true),
         },
-        AttemptEvent::Started | AttemptEvent::Progress { .. } | AttemptEvent::Withheld => None,
+        AttemptEvent::Declined
+        | AttemptEvent::Started
+        | AttemptEvent::Progress { .. }
+        | AttemptEvent::Withheld => None,
     }
 }
 
--- a/crates/core/src/version/message.rs
+++ b/crates/core/src/version/message.rs
@@ -4,7 +4,7 @@
 
 use crate::key::{Fence, Offset, PoolId, RouterId, TargetId};
 use crate::time::Time;
-use crate::version::evidence::{Route, Tally};
+use crate::version::evidence::{Route, Slice, Tally};
 
 /// What is known of a move. It is recorded on the log whenever it changes, and told to peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,7 +60,7 @@
 pub struct VersionPart {
     /// What the sender knows.
     pub steps: Vec<MoveStep>,
-    /// To the decider: what the sender saw of both versions.
+    /// To deciders: what the sender saw of both versions.
     pub seen: Vec<Seen>,
 }
 
@@ -71,8 +71,8 @@
     pub pool: PoolId,
     /// The revision of the catalogue entry.
     pub revision: Offset,
-    /// The totals of each route.
-    pub tallies: Vec<(Route, Tally)>,
+    /// The totals that changed, or all of them now and then.
+    pub tallies: Vec<(Slice, Tally)>,
     /// How often connections of targets broke.
     pub breaks: Vec<(TargetId, u32)>,
 }
--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -9,15 +9,19 @@
 //!
 //! # How it works
 //!
-//! The stages are worked back from the finishing time of the catalogue entry, see [`schedule`]. The
-//! holder of the lease takes each step when it is due and records it. In an outage of the log the live
-//! router that rendezvous hashing prefers takes the steps, and records them when the log is back.
+//! The stages are worked back from the finishing time of the catalogue entry, see [`schedule`]. The clock
+//! says which stage is due, the evidence whether it may begin: beyond a set share only once the new version
+//! has shown itself good, and the move is final only after all traffic went to the new version for a while
+//! and was answered as well as before. What is undecided stays where it is, past the finishing time too.
 //!
 //! Each router compares the two versions over the same time on each route and at like load, see
-//! [`evidence`], and tells the decider its totals. Whoever finds the new version bad takes the move back.
+//! [`evidence`], and tells a few deciders its totals. The holder of the lease takes the steps and records
+//! them; in an outage of the log, or where there is none, any of the deciders does. Whoever finds the new
+//! version bad takes the move back.
 //!
 //! The old version keeps its targets until the move has finished, and one request in a hundred to be
-//! compared with. The ways that were weighed are in `docs/design/0011-version-moves.md`.
+//! compared with. The ways that were weighed are in `docs/design/0011-version-moves.md` and
+//! `docs/design/0033-evidence-of-versions.md`.
 
 mod config;
 pub mod evidence;
@@ -27,5 +31,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::config::{Config, Policy};
-pub use self::state::{Arm, Decider, MoveStatus, Moves};
+pub use self::config::{Config, Exposure, Policy};
+pub use self::state::{Arm, Deciders, MoveStatus, Moves};
--- a/crates/core/src/version/schedule.rs
+++ b/crates/core/src/version/schedule.rs
@@ -21,7 +21,7 @@
     stage(750, 65),
     stage(990, 80),
 ];
-/// When the move becomes final, in hundredths; the rest is left for the record to reach everyone.
+/// When the move becomes final at the earliest, in hundredths; the rest is left for the record to reach everyone.
 const FINAL: u32 = 95;
 /// The shortest time that is planned for a move, whatever finishing time was given.
 const SPAN_MIN: Duration = Duration::from_secs(10);
@@ -45,6 +45,26 @@
         .map_or(ALL, |stage| stage.share)
 }
 
+/// The last stage.
+pub const LAST: u8 = (STAGES.len() - 1) as u8;
+
+/// Returns the share of the new version in a stage, in thousandths, if a version that has not shown itself good gets
+/// `unproven` at most. A stage beyond the first one that reaches this much begins only once the version has.
+pub fn share_within(stage: u8, unproven: u32) -> u32 {
+    if needs_proof(stage, unproven) {
+        share(stage)
+    } else {
+        share(stage).min(unproven)
+    }
+}
+
+/// Says whether a stage may begin only once the new version has shown itself good.
+pub fn needs_proof(stage: u8, unproven: u32) -> bool {
+    stage
+        .checked_sub(1)
+        .is_some_and(|before| share(before) >= unproven)
+}
+
 /// Returns what is due at `now` in a move that started at `start`.
 ///
 /// # Examples
--- a/crates/core/src/version/state/stand.rs
+++ b/crates/core/src/version/state/stand.rs
@@ -14,8 +14,13 @@
 };
 
 impl Moves {
-    /// Returns how a move stands if operators have not been told, and notes that they are.
-    pub fn news_for_operators(&mut self, pool: PoolId) -> Option<MoveStand> {
+    /// Returns how a move stands if operators have not been told for so long, and notes that they are.
+    pub fn news_for_operators(
+        &mut self,
+        now: Time,
+        pool: PoolId,
+        wait: Duration,
+    ) -> Option<MoveStand> {
         let active = self.moves.get(&pool)?;
         let phase = match self.fact(pool, active.revision) {
             Some(fact) if fact.taken_back.is_some() => MovePhase::TakenBack,
@@ -23,9 +28,19 @@
             _ => MovePhase::Running,
         };
         let active = self.moves.get_mut(&pool)?;
-        if active.operators_know.replace(phase) == Some(phase) {
+        if active.operators_know == Some(phase) {
+            active.untold = None;
             return None;
         }
+        let (_, since) = *active.untold.insert(match active.untold {
+            Some(untold) if untold.0 == phase => untold,
+            _ => (phase, now),
+        });
+        if now.since(since) < wait {
+            return None;
+        }
+        active.untold = None;
+        active.operators_know = Some(phase);
         Some(MoveStand {
             pool: active.name.clone(),
             version: active.entry.to.clone(),
--- a/crates/core/src/version/state/turn.rs
+++ b/crates/core/src/version/state/turn.rs
@@ -1,7 +1,7 @@
 //! Whose turn it is: the exact share of each version, request by request.
 
 use crate::prelude::*;
-use crate::version::evidence::Route;
+use crate::version::evidence::Slice;
 use crate::version::schedule::ALL;
 use crate::version::state::{Arm, Moves};
 
@@ -94,7 +94,7 @@
     }
 
     /// Notes that a request was dispatched to a target of this version.
-    pub fn on_dispatch(&mut self, pool: PoolId, version: &str, route: Route) {
+    pub fn on_dispatch(&mut self, pool: PoolId, version: &str, slice: Slice) {
         let new = self.is_new(pool, version);
         let Some(active) = self.moves.get(&pool) else {
             return;
@@ -104,7 +104,7 @@
         let credit = active.credit + i64::from(share) - spent;
         let arm = if new { Arm::New } else { Arm::Old };
         if let Some(active) = self.moves.get_mut(&pool) {
-            active.own.on_sent(route, new);
+            active.own.on_sent(slice, new);
             active.credit = credit.clamp(-CREDIT_MAX, CREDIT_MAX);
             if active.missed.is_some_and(|(missed, _)| missed == arm) {
                 active.missed = None;
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -24,6 +24,7 @@
 use bulrushtrestle_core::output::Output;
 use bulrushtrestle_core::prelude::*;
 use bulrushtrestle_core::slots::Policy;
+use bulrushtrestle_core::version::Exposure;
 
 pub(crate) const STEP: Duration = Duration::from_millis(1);
 /// The largest fleet in which every router hears every other, as the daemon sets it on a hosting platform.
@@ -250,6 +251,10 @@
             cfg.share.all_up_to = MESH_MAX + 1;
             cfg.version.share_max = SHARE_MAX;
             cfg.version.margin = MARGIN;
+            cfg.version.exposure = Exposure {
+                share: 100,
+                slack: 50,
+            };
             cfg.data_centre = "a".to_owned();
             cfg.caller_address = format!("127.0.0.1:{me}");
             Node::new(cfg, now, u64::from(me))
