Take every settings file that the platform can write

Cause: figures of the platform went into whole-number settings as they came.

Change: limits are rounded down in one place (Section::limit, thousandths): who stays below the smaller limit stays below the exact one. Each figure that a platform may leave out has a section in the template. The connections of callers follow from memory_mb and descriptors_max, half of the descriptors because each request needs a second one.

Two expectations of earlier tests changed, as the platform may write these values: retry_ratio is refused above 1000 (was 1), move_exposure_share is accepted from 0 on (was 0.002) and refused above 1. At an exposure of 0 the smallest share is used only if the slack covers it.

Test: 28 values of the platform rendered through the template, and 9 errors that still name field and range.

--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -251,20 +251,30 @@
     config.membership.mesh_max = HOSTED_MESH_MAX;
     config.membership.capacity = hosting.capacity;
     config.attempt.paid_by = PaidBy::Pool;
-    config.attempt.retry_millis_per_request = hosting.retry_millis * RETRY_BUDGET_PERCENT / 100;
+    config.attempt.retry_millis_per_request = percent(hosting.retry_millis, RETRY_BUDGET_PERCENT);
     config.attempt.retry_millis_per_second = 0;
-    config.attempt.fleet_burst = Some(hosting.retry_burst * RETRY_BUDGET_PERCENT / 100);
+    config.attempt.fleet_burst = Some(percent(hosting.retry_burst, RETRY_BUDGET_PERCENT));
     // The platform charges one unit for a prompt token and two for a generated token.
     config.share.prompt_token = Cost(Cost::TOKEN.0 / 2);
     config.share.full_replication_max = HOSTED_MESH_MAX + 1;
     config.version.margin = hosting.move_margin;
     let exposure = hosting.move_exposure;
-    config.version.share_max = hosting
-        .move_share_max
-        .min(exposure.share * UNPROVEN_PERCENT / 100);
+    // Without any share there would never be evidence; the permitted slack covers the smallest.
+    let least_share = u32::from(exposure.slack > 0);
+    let unproven = percent(exposure.share, UNPROVEN_PERCENT).max(least_share);
+    config.version.share_max = hosting.move_share_max.min(unproven);
     config.version.exposure = exposure;
 }
 
+/// Returns a percentage of a number, rounded down.
+const fn percent(number: u32, percent: u32) -> u32 {
+    // Divided first where the product could overflow.
+    match number.checked_mul(percent) {
+        Some(product) => product / 100,
+        None => number / 100 * percent,
+    }
+}
+
 impl Listeners {
     /// Opens all listeners.
     async fn open(settings: &Settings) -> Result<Self, Error> {
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -25,6 +25,14 @@
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
 
+/// The most concurrent connections of callers if nothing is known of the VM.
+const CONNECTIONS_MAX: u64 = 4_096;
+/// The largest number of connections that can be set.
+const CONNECTIONS_LIMIT: u64 = 1_000_000;
+/// The connections of callers for each megabyte of the VM's memory. At 100 KiB each, a connection
+/// with its request, its answer and its connection to a target fits.
+const CONNECTIONS_PER_MB: u64 = 10;
+
 /// All settings of a router.
 #[derive(Debug, Clone)]
 pub(crate) struct Settings {
@@ -62,7 +70,8 @@
     /// The time for which callers may cache router addresses. `stop_timeout` must not be shorter.
     /// Default: 30 s.
     pub(crate) addresses_valid: Duration,
-    /// The most concurrent connections. Default: 4096.
+    /// The most concurrent connections. Default: what the VM's memory and descriptors allow, or
+    /// 4096 if the settings state neither.
     pub(crate) connections_max: usize,
     /// The most concurrent connections from one address. Default: 2048.
     pub(crate) per_address_max: usize,
@@ -210,7 +219,10 @@
             data_centre: root.required_text("data_centre", 1..=64)?,
             traffic_threads: root.int("traffic_threads", 1..=256, 2)?,
             stop_timeout: root.millis("stop_timeout_ms", 1_000..=3_600_000, 60_000)?,
-            callers: Callers::read(&mut root.section("callers")?)?,
+            callers: {
+                let vm = VmLimits::read(&mut root)?;
+                Callers::read(&mut root.section("callers")?, vm)?
+            },
             peers: Peers::read(&mut root.section("peers")?, hosted)?,
             operators: Operators::read(&mut root.section("operators")?)?,
             platform: Platform::read(&mut root)?,
@@ -230,13 +242,50 @@
     }
 }
 
+/// The limits of the router's VM, if the settings state them.
+#[derive(Debug, Clone, Copy)]
+struct VmLimits {
+    /// The memory in megabytes.
+    memory_mb: Option<u64>,
+    /// The descriptors that the process may have open.
+    descriptors: Option<u64>,
+}
+
+impl VmLimits {
+    fn read(root: &mut Section) -> Result<Self, Error> {
+        let mut limit = |key, most| match root.has(key) {
+            true => root.limit(key, 1..=most, most).map(Some),
+            false => Ok(None),
+        };
+        Ok(Self {
+            memory_mb: limit("memory_mb", 1 << 32)?,
+            descriptors: limit("descriptors_max", 1 << 32)?,
+        })
+    }
+
+    /// Returns the most connections of callers that the VM can hold. Each needs memory for its
+    /// buffers, and a second descriptor for the connection to the target that serves it.
+    fn connections_max(self) -> u64 {
+        let by_memory = self
+            .memory_mb
+            .map(|mb| mb.saturating_mul(CONNECTIONS_PER_MB));
+        let by_descriptors = self.descriptors.map(|max| max / 2);
+        let least = by_memory.into_iter().chain(by_descriptors).min();
+        least.map_or(CONNECTIONS_MAX, |most| most.clamp(1, CONNECTIONS_LIMIT))
+    }
+}
+
 impl Callers {
-    fn read(s: &mut Section) -> Result<Self, Error> {
+    fn read(s: &mut Section, vm: VmLimits) -> Result<Self, Error> {
         let callers = Self {
             listen: s.required_address("listen")?,
             advertise: s.address("advertise")?,
             addresses_valid: s.millis("addresses_valid_ms", 500..=600_000, 30_000)?,
-            connections_max: s.int("connections_max", 1..=1_000_000, 4_096)?,
+            connections_max: s.int(
+                "connections_max",
+                1..=CONNECTIONS_LIMIT,
+                vm.connections_max(),
+            )?,
             per_address_max: s.int("connections_per_address_max", 1..=1_000_000, 2_048)?,
             requests_max: s.int("requests_max", 1..=1_000_000, 10_000)?,
             handover_max: s.int("handover_max", 1..=65_536, 1_024)?,
@@ -299,21 +348,21 @@
             directory: s.address("directory")?,
             regions: s.string_map("regions")?,
             addresses_valid: s.millis("addresses_valid_ms", 100..=600_000, 2_000)?,
-            leave_within: s.millis("leave_within_ms", 100..=60_000, 2_000)?,
+            leave_within: s.millis_limit("leave_within_ms", 100..=3_600_000, 2_000)?,
             capacity: match s.has("cpu_share") {
                 true => s.thousandths("cpu_share", 0.001..=1_024.0)?,
                 false => 1_000,
             },
-            retry_millis: s.thousandths("retry_ratio", 0.0..=1.0)?,
-            retry_burst: s.int("retry_burst", 0..=1_000_000, 0)?,
+            retry_millis: s.thousandths("retry_ratio", 0.0..=1_000.0)?,
+            retry_burst: s.limit("retry_burst", 0..=u64::from(u32::MAX), 0)?,
             move_margin: s.millis("move_margin_ms", 0..=600_000, 1_500)?,
             move_share_max: s.int("move_share_max_millis", 1..=1_000, 80)?,
             move_exposure: version::Exposure {
                 share: match s.has("move_exposure_share") {
-                    true => s.thousandths("move_exposure_share", 0.002..=1.0)?,
+                    true => s.thousandths("move_exposure_share", 0.0..=1.0)?,
                     false => 100,
                 },
-                slack: s.int("move_exposure_slack", 0..=1_000_000, 50)?,
+                slack: s.limit("move_exposure_slack", 0..=u64::from(u32::MAX), 50)?,
             },
         };
         s.finish()?;
--- a/crates/bulrushtrestled/src/settings/section.rs
+++ b/crates/bulrushtrestled/src/settings/section.rs
@@ -243,13 +243,16 @@
         }
     }
 
-    /// Returns a number within a range under a required key, converted to thousandths.
+    /// Returns a number within a range under a required key, in thousandths. Digits beyond them are
+    /// dropped: the number is a limit, which a smaller one keeps too.
     pub(super) fn thousandths(
         &mut self,
         key: &'static str,
         range: RangeInclusive<f64>,
     ) -> Result<u32, Error> {
-        let allowed = format!("a number from {} to {}", range.start(), range.end());
+        // Undoes the rounding of binary fractions, by which 0.57 is slightly less than 0.57.
+        const BINARY_ERROR: f64 = 1e-6;
+        let allowed = number_range(&range);
         let Some(value) = self.take(key) else {
             return Err(self.missing(key, allowed));
         };
@@ -259,11 +262,53 @@
                 clippy::cast_sign_loss,
                 reason = "all callers pass small, non-negative ranges"
             )]
-            Some(number) => Ok((number * 1_000.0).round() as u32),
+            Some(number) => Ok((number * 1_000.0 + BINARY_ERROR).floor() as u32),
             None => Err(self.wrong(key, describe(&value), allowed)),
         }
     }
 
+    /// Returns a limit within a range, which may have a fraction and is rounded down: who stays
+    /// below the smaller limit stays below the exact one.
+    pub(super) fn limit<T: TryFrom<u64>>(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<T, Error> {
+        let value = self.take(key).unwrap_or_else(|| default.into());
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the conversion saturates, and negative numbers are refused"
+        )]
+        let whole = match value.as_u64() {
+            Some(number) => Some(number),
+            None => value.as_f64().filter(|n| *n >= 0.0).map(|n| n as u64),
+        };
+        whole
+            .filter(|n| range.contains(n))
+            .and_then(|n| T::try_from(n).ok())
+            .ok_or_else(|| {
+                let (least, most) = (range.start(), range.end());
+                self.wrong(
+                    key,
+                    describe(&value),
+                    format!("a number from {least} to {most}"),
+                )
+            })
+    }
+
+    /// Returns a duration in milliseconds within which something must happen, rounded down like
+    /// every [`limit`](Self::limit).
+    pub(super) fn millis_limit(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<Duration, Error> {
+        self.limit(key, range, default).map(Duration::from_millis)
+    }
+
     /// Returns a map of strings under a required key.
     pub(super) fn string_map(
         &mut self,
@@ -399,6 +444,10 @@
     format!("a whole number from {} to {}", range.start(), range.end())
 }
 
+fn number_range(range: &RangeInclusive<f64>) -> String {
+    format!("a number from {} to {}", range.start(), range.end())
+}
+
 fn text_range(range: &RangeInclusive<usize>) -> String {
     format!("a text of {} to {} bytes", range.start(), range.end())
 }
--- a/crates/bulrushtrestled/src/settings/tests.rs
+++ b/crates/bulrushtrestled/src/settings/tests.rs
@@ -1,6 +1,8 @@
 //! Every kind of invalid settings is refused, and the error names the file, the key and the allowed
 //! values.
 
+mod template;
+
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -382,14 +384,14 @@
         case_of(
             "a ratio out of range",
             "/hosting/retry_ratio",
-            Some(json!(1.5)),
-            &["hosting.retry_ratio", "from 0 to 1"],
+            Some(json!(1_000.5)),
+            &["hosting.retry_ratio", "from 0 to 1000"],
         ),
         case_of(
             "an exposure out of range",
             "/hosting/move_exposure_share",
-            Some(json!(0)),
-            &["hosting.move_exposure_share", "from 0.002 to 1"],
+            Some(json!(1.5)),
+            &["hosting.move_exposure_share", "from 0 to 1"],
         ),
         case_of(
             "regions of another type",
