Grant a quarantine permit only if it can be recorded

A reservation in a full table was not renewed.

Change: a full table refuses new permits, after expired ones are dropped; renewals always succeed.

Test: nine asks at a table of two permits, and a renewed reservation; both failed on the code before.

--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -405,17 +405,19 @@
     }
 
     /// Grants or renews a permit, and returns whether it was granted. Refuses while another router
-    /// holds it.
+    /// holds it, and while so many permits are held that another cannot be recorded.
     fn permit(&mut self, now: Time, router: RouterId, fingerprint: Fingerprint) -> bool {
-        let is_taken = self
-            .permits
-            .get(&fingerprint)
-            .is_some_and(|&(holder, until)| holder != router && until > now);
-        if !is_taken && self.permits.len() < self.cfg.entries_max {
+        self.permits.retain(|_, (_, until)| *until > now);
+        let is_full = self.permits.len() >= self.cfg.entries_max;
+        let is_granted = match self.permits.get(&fingerprint) {
+            Some(&(holder, _)) => holder == router,
+            None => !is_full,
+        };
+        if is_granted {
             let until = now + self.cfg.term;
             self.permits.insert(fingerprint, (router, until));
         }
-        !is_taken
+        is_granted
     }
 
     fn revoke(&mut self, router: RouterId, fingerprint: Fingerprint) {
@@ -432,7 +434,8 @@
         if let Some(trial) = self.trial.as_mut().filter(|t| t.target() == Some(target)) {
             trial.on_rival_reservation(from < self.me);
         }
-        if self.reserved.len() < self.cfg.entries_max {
+        let is_known = self.reserved.contains_key(&target);
+        if is_known || self.reserved.len() < self.cfg.entries_max {
             self.reserved.insert(target, (from, now + self.cfg.term));
         }
     }
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 use self::Step::{ClearCrash, Complete, Crash, Pass, Quarantined};
-use super::message::Entry;
+use super::message::{Entry, QuarantinePart};
 use super::*;
 use crate::prelude::*;
 
@@ -342,3 +342,75 @@
     let broadcasts: usize = broadcasts.sum();
     assert_eq!(broadcasts, Config::default().storm_min - 1);
 }
+
+/// Guards against a coordinator that grants a permit that it cannot record, so that a second router
+/// may be granted the same suspect.
+#[test]
+fn a_permit_is_granted_to_one_router_also_when_the_table_is_full() {
+    let cfg = Config {
+        entries_max: 2,
+        ..Config::default()
+    };
+    let term = cfg.term;
+    let mut coordinator = Quarantine::new(RouterId(1), cfg);
+    let mut ask = |now, router, fingerprint| {
+        let ask = QuarantinePart::Ask(Fingerprint(fingerprint));
+        coordinator.on_part(now, RouterId(router), ask).is_some()
+    };
+    struct Case {
+        name: &'static str,
+        after: Duration,
+        router: u32,
+        fingerprint: u64,
+        is_granted: bool,
+    }
+    let half = term / 2;
+    let case = |name, after, router, fingerprint, is_granted| Case {
+        name,
+        after,
+        router,
+        fingerprint,
+        is_granted,
+    };
+    let cases = [
+        case("the first", Duration::ZERO, 2, 1, true),
+        case("the last that fits", Duration::ZERO, 2, 2, true),
+        case("one too many", Duration::ZERO, 2, 3, false),
+        case("another router asks for it", Duration::ZERO, 3, 3, false),
+        case(
+            "one that is held by another router",
+            Duration::ZERO,
+            3,
+            1,
+            false,
+        ),
+        case("a renewal while the table is full", half, 2, 1, true),
+        case(
+            "one has expired, and the other was renewed",
+            term,
+            3,
+            3,
+            true,
+        ),
+        case("the renewed one is still held", term, 3, 1, false),
+        case("the table is full again", term, 3, 4, false),
+    ];
+    for case in cases {
+        let is_granted = ask(NOW + case.after, case.router, case.fingerprint);
+        assert_eq!(is_granted, case.is_granted, "{}", case.name);
+    }
+}
+
+/// A reservation is renewed also when the table is full.
+#[test]
+fn a_reservation_is_renewed_when_the_table_is_full() {
+    let cfg = Config {
+        entries_max: 1,
+        ..Config::default()
+    };
+    let term = cfg.term;
+    let mut quarantine = Quarantine::new(RouterId(1), cfg);
+    quarantine.on_part(NOW, RouterId(2), QuarantinePart::Reserve(A));
+    quarantine.on_part(NOW + term / 2, RouterId(2), QuarantinePart::Reserve(A));
+    assert!(quarantine.is_reserved(NOW + term, A));
+}
