Follow what targets state in their answers: leaving, and pauses

Cause: neither Server-Leaving nor a 503's Retry-After was read, so a router went on sending requests to a target that had told it that it leaves (DRAIN), or that it wants none for a while (BUDGET), until the store said so, or for good.

Change: platform/ decodes both into a TargetNotice; the core keeps it (target/notices.rs) until the target's next run, whatever its record says. It counts for queued, retried and resumed requests, is checked again before a request is written, and is passed on with load reports as a hint that a later record lifts. After a pause a target gets two requests in half a second until it begins to answer. Requests that no target of the pool takes in time are refused at once with the time until the first does. A date or nonsense as Retry-After counts as 1 s, more than 10 min as 10 min; the log says so.

--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use bulrushtrestle_core::input::{AttemptEvent, TargetLoad};
+use bulrushtrestle_core::input::{AttemptEvent, RequestedPause, TargetLoad, TargetNotice};
 use bulrushtrestle_core::key::{AttemptId, Offset, OrganisationId, RequestId};
 use bulrushtrestle_core::verdict::Refusal;
 use bulrushtrestle_platform::operator::CallerLimits;
@@ -59,7 +59,7 @@
 
     /// Returns whether no more requests may be sent to a target.
     pub(crate) fn is_withdrawn(&self, target: &str) -> bool {
-        self.withdrawn.contains(target)
+        self.withdrawn.contains(target, Instant::now())
     }
 
     /// Returns a new identity for a request.
@@ -153,6 +153,18 @@
         self.send(LocalEvent::Load(attempt, load));
     }
 
+    /// Reports what a target stated with an answer about further requests. It applies at once: no
+    /// traffic thread sends the target a request that the control thread decided on before.
+    pub(crate) fn notice(&self, target: &str, notice: TargetNotice) {
+        if notice.leaving {
+            self.withdrawn.record(target, false);
+        }
+        if let Some(RequestedPause::For(time)) = notice.pause {
+            self.withdrawn.pause(target, Instant::now(), time);
+        }
+        self.send(LocalEvent::Notice(target.to_owned(), notice));
+    }
+
     /// Reports that the caller of a request has left.
     pub(crate) fn cancelled(&self, request: RequestId) {
         self.send(LocalEvent::Cancelled(request));
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -8,11 +8,13 @@
 use bulrushtrestle_core::catalogue::Scope;
 use bulrushtrestle_core::catalogue::entry::{DataCentreState, Entry, Kind, Route, RouteRepeat};
 use bulrushtrestle_core::counter::Counter;
-use bulrushtrestle_core::input::{Input, StoreChange, StoreEvent, Vm, VmRole};
+use bulrushtrestle_core::input::{
+    Input, RequestedPause, StoreChange, StoreEvent, TargetNotice, Vm, VmRole,
+};
 use bulrushtrestle_core::key::{Offset, OrganisationId, PoolId};
 use bulrushtrestle_core::output::{MovePhase, MoveProgress};
 use bulrushtrestle_core::request::{Repeat, Request, RequestDetails};
-use bulrushtrestle_core::target::RecordOrder;
+use bulrushtrestle_core::target::{RecordOrder, Standing};
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use bulrushtrestle_platform::operator::{self, CallerLimits};
@@ -338,8 +340,32 @@
             let id = target::id(record);
             let is_known = self.node.catalogue().target(id).is_some();
             let vm = self.hosting.as_ref().and_then(|h| h.vms.get(&id.0));
-            let may_be_used = is_known && !vm.is_some_and(|vm| vm.leaving);
-            self.withdrawn.record(&record.key, may_be_used);
+            let standing = self.node.standing(id);
+            let is_leaving = standing == Standing::Leaving || vm.is_some_and(|vm| vm.leaving);
+            self.withdrawn.record(&record.key, is_known && !is_leaving);
+            if standing == Standing::Open {
+                self.withdrawn.resume(&record.key);
+            }
+        }
+    }
+
+    /// Passes on to the node what a target stated in an answer, and logs it if it is new.
+    pub(super) fn on_target_notice(&mut self, name: &str, notice: TargetNotice) {
+        let id = target::id_of(name);
+        let before = self.node.standing(id);
+        self.handle(Input::Notice(id, notice));
+        let standing = self.node.standing(id);
+        match (standing == before, standing) {
+            (true, _) | (false, Standing::Open) => {}
+            (false, Standing::Leaving) => {
+                log::info!(target: "target", "name={name} leaving=true stated_by=answer");
+                self.withdrawn.record(name, false);
+            }
+            (false, Standing::Paused(until)) => {
+                let pause_ms = until.since(self.clock.now()).as_millis();
+                let readable = notice.pause != Some(RequestedPause::Unreadable);
+                log::info!(target: "target", "name={name} pause_ms={pause_ms} readable={readable} stated_by=answer");
+            }
         }
     }
 
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{Limits, Service};
-use bulrushtrestle_core::input::{AttemptEvent, TargetLoad};
+use bulrushtrestle_core::input::{AttemptEvent, TargetLoad, TargetNotice};
 use bulrushtrestle_core::key::{
     AttemptId, Fingerprint, Incarnation, Offset, OrganisationId, RequestId,
 };
@@ -234,6 +234,8 @@
     TimedOut(RequestId),
     /// A target reported its load with an answer.
     Load(AttemptId, TargetLoad),
+    /// The target of this name stated something about further requests.
+    Notice(String, TargetNotice),
     /// An event of an attempt.
     Attempt(AttemptId, AttemptEvent),
     /// The tokens that attempts have answered so far.
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -165,6 +165,7 @@
             Self::Local(LocalEvent::Attempt(..)) => Stage::ControlAttempt,
             Self::Local(LocalEvent::Load(..)) => Stage::ControlLoad,
             Self::Local(LocalEvent::Progress(_)) => Stage::ControlProgress,
+            Self::Local(LocalEvent::Notice(..)) => Stage::ControlLoad,
             Self::Local(LocalEvent::Cancelled(_) | LocalEvent::TimedOut(_) | LocalEvent::Stop) => {
                 Stage::ControlNote
             }
@@ -464,6 +465,7 @@
                 self.decisions.remove(&request);
                 self.handle(Input::TimedOut(request));
             }
+            LocalEvent::Notice(name, notice) => self.on_target_notice(&name, notice),
             LocalEvent::Load(attempt, load) => {
                 if let Some(attempt) = self.attempts.get(&attempt) {
                     self.handle(Input::Load(attempt.target, load));
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -236,6 +236,9 @@
         })?;
         let (head, mut body) = answer.into_parts();
         let info = answer::decode(head.status, &head.headers, &call.info.attempt);
+        if !info.notice.is_empty() {
+            hosted.traffic.control.notice(dispatch.target, info.notice);
+        }
         if let Some(load) = info.load {
             let (running, waiting) = (load.running, load.waiting);
             let load = TargetLoad { running, waiting };
--- a/crates/bulrushtrestled/src/traffic/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of request and stream parsing, scheduling lag and withdrawn targets.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bulrushtrestle_core::request::{Class, Repeat};
 use bulrushtrestle_core::verdict::Reason;
@@ -215,16 +215,40 @@
 #[test]
 fn a_target_is_withdrawn_until_it_may_be_used_again() {
     let withdrawn = Withdrawn::default();
-    assert!(!withdrawn.contains("i-1"));
+    assert!(!withdrawn.contains("i-1", Instant::now()));
     for (may_be_used, is_withdrawn) in [(false, true), (false, true), (true, false), (false, true)]
     {
         withdrawn.record("i-1", may_be_used);
-        assert_eq!(withdrawn.contains("i-1"), is_withdrawn);
+        assert_eq!(withdrawn.contains("i-1", Instant::now()), is_withdrawn);
     }
     // The number of names is bounded, and the oldest name is dropped.
     for index in 0..1_024 {
         withdrawn.record(&format!("other-{index}"), false);
     }
-    assert!(!withdrawn.contains("i-1"));
-    assert!(withdrawn.contains("other-0"));
+    assert!(!withdrawn.contains("i-1", Instant::now()));
+    assert!(withdrawn.contains("other-0", Instant::now()));
+}
+
+/// A pause ends by itself; of two, the longer one counts; a target that is leaving stays withdrawn.
+#[test]
+fn a_paused_target_is_withdrawn_for_the_time() {
+    let now = Instant::now();
+    let at = |millis| now + Duration::from_millis(millis);
+    let withdrawn = Withdrawn::default();
+    withdrawn.pause("i-1", now, Duration::from_millis(500));
+    withdrawn.pause("i-1", at(100), Duration::from_millis(100));
+    for (millis, is_withdrawn) in [(0, true), (499, true), (500, false)] {
+        assert_eq!(
+            withdrawn.contains("i-1", at(millis)),
+            is_withdrawn,
+            "{millis}"
+        );
+    }
+    withdrawn.pause("i-2", now, Duration::MAX);
+    assert!(withdrawn.contains("i-2", at(10_000)));
+    withdrawn.resume("i-2");
+    assert!(!withdrawn.contains("i-2", now));
+    withdrawn.record("i-2", false);
+    withdrawn.resume("i-2");
+    assert!(withdrawn.contains("i-2", now));
 }
--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -347,3 +347,86 @@
         .expect("the answer can be read");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+/// Guards against a router that goes on using a target that states in an answer that it is leaving,
+/// while the store's record still shows it as ready.
+#[tokio::test]
+async fn a_target_that_states_that_it_is_leaving_gets_no_more_requests() {
+    struct Case {
+        name: &'static str,
+        behaviour: Behaviour,
+        path: &'static str,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "in a success",
+            behaviour: Behaviour::Leaving,
+            path: "/once/x",
+            status: 200,
+        },
+        Case {
+            name: "in an error",
+            behaviour: Behaviour::LeavingAndFailing,
+            path: "/once/x",
+            status: 500,
+        },
+    ];
+    for case in cases {
+        let (store, target, address, daemon) = start().await;
+        target.set_behaviour(case.behaviour);
+        let told = daemon.call(Method::POST, case.path).await;
+        assert_eq!(told.status(), case.status, "{}", case.name);
+        let arrived = target.arrived();
+        target.set_behaviour(Behaviour::Good);
+        // Records that say otherwise follow, and the store is down for a while.
+        for sequence in 2..6 {
+            store.put(
+                "keyed.servers",
+                "i-1",
+                Some(server(address, "ready", sequence)),
+            );
+            store.set_down(sequence == 3);
+            sleep(Duration::from_millis(300)).await;
+            let refused = daemon.call(Method::POST, case.path).await;
+            assert_eq!(refused.status(), 503, "{}", case.name);
+        }
+        assert_eq!(target.arrived(), arrived, "{}", case.name);
+        let (other, address) = Target::start("i-2").await;
+        store.put("keyed.servers", "i-2", Some(server(address, "ready", 1)));
+        wait_until("another target serves", async || {
+            daemon.call(Method::POST, case.path).await.status() == 200
+        })
+        .await;
+        assert!(other.arrived() > 0, "{}", case.name);
+        assert_eq!(target.arrived(), arrived, "{}", case.name);
+    }
+}
+
+/// Guards against a router that sends requests to a target in the time for which it wants none.
+#[tokio::test]
+async fn a_target_that_pushes_back_is_left_alone_for_the_time_it_states() {
+    let (_store, target, _, daemon) = start().await;
+    target.set_behaviour(Behaviour::Pausing("1.5"));
+    let refused = daemon.call(Method::POST, "/again/x").await;
+    assert_eq!(refused.status(), 503);
+    let began = Instant::now();
+    let wait = refused.headers()["retry-after"].to_str().expect("text");
+    let wait: f64 = wait.parse().expect("seconds");
+    assert!((1.0..=1.6).contains(&wait), "{wait}");
+    let arrived = target.arrived();
+    target.set_behaviour(Behaviour::Good);
+    while began.elapsed() < Duration::from_millis(1_300) {
+        assert_eq!(target.arrived(), arrived);
+        let answer = daemon.call(Method::POST, "/again/x").await;
+        // Towards the end, a request may wait until the target takes it.
+        let is_over = began.elapsed() >= Duration::from_millis(1_450);
+        let expected = if is_over { 200 } else { 503 };
+        assert_eq!(answer.status(), expected, "after {:?}", began.elapsed());
+    }
+    wait_until("the target serves again", async || {
+        daemon.call(Method::POST, "/again/x").await.status() == 200
+    })
+    .await;
+    assert!(began.elapsed() >= Duration::from_millis(1_450));
+}
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -173,6 +173,13 @@
     Unresponsive,
     /// The target answers each request with a short stream and does not record it.
     Streaming,
+    /// The target runs requests and states in each answer that it is leaving.
+    Leaving,
+    /// The target refuses requests, states that it did not run them, and states this as the time for
+    /// which it wants no more.
+    Pausing(&'static str),
+    /// The target runs requests, answers with status 500 and states that it is leaving.
+    LeavingAndFailing,
 }
 
 /// The events of a short stream. Each has 80 bytes, the mean size on the users' platform.
@@ -189,6 +196,8 @@
     name: String,
     behaviour: Mutex<Behaviour>,
     requests: Mutex<Vec<HeaderMap>>,
+    /// The number of requests that arrived, whether they ran or not.
+    arrived: AtomicUsize,
 }
 
 impl Target {
@@ -198,6 +207,7 @@
             name: name.to_owned(),
             behaviour: Mutex::new(Behaviour::Good),
             requests: Mutex::default(),
+            arrived: AtomicUsize::new(0),
         });
         let router = Router::new()
             .fallback(answer)
@@ -225,6 +235,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the number of requests that arrived, whether they ran or not.
+    pub(crate) fn arrived(&self) -> usize {
+        self.arrived.load(Ordering::Relaxed)
+    }
+
     /// Returns the heads of the requests that the target ran.
     pub(crate) fn requests(&self) -> Vec<HeaderMap> {
         self.requests
@@ -264,6 +279,11 @@
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
     let behaviour = target.behaviour();
+    target.arrived.fetch_add(1, Ordering::Relaxed);
+    if let Behaviour::Pausing(wait) = behaviour {
+        let head = [("not-executed", "1"), ("retry-after", wait)];
+        return (StatusCode::SERVICE_UNAVAILABLE, head).into_response();
+    }
     if behaviour == Behaviour::Full {
         return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
     }
@@ -275,7 +295,7 @@
         tokio::time::sleep(Duration::from_secs(60)).await;
     }
     let status = match behaviour {
-        Behaviour::Failing => StatusCode::INTERNAL_SERVER_ERROR,
+        Behaviour::Failing | Behaviour::LeavingAndFailing => StatusCode::INTERNAL_SERVER_ERROR,
         _ => StatusCode::OK,
     };
     let mut response = match is_stream {
@@ -284,6 +304,10 @@
     };
     let proof = http::HeaderValue::from_static("proof");
     response.headers_mut().insert("server-stamp", proof);
+    if matches!(behaviour, Behaviour::Leaving | Behaviour::LeavingAndFailing) {
+        let leaving = HeaderValue::from_static("1");
+        response.headers_mut().insert("server-leaving", leaving);
+    }
     let attempt = match behaviour {
         Behaviour::WrongAttempt => Some(HeaderValue::from_static("another")),
         _ => attempt,
--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -18,6 +18,8 @@
     pub claims: Vec<ClaimRow>,
     /// Long prompt prefixes that the router has recently sent to targets.
     pub held: Vec<HeldRow>,
+    /// Targets that stated to the sender, since its last report, that they are leaving.
+    pub leaving: Vec<TargetId>,
     /// The routers that reported work to the sender directly and to which no callers are sent, so
     /// that routers with work report to one another. `None` if the list is the same as in the last
     /// report.
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -85,6 +85,8 @@
     oldest_report: Time,
     /// Long prefixes that this router sent and has not reported to peers yet, the oldest first.
     unreported: VecDeque<HeldRow>,
+    /// Targets that stated that they are leaving and were not reported to peers yet.
+    unreported_leaving: Vec<TargetId>,
     last_report: LastReport,
 }
 
@@ -113,6 +115,7 @@
             peer_sum: BTreeMap::new(),
             oldest_report: Time::default(),
             unreported: VecDeque::new(),
+            unreported_leaving: Vec::new(),
             last_report: LastReport::default(),
         }
     }
@@ -218,6 +221,11 @@
         self.prefixes.remove_target(target);
     }
 
+    /// Includes in the next report to peers that a target stated that it is leaving.
+    pub fn report_leaving(&mut self, target: TargetId) {
+        self.unreported_leaving.push(target);
+    }
+
     /// Applies a peer's report.
     pub fn on_part(&mut self, now: Time, from: RouterId, part: &LoadPart) {
         let peer = self.peers.entry(from).or_default();
@@ -298,6 +306,7 @@
             rows: self.rows(true),
             claims: self.last_report.claims.clone(),
             held: Vec::new(),
+            leaving: Vec::new(),
             busy: Some(self.last_report.busy.clone()),
         }
     }
@@ -323,7 +332,8 @@
         let is_unchanged = rows.is_empty()
             && claims == self.last_report.claims
             && busy == self.last_report.busy
-            && self.unreported.is_empty();
+            && self.unreported.is_empty()
+            && self.unreported_leaving.is_empty();
         let is_fresh = now.since(self.last_report.at) < self.cfg.stale_after / 4;
         if is_unchanged && is_fresh && !is_full {
             return None;
@@ -343,6 +353,7 @@
             rows,
             claims,
             held: self.unreported.drain(..held).collect(),
+            leaving: core::mem::take(&mut self.unreported_leaving),
             busy: includes_busy.then_some(busy),
         })
     }
--- a/crates/core/src/balance/tests.rs
+++ b/crates/core/src/balance/tests.rs
@@ -237,6 +237,7 @@
         }],
         claims: vec![claim(2, 1_000, 1)],
         held: Vec::new(),
+        leaving: Vec::new(),
         busy: None,
     };
     balance.on_part(NOW, RouterId(2), &report);
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -67,6 +67,10 @@
     LeaseLost = "lease_lost";
     /// An order to a target was dropped because the lease behind it had lapsed.
     OrderFenced = "order_fenced";
+    /// A target stated in an answer that it is leaving.
+    TargetStatedLeaving = "target_stated_leaving";
+    /// A target stated in an answer that it wants no requests for a while.
+    TargetPaused = "target_paused";
     /// A target was classified as cold.
     TargetCold = "target_cold";
     /// A version move was found to be finished.
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -34,6 +34,8 @@
     Store(StoreEvent),
     /// A target reported its load together with an answer.
     Load(TargetId, TargetLoad),
+    /// A target stated with an answer that it is leaving, or that it wants no requests for a while.
+    Notice(TargetId, TargetNotice),
     /// The platform's VM list was read.
     Vms(Vec<Vm>),
     /// A target's periodic load report arrived. The report may lag behind the actual load.
@@ -189,6 +191,32 @@
     pub waiting: u32,
 }
 
+/// What a target stated with an answer about further requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Whether the target is leaving.
+    pub leaving: bool,
+    /// The time for which the target wants no requests from this router, if it refused one and
+    /// stated a time.
+    pub pause: Option<RequestedPause>,
+}
+
+/// The time for which a target wants no requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestedPause {
+    /// The target stated this time.
+    For(Duration),
+    /// The target stated a time that cannot be read.
+    Unreadable,
+}
+
+impl TargetNotice {
+    /// Returns whether the target stated nothing.
+    pub const fn is_empty(&self) -> bool {
+        !self.leaving && self.pause.is_none()
+    }
+}
+
 /// A record as read from the log.
 #[derive(Debug, Clone)]
 pub struct LogRecord {
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -271,6 +271,14 @@
                 .deadline
                 .min(active.wait_until.max(self.cx.now + RETRY_WAIT)),
         };
+        let is_local = self.slots.cfg.policy == Policy::Local;
+        if is_local && let Some(time) = self.hopeless_wait(pool, waiting.deadline) {
+            self.abandon_for(request, Reason::NoTarget, Some(time));
+            return;
+        }
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
         let avoid = active.retry_state.dispatch_constraints().avoid;
         let tried = |target: TargetView<'_>| target.out || avoid.contains(&target.id);
         if self.catalogue.targets_of(pool).all(tried) {
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -410,6 +410,9 @@
                 Some(NO_TARGET_RETRY_AFTER),
             ));
         }
+        if local && let Some(time) = self.hopeless_wait(req.pool, wait_until) {
+            return Err(Refusal::not_run(Reason::NoTarget, Some(time)));
+        }
         let Some(max_wait) = self.max_wait(req) else {
             return Ok(());
         };
@@ -514,7 +517,8 @@
         target: TargetId,
     ) {
         let now = self.cx.now;
-        let is_open = self.cold_limit_allows(pool, target);
+        let is_open =
+            self.cold_limit_allows(pool, target) && self.targets.wants_requests(now, target);
         candidates.retain(|place| is_open || place.candidate.target != target);
         for place in candidates {
             if place.candidate.target == target {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -20,6 +20,7 @@
 mod status;
 mod stop;
 mod store;
+mod target_notice;
 #[cfg(test)]
 mod tests;
 mod timer;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -109,7 +109,12 @@
             Part::Target(part) => self.targets.on_part(&mut self.cx, from, &part),
             Part::Version(part) => self.moves.on_part(&mut self.cx, from, &part),
             Part::Quarantine(part) => self.on_quarantine_part(from, part),
-            Part::Load(part) => self.balance.on_part(self.cx.now, from, &part),
+            Part::Load(part) => {
+                for &target in &part.leaving {
+                    self.targets.on_leaving_hint(self.cx.now, target);
+                }
+                self.balance.on_part(self.cx.now, from, &part);
+            }
         }
     }
 }
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -65,6 +65,25 @@
 
     /// Refuses a waiting request, with the verdict of all its attempts.
     pub(super) fn abandon(&mut self, request: RequestId, reason: Reason) {
+        let Some(active) = self.requests.get(&request) else {
+            return;
+        };
+        let wait = match reason {
+            Reason::DeadlinePassed | Reason::QueueFull => self
+                .queues
+                .retry_after(self.cx.now, active.req.organisation),
+            _ => Some(RETRY_AFTER),
+        };
+        self.abandon_for(request, reason, wait);
+    }
+
+    /// Refuses a waiting request like [`abandon`](Self::abandon), and proposes a wait to its caller.
+    pub(super) fn abandon_for(
+        &mut self,
+        request: RequestId,
+        reason: Reason,
+        retry_after: Option<Duration>,
+    ) {
         if let Some(active) = self.requests.get(&request) {
             let (pool, organisation) = (active.req.pool, active.req.organisation);
             let unclaimed = self
@@ -72,12 +91,7 @@
                 .refusal(self.cx.now, self.log_visibility(), request)
                 .map(|refusal| refusal.verdict);
             let verdict = unclaimed.unwrap_or(active.retry_state.verdict());
-            let wait = self.queues.retry_after(self.cx.now, organisation);
             self.queues.remove(pool, organisation, request);
-            let retry_after = match reason {
-                Reason::DeadlinePassed | Reason::QueueFull => wait,
-                _ => Some(RETRY_AFTER),
-            };
             let refusal = Refusal {
                 verdict,
                 reason,
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -196,6 +196,7 @@
             }
             Input::Store(event) => self.on_store(event),
             Input::Load(target, load) => self.targets.on_load(target, load),
+            Input::Notice(target, notice) => self.on_target_notice(target, notice),
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
             Input::Timer => {}
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -112,6 +112,10 @@
 
     fn on_target_states(&mut self, states: &[TargetState]) {
         for state in states {
+            if self.targets.on_state(self.cx.now, state) {
+                let subject = format!("{} may be used again: it began a new run", state.target);
+                self.cx.notice(NoticeKind::Target, subject);
+            }
             if self.cold_targets.on_state(self.cx.now, state) {
                 self.balance.on_restart(state.target);
                 let subject = format!("{} began a new run", state.target);
--- a/crates/core/src/target/mod.rs
+++ b/crates/core/src/target/mod.rs
@@ -10,11 +10,13 @@
 //!
 //! A target receives no requests while its data centre is out of service, while its VM is leaving
 //! or removed, or during the back-off after it failed to answer. This is checked right before each
-//! dispatch.
+//! dispatch. The same holds for a target that stated in an answer that it is leaving, or that it
+//! wants no requests for a while; see [`Notices`].
 
 mod config;
 mod health;
 pub mod message;
+mod notices;
 mod order;
 mod state;
 #[cfg(test)]
@@ -22,5 +24,6 @@
 
 pub use self::config::{Config, Policy};
 pub use self::health::{Cause, Signal};
+pub use self::notices::{Notices, Standing};
 pub use self::order::RecordOrder;
 pub use self::state::{Condition, Targets};
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -5,12 +5,12 @@
 use crate::ascending::AscendingLookup;
 use crate::catalogue::entry::{DataCentreState, Entry};
 use crate::catalogue::{Catalogue, TargetView};
-use crate::input::{Report, TargetLoad, Vm, VmRole};
+use crate::input::{Report, TargetLoad, TargetNotice, TargetState, Vm, VmRole};
 use crate::membership::{Members, best};
 use crate::prelude::*;
 use crate::target::health::Health;
 use crate::target::message::{Limit, TargetPart, Totals};
-use crate::target::{Cause, Config, Policy, Signal};
+use crate::target::{Cause, Config, Notices, Policy, Signal, Standing};
 use crate::version::evidence::Load;
 
 /// The reciprocal of the fraction of targets that may disappear from the VM list at once. If more
@@ -20,6 +20,9 @@
 const HANDOVER_WINDOW: Duration = Duration::from_secs(5);
 /// How long a peer's notice that a target is leaving is valid unless it is repeated.
 const LEAVING_NOTICE_VALID: Duration = Duration::from_secs(15);
+/// The time after a peer's notice within which a state that arrives may have been written before
+/// it: the delay of the store plus the interval at which targets write their states.
+const STATE_LAG_MAX: Duration = Duration::from_secs(2);
 
 /// The state of a target, for operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
@@ -48,6 +51,8 @@
     vms: BTreeMap<u32, Presence>,
     /// When a peer last sent a notice that a target is leaving.
     leaving_notices: BTreeMap<TargetId, Time>,
+    /// What targets stated in answers to this router.
+    notices: Notices,
     /// The data centres that are out of service.
     out: BTreeSet<String>,
     /// The change counter of the catalogue when it was last applied.
@@ -91,7 +96,7 @@
 
 impl Targets {
     /// Returns the state of a router that has just started and knows no targets.
-    pub const fn new(me: RouterId, cfg: Config, now: Time) -> Self {
+    pub fn new(me: RouterId, cfg: Config, now: Time) -> Self {
         Self {
             me,
             cfg,
@@ -99,6 +104,7 @@
             peer_totals: BTreeMap::new(),
             vms: BTreeMap::new(),
             leaving_notices: BTreeMap::new(),
+            notices: Notices::default(),
             out: BTreeSet::new(),
             followed: None,
             live: Vec::new(),
@@ -154,7 +160,8 @@
         let is_held = |known: &Known| !known.health.is_available(now);
         // A data centre that is back in service is only used once its targets have been made cold.
         let out = view.out || self.out.contains(&view.entry.data_centre);
-        !out && !self.is_leaving(view) && !self.known.get(&view.id).is_some_and(is_held)
+        let is_held = self.known.get(&view.id).is_some_and(is_held);
+        !out && !is_held && !self.is_leaving(view) && self.notices.allows(now, view.id)
     }
 
     /// Returns a function that behaves like [`usable`](Self::usable). For targets in ascending
@@ -162,12 +169,14 @@
     pub fn usable_each(&self, now: Time) -> impl FnMut(&TargetView<'_>) -> bool {
         let mut known = AscendingLookup::new(&self.known);
         let any_leaving = self.any_leaving();
+        let any_notice = !self.notices.is_empty();
         move |view| {
             let is_held = known
                 .get(view.id)
                 .is_some_and(|known| !known.health.is_available(now));
             let out = view.out || self.out.contains(&view.entry.data_centre);
-            !(out || is_held || any_leaving && self.is_leaving(view))
+            let is_refusing = any_notice && !self.notices.allows(now, view.id);
+            !(out || is_held || is_refusing || any_leaving && self.is_leaving(view))
         }
     }
 
@@ -177,6 +186,46 @@
         !view.out && !self.is_leaving(view)
     }
 
+    /// Returns whether a target takes requests of this router, by what it stated in its answers.
+    pub fn standing(&self, now: Time, target: TargetId) -> Standing {
+        self.notices.standing(now, target)
+    }
+
+    /// Returns whether a request may be sent to a target now, by what it stated in its answers.
+    pub fn wants_requests(&self, now: Time, target: TargetId) -> bool {
+        self.notices.allows(now, target)
+    }
+
+    /// Records what a target stated in an answer. Returns whether that changes its standing.
+    pub fn on_notice(&mut self, now: Time, target: TargetId, notice: TargetNotice) -> bool {
+        self.notices.on_notice(now, target, notice)
+    }
+
+    /// Processes a state that a target published. A new run of the target is not bound by what the
+    /// previous one stated. Returns whether the target was freed in this way.
+    pub fn on_state(&mut self, now: Time, state: &TargetState) -> bool {
+        let is_newer = |at: &Time| now.since(*at) >= STATE_LAG_MAX;
+        if !state.leaving
+            && self
+                .leaving_notices
+                .get(&state.target)
+                .is_some_and(is_newer)
+        {
+            self.leaving_notices.remove(&state.target);
+        }
+        self.notices.on_run(state.target, state.started_ms)
+    }
+
+    /// Records that a peer was told by a target that the target is leaving.
+    pub fn on_leaving_hint(&mut self, now: Time, target: TargetId) {
+        self.leaving_notices.insert(target, now);
+    }
+
+    /// Returns the targets that stated in answers to this router that they are leaving.
+    pub fn stated_leaving(&self) -> impl Iterator<Item = TargetId> {
+        self.notices.leaving()
+    }
+
     /// Returns the state of a target for operators.
     pub fn condition(&self, now: Time, view: &TargetView<'_>) -> Condition {
         if view.out {
@@ -211,6 +260,7 @@
 
     /// Records that a request was dispatched to a target.
     pub fn on_dispatch(&mut self, now: Time, target: TargetId) {
+        self.notices.on_dispatch(now, target);
         if let Some(known) = self.known.get_mut(&target) {
             known.used_at = Some(now);
         }
@@ -221,6 +271,9 @@
         let Some(known) = self.known.get_mut(&target) else {
             return;
         };
+        if matches!(signal, Signal::Started { .. }) {
+            self.notices.on_started(cx.now, target);
+        }
         match signal {
             Signal::Finished { .. } | Signal::Flowing => known.totals.finished += 1,
             Signal::Late | Signal::Declined | Signal::Failed => known.totals.bad += 1,
@@ -318,12 +371,16 @@
     }
 
     fn is_leaving(&self, view: &TargetView<'_>) -> bool {
-        self.is_listed_as_leaving(view) || self.leaving_notices.contains_key(&view.id)
+        self.is_listed_as_leaving(view)
+            || self.leaving_notices.contains_key(&view.id)
+            || self.notices.is_leaving(view.id)
     }
 
     fn any_leaving(&self) -> bool {
         let not_listed = |presence: &Presence| *presence != Presence::Listed;
-        !self.leaving_notices.is_empty() || self.vms.values().any(not_listed)
+        !self.leaving_notices.is_empty()
+            || !self.notices.is_empty()
+            || self.vms.values().any(not_listed)
     }
 
     fn is_listed_as_leaving(&self, view: &TargetView<'_>) -> bool {
@@ -357,6 +414,8 @@
     fn follow_catalogue(&mut self, now: Time, catalogue: &Catalogue) {
         self.known
             .retain(|&target, _| catalogue.target(target).is_some());
+        self.notices
+            .retain_known(|target| catalogue.target(target).is_some());
         let known = &self.known;
         self.peer_totals
             .retain(|(target, _), _| known.contains_key(target));
