Send figures of load over relays in large fleets

Cause: with all 295 routers of the large site at work, each reports to all others ten times a second.

Change: each data centre of a fleet of more than 16 routers has a relay for 32 routers, two at least. Routers report to one of them, relays exchange sums, and every router gets the fleet's sums less its own figures.

--- a/crates/core/src/address/mod.rs
+++ b/crates/core/src/address/mod.rs
@@ -13,12 +13,10 @@
 #[cfg(test)]
 mod tests;
 
-use core::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
-
 use crate::membership::message::Condition;
 use crate::membership::{Members, ranking};
 use crate::prelude::*;
+use core::cmp::Reverse;
 
 /// The most addresses in one answer.
 const ADDRESSES_MAX: usize = 8;
@@ -103,20 +101,6 @@
         .collect()
 }
 
-/// Returns the routers that callers are sent to, over all data centres. `own` is the data centre of
-/// this router.
-pub fn advertised_routers(members: &Members, now: Time, own: &str) -> BTreeSet<RouterId> {
-    let mut by_data_centre: BTreeMap<&str, Vec<RouterId>> = BTreeMap::new();
-    for router in candidates(members, now, OrganisationId(0)) {
-        let at = members.data_centre(router).unwrap_or(own);
-        by_data_centre.entry(at).or_default().push(router);
-    }
-    let data_centres = by_data_centre.into_values();
-    data_centres
-        .flat_map(|routers| strongest(members, routers))
-        .collect()
-}
-
 /// Returns the strongest routers that together have a fourth of the capacity, at least two of them,
 /// and all that are as strong as the weakest of these.
 fn strongest(members: &Members, mut routers: Vec<RouterId>) -> Vec<RouterId> {
--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -3,27 +3,59 @@
 use serde::{Deserialize, Serialize};
 
 use crate::balance::prefix_index::PrefixHash;
-use crate::key::{OrganisationId, PoolId, RouterId, TargetId};
+use crate::key::{OrganisationId, PoolId, TargetId};
+
+/// Whose figures a report covers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Coverage {
+    /// The figures of the sender.
+    #[default]
+    Router,
+    /// The sums of the figures of the sender, which is a relay, and of the routers that report to
+    /// it.
+    Members,
+}
 
 /// A router's load at targets, its waiting requests, and the prompt prefixes that it sent recently.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadPart {
-    /// Whether `rows` lists every target at which the router has requests. If not, `rows` lists
-    /// only the targets whose figures changed since the last report.
+    /// Numbers the sender's reports in ascending order.
+    pub number: u32,
+    /// Whose figures the report covers.
+    pub coverage: Coverage,
+    /// The number of routers whose figures the report covers.
+    pub routers: u32,
+    /// The figures.
+    pub figures: Figures,
+}
+
+/// The sums of the figures of the whole fleet, from a relay to a router that reports to it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetPart {
+    /// The number of the receiver's last report that the sums contain, or zero. The receiver
+    /// subtracts the figures of that report.
+    pub included: u32,
+    /// The number of routers whose figures the sums cover.
+    pub routers: u32,
+    /// The sums.
+    pub figures: Figures,
+}
+
+/// Loads at targets, waiting requests and prompt prefixes of one router or of several.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Whether `rows` lists every target with requests. If not, `rows` lists only the targets whose
+    /// figures changed since the last report.
     pub is_full: bool,
-    /// The router's load per target. A partial report has a row of zeros for a target at which the
-    /// router no longer has requests.
+    /// The load per target. A partial report has a row of zeros for a target that no longer has
+    /// requests.
     pub rows: Vec<LoadRow>,
-    /// The requests that wait at the router, by pool and organisation.
+    /// The requests that wait, by pool and organisation.
     pub claims: Vec<ClaimRow>,
-    /// Long prompt prefixes that the router has recently sent to targets.
+    /// Long prompt prefixes that were sent to targets recently.
     pub held: Vec<HeldRow>,
-    /// Targets that stated to the sender, since its last report, that they are leaving.
+    /// Targets that stated, since the last report, that they are leaving.
     pub leaving: Vec<TargetId>,
-    /// The routers that reported work to the sender directly and to which no callers are sent, so
-    /// that routers with work report to one another. `None` if the list is the same as in the last
-    /// report.
-    pub busy: Option<Vec<RouterId>>,
 }
 
 /// A prompt prefix that a target is presumed to cache.
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -25,8 +25,10 @@
 //! distance; the target with the lowest score is chosen. See `docs/design/0031-balance.md`.
 
 mod config;
+mod fleet_view;
 pub mod message;
 mod prefix_index;
+mod relaying;
 mod score;
 mod state;
 #[cfg(test)]
@@ -35,6 +37,7 @@
 
 pub use self::config::Config;
 pub use self::prefix_index::PrefixIndex;
+pub use self::relaying::Member;
 pub use self::score::{Candidate, CandidateLoad, Choice, RequestProfile};
 pub use self::state::{Balance, Load};
 pub use self::turns::{Permit, Workload};
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -1,10 +1,12 @@
 //! The load of targets, from this router's own requests and its peers' reports.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::ascending::AscendingLookup;
-use crate::balance::message::{ClaimRow, HeldRow, LoadPart, LoadRow};
+use crate::balance::fleet_view::FleetView;
+use crate::balance::message::{ClaimRow, Coverage, Figures, HeldRow, LoadPart, LoadRow};
 use crate::balance::prefix_index::shared_prefixes;
+use crate::balance::relaying::Relaying;
 use crate::balance::turns::Turns;
 use crate::balance::{Config, PrefixIndex};
 use crate::prelude::*;
@@ -12,16 +14,15 @@
 /// The most prompt prefixes in one report: twice what a router typically sends to targets in that
 /// time.
 const HELD_MAX: usize = 8;
+/// The most prompt prefixes in one report of a relay.
+pub(super) const RELAYED_HELD_MAX: usize = 32;
 /// The most prefixes that wait to be reported. The oldest are dropped first, because they expire
 /// first.
-const UNREPORTED_MAX: usize = 64;
+const UNREPORTED_MAX: usize = 128;
 
 /// The fewest requests at targets that make a router count as having work. Platforms query each
 /// router's configuration now and then, and those requests alone must not make a router count.
 const WORK_MIN: u32 = 4;
-/// The most busy routers that a report names. At four bytes each, they take less space than the
-/// rows of a report.
-const BUSY_MAX: usize = 64;
 
 /// The load of one or more routers at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -33,12 +34,12 @@
 }
 
 impl Load {
-    fn add(&mut self, other: Self) {
+    pub(super) fn add(&mut self, other: Self) {
         self.unread += other.unread;
         self.requests += other.requests;
     }
 
-    fn subtract(&mut self, other: Self) {
+    pub(super) fn subtract(&mut self, other: Self) {
         self.unread = self.unread.saturating_sub(other.unread);
         self.requests = self.requests.saturating_sub(other.requests);
     }
@@ -49,27 +50,26 @@
 pub(super) struct PeerState {
     /// When the peer's last report was received.
     pub(super) received_at: Time,
-    loads: BTreeMap<TargetId, Load>,
+    /// The number of the peer's last report.
+    pub(super) number: u32,
+    /// Whose figures the peer's reports cover.
+    pub(super) coverage: Coverage,
+    /// The number of routers whose figures the reports cover.
+    pub(super) routers: u32,
+    pub(super) loads: BTreeMap<TargetId, Load>,
     /// The requests that wait at the peer.
     pub(super) claims: Vec<ClaimRow>,
     /// When the peer last reported work.
-    last_work: Option<Time>,
-    /// The routers that reported work to the peer.
-    busy: Vec<RouterId>,
+    pub(super) last_work: Option<Time>,
 }
 
 impl PeerState {
     fn has_work(&self) -> bool {
-        has_work(&self.loads, !self.claims.is_empty())
+        let requests: u32 = self.loads.values().map(|load| load.requests).sum();
+        !self.claims.is_empty() || requests >= WORK_MIN
     }
 }
 
-/// Returns whether a router has enough work that other busy routers need its reports.
-fn has_work(loads: &BTreeMap<TargetId, Load>, has_waiting: bool) -> bool {
-    let requests: u32 = loads.values().map(|load| load.requests).sum();
-    has_waiting || requests >= WORK_MIN
-}
-
 /// The load of every target and the state of every peer, as known to this router.
 #[derive(Debug)]
 pub struct Balance {
@@ -83,24 +83,61 @@
     peer_sum: BTreeMap<TargetId, Load>,
     /// The time of the oldest report that is part of `peer_sum`.
     oldest_report: Time,
-    /// Long prefixes that this router sent and has not reported to peers yet, the oldest first.
-    unreported: VecDeque<HeldRow>,
-    /// Targets that stated that they are leaving and were not reported to peers yet.
-    unreported_leaving: Vec<TargetId>,
-    last_report: LastReport,
+    /// What the relay to which this router reports knows of the fleet.
+    pub(super) fleet: Option<FleetView>,
+    /// What is to be included in the next report.
+    pub(super) unreported: Unreported,
+    pub(super) last_report: LastReport,
+    pub(super) relaying: Relaying,
+}
+
+/// Events that are included in one report each.
+#[derive(Debug, Default)]
+pub(super) struct Unreported {
+    /// Long prefixes that were sent to targets, the oldest first.
+    held: VecDeque<HeldRow>,
+    /// Targets that stated that they are leaving.
+    pub(super) leaving: Vec<TargetId>,
+}
+
+impl Unreported {
+    pub(super) fn add_held(&mut self, row: HeldRow) {
+        self.held.push_back(row);
+        if self.held.len() > UNREPORTED_MAX {
+            self.held.pop_front();
+        }
+    }
+
+    pub(super) fn extend(&mut self, figures: &Figures) {
+        for &row in &figures.held {
+            self.add_held(row);
+        }
+        self.leaving.extend(&figures.leaving);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.held.is_empty() && self.leaving.is_empty()
+    }
+
+    /// Removes what goes into one report: all targets, and at most `held_max` prefixes.
+    pub(super) fn take(&mut self, held_max: usize) -> (Vec<HeldRow>, Vec<TargetId>) {
+        let held = self.held.len().min(held_max);
+        let held = self.held.drain(..held).collect();
+        (held, core::mem::take(&mut self.leaving))
+    }
 }
 
 /// The contents of this router's last report to its peers.
 #[derive(Debug, Default)]
-struct LastReport {
+pub(super) struct LastReport {
     at: Time,
+    pub(super) number: u32,
+    pub(super) coverage: Coverage,
+    routers: u32,
     /// When the last full report was made.
     full_at: Time,
-    loads: BTreeMap<TargetId, Load>,
-    claims: Vec<ClaimRow>,
-    busy: Vec<RouterId>,
-    /// When this router last had work at the time of a report.
-    last_work: Option<Time>,
+    pub(super) loads: BTreeMap<TargetId, Load>,
+    pub(super) claims: Vec<ClaimRow>,
 }
 
 impl Balance {
@@ -114,9 +151,10 @@
             turns: Turns::default(),
             peer_sum: BTreeMap::new(),
             oldest_report: Time::default(),
-            unreported: VecDeque::new(),
-            unreported_leaving: Vec::new(),
+            fleet: None,
+            unreported: Unreported::default(),
             last_report: LastReport::default(),
+            relaying: Relaying::default(),
         }
     }
 
@@ -128,12 +166,17 @@
     /// Returns the load of this router and its peers at a target.
     pub fn load(&self, now: Time, target: TargetId) -> Load {
         let mut sum = self.own.get(&target).copied().unwrap_or_default();
-        if self.has_fresh_sum(now) {
-            sum.add(self.peer_sum.get(&target).copied().unwrap_or_default());
-            return sum;
+        sum.add(self.peers_load(now, target));
+        sum
+    }
+
+    fn peers_load(&self, now: Time, target: TargetId) -> Load {
+        if let Some(sum) = self.fresh_sum(now) {
+            return sum.get(&target).copied().unwrap_or_default();
         }
         // The sum contains a peer whose report is stale. The next call of `report` removes that
         // peer.
+        let mut sum = Load::default();
         let fresh = |peer: &&PeerState| now.since(peer.received_at) < self.cfg.stale_after;
         for peer in self.peers.values().filter(fresh) {
             sum.add(peer.loads.get(&target).copied().unwrap_or_default());
@@ -148,23 +191,31 @@
         now: Time,
         targets: impl Iterator<Item = TargetId>,
     ) -> impl Iterator<Item = Load> {
-        let fresh = self.has_fresh_sum(now);
-        let (mut own, mut peers) = (
-            AscendingLookup::new(&self.own),
-            AscendingLookup::new(&self.peer_sum),
-        );
+        let mut own = AscendingLookup::new(&self.own);
+        let mut peers = self.fresh_sum(now).map(AscendingLookup::new);
         targets.map(move |target| {
-            if !fresh {
-                return self.load(now, target);
-            }
             let mut sum = own.get(target).copied().unwrap_or_default();
-            sum.add(peers.get(target).copied().unwrap_or_default());
+            sum.add(match &mut peers {
+                Some(peers) => peers.get(target).copied().unwrap_or_default(),
+                None => self.peers_load(now, target),
+            });
             sum
         })
     }
 
-    fn has_fresh_sum(&self, now: Time) -> bool {
-        now.since(self.oldest_report) < self.cfg.stale_after
+    /// Returns the loads of all peers, unless their sum contains a stale report.
+    fn fresh_sum(&self, now: Time) -> Option<&BTreeMap<TargetId, Load>> {
+        if let Some(fleet) = self.fresh_fleet(now) {
+            return Some(&fleet.others);
+        }
+        let is_fresh = now.since(self.oldest_report) < self.cfg.stale_after;
+        is_fresh.then_some(&self.peer_sum)
+    }
+
+    /// Returns the relay's view of the fleet, unless it is stale.
+    pub(super) fn fresh_fleet(&self, now: Time) -> Option<&FleetView> {
+        let fleet = self.fleet.as_ref()?;
+        (now.since(fleet.received_at) < self.cfg.stale_after / 2).then_some(fleet)
     }
 
     /// Records that a request was sent to a target that has to read `unread` tokens for it.
@@ -187,11 +238,12 @@
             let mut holders = self.prefixes.holders(recent, longest);
             let is_known = holders.any(|holder| holder == target);
             if !is_known {
-                let chain = longest;
-                self.unreported.push_back(HeldRow { target, chain });
-            }
-            if self.unreported.len() > UNREPORTED_MAX {
-                self.unreported.pop_front();
+                let row = HeldRow {
+                    target,
+                    chain: longest,
+                };
+                self.unreported.add_held(row);
+                self.relaying.add_own_held(row);
             }
         }
         for (prefix, _) in shared {
@@ -223,23 +275,29 @@
 
     /// Includes in the next report to peers that a target stated that it is leaving.
     pub fn report_leaving(&mut self, target: TargetId) {
-        self.unreported_leaving.push(target);
+        self.unreported.leaving.push(target);
+        self.relaying.add_own_leaving(target);
     }
 
     /// Applies a peer's report.
     pub fn on_part(&mut self, now: Time, from: RouterId, part: &LoadPart) {
+        let figures = &part.figures;
+        if part.routers == 0 {
+            self.remove_peer(from);
+            return;
+        }
         let peer = self.peers.entry(from).or_default();
         peer.received_at = now;
-        if part.is_full {
+        peer.number = part.number;
+        peer.coverage = part.coverage;
+        peer.routers = part.routers;
+        if figures.is_full {
             for (target, load) in core::mem::take(&mut peer.loads) {
                 self.peer_sum.entry(target).or_default().subtract(load);
             }
         }
-        for row in &part.rows {
-            let load = Load {
-                unread: u64::from(row.unread),
-                requests: row.requests,
-            };
+        for row in &figures.rows {
+            let load = row.load();
             let before = match load == Load::default() {
                 true => peer.loads.remove(&row.target),
                 false => peer.loads.insert(row.target, load),
@@ -248,135 +306,121 @@
             sum.subtract(before.unwrap_or_default());
             sum.add(load);
         }
-        peer.claims.clone_from(&part.claims);
+        peer.claims.clone_from(&figures.claims);
         if peer.has_work() {
             peer.last_work = Some(now);
         }
-        if let Some(busy) = &part.busy {
-            peer.busy.clone_from(busy);
-        }
-        for row in &part.held {
+        for row in &figures.held {
             self.prefixes.record(now, row.target, row.chain);
         }
+        self.relaying.forward(&mut self.unreported, part);
         self.update_oldest_report(now);
     }
 
+    /// Removes a peer that reports elsewhere from now on.
+    fn remove_peer(&mut self, router: RouterId) {
+        if let Some(peer) = self.peers.remove(&router) {
+            for (target, load) in peer.loads {
+                self.peer_sum.entry(target).or_default().subtract(load);
+            }
+        }
+    }
+
     fn update_oldest_report(&mut self, now: Time) {
         let received = self.peers.values().map(|peer| peer.received_at);
         self.oldest_report = received.min().unwrap_or(now);
     }
 
-    /// Returns the number of peers whose last report still counts.
+    /// Returns the number of other routers whose last figures still count.
     pub fn reporting_peers(&self, now: Time) -> usize {
+        if let Some(fleet) = self.fresh_fleet(now) {
+            return fleet.routers.saturating_sub(1) as usize;
+        }
         let fresh = |peer: &&PeerState| now.since(peer.received_at) < self.cfg.stale_after;
-        self.peers.values().filter(fresh).count()
-    }
-
-    /// Returns whether this router has reported work within [`Config::stale_after`].
-    pub fn had_recent_work(&self, now: Time) -> bool {
-        self.is_recent(now, self.last_report.last_work)
-    }
-
-    /// Returns the routers known to have work: those that reported work to this router, and those
-    /// that its peers name as busy.
-    pub fn busy_routers(&self, now: Time) -> BTreeSet<RouterId> {
-        let fresh = |peer: &&PeerState| now.since(peer.received_at) < self.cfg.stale_after;
-        let peers = self.peers.values().filter(fresh);
-        let indirect = peers.flat_map(|peer| peer.busy.iter().copied());
-        self.busy_peers(now).chain(indirect).collect()
-    }
-
-    /// Returns the peers that reported work to this router recently.
-    fn busy_peers(&self, now: Time) -> impl Iterator<Item = RouterId> {
-        let peers = self.peers.iter();
-        peers
-            .filter(move |(_, peer)| self.is_recent(now, peer.last_work))
-            .map(|(&router, _)| router)
+        let routers = self.peers.values().filter(fresh).map(|peer| peer.routers);
+        routers.sum::<u32>() as usize
     }
 
-    fn is_recent(&self, now: Time, at: Option<Time>) -> bool {
-        at.is_some_and(|at| now.since(at) < self.cfg.stale_after)
-    }
-
-    /// Returns this router's complete load at targets, for a peer that receives reports from now
-    /// on.
+    /// Returns the figures of the last report in full, for a peer that receives reports from now on.
     pub fn full_report(&self) -> LoadPart {
+        let last = &self.last_report;
         LoadPart {
-            is_full: true,
-            rows: self.rows(true),
-            claims: self.last_report.claims.clone(),
-            held: Vec::new(),
-            leaving: Vec::new(),
-            busy: Some(self.last_report.busy.clone()),
+            number: last.number,
+            coverage: last.coverage,
+            routers: last.routers,
+            figures: Figures {
+                is_full: true,
+                rows: changed_rows(&BTreeMap::new(), &last.loads),
+                claims: last.claims.clone(),
+                ..Figures::default()
+            },
         }
     }
 
     /// Returns the next report to peers, or `None` if nothing changed and the last report is
-    /// recent. Removes peers that sent no report within [`Config::stale_after`]. `is_named` says
-    /// whether callers are sent to a router; the report does not name such a router as busy,
-    /// because every router with work reports to it anyway.
+    /// recent. Removes peers that sent no report within [`Config::stale_after`].
+    ///
+    /// A report that covers members sums up the figures of this router and of the routers that
+    /// report to it.
     pub fn report(
         &mut self,
         now: Time,
         claims: Vec<ClaimRow>,
-        is_named: impl Fn(RouterId) -> bool,
+        coverage: Coverage,
     ) -> Option<LoadPart> {
         self.expire_unresponsive(now);
-        let busy = self.busy_peers(now).filter(|&router| !is_named(router));
-        let busy: Vec<RouterId> = busy.take(BUSY_MAX).collect();
-        if has_work(&self.own, !claims.is_empty()) {
-            self.last_report.last_work = Some(now);
-        }
-        let is_full = now.since(self.last_report.full_at) >= self.cfg.stale_after / 2;
-        let rows = self.rows(is_full);
-        let is_unchanged = rows.is_empty()
-            && claims == self.last_report.claims
-            && busy == self.last_report.busy
-            && self.unreported.is_empty()
-            && self.unreported_leaving.is_empty();
-        let is_fresh = now.since(self.last_report.at) < self.cfg.stale_after / 4;
+        self.relaying.own_claims.clone_from(&claims);
+        self.relaying.is_relay = coverage == Coverage::Members;
+        let (loads, claims, routers) = match coverage {
+            Coverage::Router => (self.own.clone(), claims, 1),
+            Coverage::Members => self.member_sums(now),
+        };
+        let last = &mut self.last_report;
+        let is_full =
+            now.since(last.full_at) >= self.cfg.stale_after / 2 || coverage != last.coverage;
+        let before = match is_full {
+            true => &BTreeMap::new(),
+            false => &last.loads,
+        };
+        let rows = changed_rows(before, &loads);
+        let is_unchanged = rows.is_empty() && claims == last.claims && self.unreported.is_empty();
+        let is_fresh = now.since(last.at) < self.cfg.stale_after / 4;
         if is_unchanged && is_fresh && !is_full {
             return None;
         }
-        let last = &mut self.last_report;
         last.at = now;
-        last.loads.clone_from(&self.own);
+        last.number += 1;
+        last.coverage = coverage;
+        last.routers = routers;
+        last.loads = loads;
         last.claims.clone_from(&claims);
-        let includes_busy = is_full || busy != last.busy;
-        last.busy.clone_from(&busy);
         if is_full {
             last.full_at = now;
         }
-        let held = self.unreported.len().min(HELD_MAX);
+        let number = last.number;
+        let held_max = match coverage {
+            Coverage::Router => HELD_MAX,
+            Coverage::Members => RELAYED_HELD_MAX,
+        };
+        let (held, leaving) = self.unreported.take(held_max);
+        self.remember_report();
         Some(LoadPart {
-            is_full,
-            rows,
-            claims,
-            held: self.unreported.drain(..held).collect(),
-            leaving: core::mem::take(&mut self.unreported_leaving),
-            busy: includes_busy.then_some(busy),
+            number,
+            coverage,
+            routers,
+            figures: Figures {
+                is_full,
+                rows,
+                claims,
+                held,
+                leaving,
+            },
         })
     }
 
-    /// Returns the rows of all targets, or only those that differ from the last report.
-    fn rows(&self, is_full: bool) -> Vec<LoadRow> {
-        let row = |target, load: Load| LoadRow {
-            target,
-            unread: u32::try_from(load.unread).unwrap_or(u32::MAX),
-            requests: load.requests,
-        };
-        let reported = &self.last_report.loads;
-        let is_new = |target, load| is_full || reported.get(target) != Some(load);
-        let own = self
-            .own
-            .iter()
-            .filter(|(target, load)| is_new(target, load));
-        let own = own.map(|(&target, &load)| row(target, load));
-        let removed = reported
-            .keys()
-            .filter(|target| !is_full && !self.own.contains_key(target));
-        own.chain(removed.map(|&target| row(target, Load::default())))
-            .collect()
+    /// Returns this router's own load at each target.
+    pub(super) const fn own_loads(&self) -> &BTreeMap<TargetId, Load> {
+        &self.own
     }
 
     /// Removes peers that sent no report within [`Config::stale_after`].
@@ -396,3 +440,36 @@
         self.update_oldest_report(now);
     }
 }
+
+impl LoadRow {
+    fn new(target: TargetId, load: Load) -> Self {
+        Self {
+            target,
+            unread: u32::try_from(load.unread).unwrap_or(u32::MAX),
+            requests: load.requests,
+        }
+    }
+
+    pub(super) fn load(&self) -> Load {
+        Load {
+            unread: u64::from(self.unread),
+            requests: self.requests,
+        }
+    }
+}
+
+/// Returns a row for each target whose load differs. Targets without a load have a row of zeros.
+pub(super) fn changed_rows(
+    before: &BTreeMap<TargetId, Load>,
+    after: &BTreeMap<TargetId, Load>,
+) -> Vec<LoadRow> {
+    let mut known = AscendingLookup::new(before);
+    let is_new = |&(target, load): &(&TargetId, &Load)| known.get(*target) != Some(load);
+    let changed = after.iter().filter(is_new);
+    let mut rows: Vec<LoadRow> = changed
+        .map(|(&target, &load)| LoadRow::new(target, load))
+        .collect();
+    let removed = before.keys().filter(|target| !after.contains_key(target));
+    rows.extend(removed.map(|&target| LoadRow::new(target, Load::default())));
+    rows
+}
--- a/crates/core/src/balance/turns.rs
+++ b/crates/core/src/balance/turns.rs
@@ -21,6 +21,7 @@
 use std::collections::BTreeMap;
 
 use crate::balance::Balance;
+use crate::balance::fleet_view::FleetView;
 use crate::balance::message::ClaimRow;
 use crate::balance::score::CandidateLoad;
 use crate::output::Turn;
@@ -185,13 +186,12 @@
     /// [`Config::claim_ttl`]: crate::balance::Config::claim_ttl
     fn claims(&self, now: Time, pool: PoolId) -> impl Iterator<Item = &ClaimRow> {
         let claim_ttl = self.cfg.claim_ttl;
-        let fresh = self
-            .peers
-            .values()
-            .filter(move |peer| now.since(peer.received_at) < claim_ttl);
-        fresh
-            .flat_map(|peer| &peer.claims)
-            .filter(move |row| row.pool == pool)
+        let is_fresh = |fleet: &&FleetView| now.since(fleet.received_at) < claim_ttl;
+        let fleet = self.fleet.as_ref().filter(is_fresh);
+        let direct = fleet.is_none().then(|| self.fresh_claims(now, None));
+        let relayed = fleet.into_iter().flat_map(|fleet| &fleet.claims);
+        let all = relayed.chain(direct.into_iter().flatten());
+        all.filter(move |row| row.pool == pool)
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,8 +65,8 @@
 //!   which router may use which slots of a target.
 //! - [`target`], [`route`], [`version`]: the capacity of each target, the choice of a target, and
 //!   the moves of traffic between versions.
-//! - [`balance`], [`cold_start`]: fair order and choice of targets where routers decide on their own
-//!   and no owner grants slots.
+//! - [`balance`], [`cold_start`], [`relay`]: fair order and choice of targets where routers decide on
+//!   their own and no owner grants slots, and how their figures travel in a large fleet.
 //! - [`attempt`], [`once`], [`quarantine`]: the retries of one request, requests that run at most
 //!   once, and requests that crash targets.
 //!
@@ -101,6 +101,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod record;
+pub mod relay;
 pub mod request;
 pub mod route;
 pub mod share;
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -475,7 +475,7 @@
     }
 
     /// Returns whether all routers are partners of each other.
-    fn is_mesh(&self) -> bool {
+    pub fn is_mesh(&self) -> bool {
         self.listed.len() <= self.cfg.mesh_max + 1
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,7 @@
 //! cost that outweighs that of its content. The codec is `postcard`; see
 //! `docs/design/0003-peer-messages.md`.
 
-use crate::balance::message::LoadPart;
+use crate::balance::message::{FleetPart, LoadPart};
 use crate::catalogue::message::CataloguePart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
@@ -50,6 +50,8 @@
     Quarantine(QuarantinePart),
     /// The requests of the sender at targets.
     Load(LoadPart),
+    /// The requests of the whole fleet at targets.
+    Fleet(FleetPart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -1,8 +1,6 @@
 //! Dispatch where each router chooses targets by itself ([`Policy::Local`]) and no owner grants
 //! slots.
 
-use std::collections::BTreeSet;
-
 use crate::address;
 use crate::balance::message::ClaimRow;
 use crate::balance::{Candidate, CandidateLoad, Choice, RequestProfile, Workload};
@@ -66,9 +64,6 @@
     }
 }
 
-/// The range of the jitter of the report interval, in per cent of the configured interval.
-const REPORT_JITTER_PERCENT: core::ops::RangeInclusive<u32> = 80..=120;
-
 /// The base of the claim that a router reports for its waiting requests in a pool. The limit of the
 /// claim is this base plus [`CLAIM_FACTOR`] times the requests dispatched since the last report, so
 /// a router that keeps up at least doubles its claim with each report until all its waiting
@@ -245,39 +240,11 @@
         }
     }
 
-    /// Reports this router's load at targets and its waiting requests to peers, if a report is due.
-    pub(super) fn report_load_if_due(&mut self) {
-        let now = self.cx.now;
-        if self.slots.cfg.policy != Policy::Local || now < self.next_load_report {
-            return;
-        }
-        // Jitter: routers that report at the same moment would all use the same free capacity.
-        let percent = rand::RngExt::random_range(&mut self.cx.rng, REPORT_JITTER_PERCENT);
-        self.next_load_report = now + self.balance.cfg().report_every * percent / 100;
-        self.cx.wake(self.next_load_report);
-        let claims = self.own_claims();
-        self.dispatched_since_report.clear();
-        let advertised = address::advertised_routers(&self.members, now, &self.cfg.data_centre);
-        let is_advertised = |router| advertised.contains(&router);
-        let Some(part) = self.balance.report(now, claims, is_advertised) else {
-            return;
-        };
-        let readers = self.load_readers(advertised);
-        for &to in readers.intersection(&self.load_readers) {
-            self.cx.send(to, Part::Load(part.clone()), Urgency::Now);
-        }
-        for &to in readers.difference(&self.load_readers) {
-            let complete = self.balance.full_report();
-            self.cx.send(to, Part::Load(complete), Urgency::Now);
-        }
-        self.load_readers = readers;
-    }
-
     /// Returns this router's claims for its waiting requests, starting with the organisations that
     /// received the least service. Nothing is claimed while nothing can be dispatched, since
     /// capacity would idle for it everywhere; nor is more claimed than this router is likely to
     /// dispatch.
-    fn own_claims(&self) -> Vec<ClaimRow> {
+    pub(super) fn own_claims(&self) -> Vec<ClaimRow> {
         if self.targets_are_stale() {
             return Vec::new();
         }
@@ -360,21 +327,6 @@
         active.map_or(0, |active| active.req.prompt_tokens)
     }
 
-    /// Returns the routers to which this router reports its load: all routers that callers are sent
-    /// to, the heartbeat partners, and, if this router has worked recently or is one that callers
-    /// are sent to, every router with work. In a large fleet few routers have work, and those are
-    /// rarely partners.
-    fn load_readers(&self, advertised: BTreeSet<RouterId>) -> BTreeSet<RouterId> {
-        let now = self.cx.now;
-        let mut readers = advertised;
-        if readers.contains(&self.cx.me) || self.balance.had_recent_work(now) {
-            readers.extend(self.balance.busy_routers(now));
-        }
-        readers.extend(self.members.partners());
-        readers.remove(&self.cx.me);
-        readers
-    }
-
     /// Returns how long a request may wait for a target; `None` if it has no objective.
     pub(super) fn max_wait(&self, req: &Request) -> Option<Duration> {
         let objective = req.details.objective?;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod dispatch;
 mod freshness;
+mod load_exchange;
 mod local_dispatch;
 mod log;
 mod once;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -109,12 +109,8 @@
             Part::Target(part) => self.targets.on_part(&mut self.cx, from, &part),
             Part::Version(part) => self.moves.on_part(&mut self.cx, from, &part),
             Part::Quarantine(part) => self.on_quarantine_part(from, part),
-            Part::Load(part) => {
-                for &target in &part.leaving {
-                    self.targets.on_leaving_hint(self.cx.now, target);
-                }
-                self.balance.on_part(self.cx.now, from, &part);
-            }
+            Part::Load(part) => self.on_load_part(from, &part),
+            Part::Fleet(part) => self.on_fleet_part(from, &part),
         }
     }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -24,6 +24,7 @@
 use crate::prelude::*;
 use crate::quarantine::Quarantine;
 use crate::queue::{Queues, Running};
+use crate::relay::Relays;
 use crate::route::{Prefixes, Splits};
 use crate::share::{Ledger, Recent};
 use crate::slots::{Policy, Slots};
@@ -99,6 +100,9 @@
     pub(super) dispatched_since_report: BTreeMap<PoolId, u32>,
     /// The routers that received this router's last load report.
     pub(super) load_readers: BTreeSet<RouterId>,
+    /// The routers that received the last sums of this relay.
+    pub(super) sums_readers: BTreeSet<RouterId>,
+    pub(super) relays: Relays,
     pub(super) flush_all: bool,
     pub(super) started: Time,
     pub(super) was_ready: bool,
@@ -160,6 +164,8 @@
             next_scans: BTreeMap::new(),
             dispatched_since_report: BTreeMap::new(),
             load_readers: BTreeSet::new(),
+            sums_readers: BTreeSet::new(),
+            relays: Relays::default(),
             flush_all: false,
             started: now,
             was_ready: false,
