--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -16,7 +16,7 @@
 use http::Method;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use self::hosted::{Daemon, HOST, WAIT_TIMEOUT, send, wait_until};
@@ -430,3 +430,95 @@
     .await;
     assert!(began.elapsed() >= Duration::from_millis(1_450));
 }
+
+/// When a target sends a second copy of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SecondCopy {
+    /// Right after the first, while the connection idles.
+    AtOnce,
+    /// When the next request has been read on the connection, before its answer.
+    BeforeNextAnswer,
+    /// The same, without naming the request that it answers.
+    BeforeNextAnswerUnnamed,
+}
+
+/// Serves one connection: each answer carries the attempt id of its request in its body, and the
+/// first answer is sent twice. Returns how many requests arrived.
+async fn answer_twice(mut stream: TcpStream, copy: SecondCopy) -> usize {
+    let mut first = None;
+    let mut received = Vec::new();
+    let mut count = 0;
+    loop {
+        let mut bytes = [0; 4_096];
+        match stream.read(&mut bytes).await {
+            Ok(0) | Err(_) => return count,
+            Ok(read) => received.extend_from_slice(&bytes[..read]),
+        }
+        let text = String::from_utf8_lossy(&received).into_owned();
+        if !text.ends_with("\r\n\r\nbody") {
+            continue;
+        }
+        received.clear();
+        count += 1;
+        let id = text.split("attempt-id: ").nth(1).expect("it has an id");
+        let id = id.split("\r\n").next().expect("the line ends");
+        let length = id.len();
+        let name = format!("attempt-id: {id}\r\n");
+        let rest = format!("server-stamp: proof\r\ncontent-length: {length}\r\n\r\n{id}");
+        let own = format!("HTTP/1.1 200 OK\r\n{name}{rest}");
+        let unnamed = format!("HTTP/1.1 200 OK\r\n{rest}");
+        let before = match (&first, copy) {
+            (Some((named, _)), SecondCopy::BeforeNextAnswer) => named,
+            (Some((_, unnamed)), SecondCopy::BeforeNextAnswerUnnamed) => unnamed,
+            _ => "",
+        };
+        let mut out = format!("{before}{own}");
+        if first.is_none() && copy == SecondCopy::AtOnce {
+            out.push_str(&own);
+        }
+        first.get_or_insert((own, unnamed));
+        if stream.write_all(out.as_bytes()).await.is_err() {
+            return count;
+        }
+    }
+}
+
+/// Guards against a caller that gets the answer of another: a target sends a second copy of an
+/// answer, late, on a connection that is in use again.
+#[tokio::test]
+async fn a_second_copy_of_an_answer_reaches_no_other_caller() {
+    for copy in [
+        SecondCopy::AtOnce,
+        SecondCopy::BeforeNextAnswer,
+        SecondCopy::BeforeNextAnswerUnnamed,
+    ] {
+        let (store, _, _, daemon) = start().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("the listener has an address");
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(answer_twice(stream, copy));
+            }
+        });
+        store.put("keyed.servers", "i-1", None);
+        store.put("keyed.servers", "i-2", Some(server(address, "ready", 1)));
+        let mut answered = 0;
+        for number in 0..60 {
+            let id = format!("a-{number}");
+            let path = format!("/{}/{number}", ["once", "again"][number % 2]);
+            let headers = [
+                ("attempt-id", id.as_str()),
+                ("deadline-ms", "3000"),
+                ("authorization", "Bearer k1"),
+            ];
+            let answer = send(daemon.callers, Method::POST, &path, &headers, "body").await;
+            let answer = answer.expect("an answer");
+            let body = String::from_utf8_lossy(answer.body()).into_owned();
+            if answer.status() == 200 && body != "the answer" {
+                assert_eq!(body, id, "{copy:?}");
+                answered += 1;
+            }
+        }
+        assert!(answered > 0, "{copy:?}: the target was never used");
+    }
+}
