--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -215,7 +215,7 @@
     /// Returns the relay's view of the fleet, unless it is stale.
     pub(super) fn fresh_fleet(&self, now: Time) -> Option<&FleetView> {
         let fleet = self.fleet.as_ref()?;
-        (now.since(fleet.received_at) < self.cfg.stale_after / 2).then_some(fleet)
+        (now.since(fleet.received_at) < self.cfg.stale_after).then_some(fleet)
     }
 
     /// Records that a request was sent to a target that has to read `unread` tokens for it.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -27,9 +27,10 @@
 const ROUTERS_PER_RELAY: usize = 32;
 /// The fewest relays of a data centre, so that the loss of one leaves another.
 const RELAYS_MIN: usize = 2;
-/// The time without figures after which a router picks another relay: twice the longest interval at
-/// which relays send them.
-pub const RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The time without figures after which a router picks another relay: four times the longest interval
+/// at which relays send them, and the age at which figures are stale. The queue of a crowded link may
+/// delay figures for a second, and another relay's would come over the same link.
+pub const RELAY_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long a relay that sent nothing in time is not picked again.
 const AVOIDED_FOR: Duration = Duration::from_secs(3);
 /// The interval at which the relays are determined again.
