--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -12,9 +12,10 @@
 //!
 //! Model engines read prompts one after the other and generate tokens for all running requests
 //! together, so the delay of a request is measured in prompt tokens that are still to be read. Each
-//! router counts the unread tokens of its own requests and reports them to its peers with each
-//! heartbeat ([`message::LoadPart`]). The figures of peers are as old as a heartbeat; they expire
-//! when a peer sends no report within [`Config::stale_after`].
+//! router counts the unread tokens of its own requests and reports them every
+//! [`Config::report_every`] ([`message::LoadPart`]): in a small fleet to all others, in a large one to
+//! a relay, which sends back the sums of the fleet ([`message::FleetPart`], [`relay`](crate::relay)).
+//! Figures expire when none arrive within [`Config::stale_after`].
 //!
 //! A target caches the prompt parts that it has read, so a prefix that it has read before costs
 //! nothing again. Each router records which target was sent which prefix, from its own requests and
