Keep the figures of a former relay until the new one's are complete

Cause: found by reading the change. Changes from a new relay, whose full figures were lost, took the figures of the former one away, and the router went by its own requests until the next full figures, half a second at most.

Change: such changes are dropped and nothing else. The test fails on the code before (0 requests known in place of 1).

--- a/crates/core/src/balance/fleet_view.rs
+++ b/crates/core/src/balance/fleet_view.rs
@@ -44,10 +44,11 @@
     /// full figures before them are dropped.
     pub fn on_fleet_part(&mut self, now: Time, from: RouterId, part: &FleetPart) {
         let figures = &part.figures;
-        let known = self.fleet.take().filter(|fleet| fleet.from == from);
+        let known = self.fleet.as_ref().filter(|fleet| fleet.from == from);
         let mut sums = match (known, figures.is_full) {
             (_, true) => BTreeMap::new(),
-            (Some(fleet), false) => fleet.sums,
+            (Some(fleet), false) => fleet.sums.clone(),
+            // The figures of the former relay count until the new one has sent all of its own.
             (None, false) => return,
         };
         for row in &figures.rows {
--- a/crates/core/src/balance/tests/relayed.rs
+++ b/crates/core/src/balance/tests/relayed.rs
@@ -219,3 +219,20 @@
         assert_eq!(choice.map(|it| it.target), Some(TargetId(3)), "router {at}");
     }
 }
+
+/// Guards against a router that forgets the figures of its former relay at changes from a new one,
+/// whose full figures were lost.
+#[test]
+fn changes_of_a_new_relay_leave_the_figures_of_the_former_one() {
+    let mut fleet = Fleet::new();
+    fleet.routers[4].on_dispatch(NOW, TargetId(1), 10, &[]);
+    fleet.report(&NO_CLAIMS, |_, _| false);
+    fleet.report(&NO_CLAIMS, |_, _| false);
+    assert_eq!(fleet.load(1).requests, 1);
+    let changes = FleetPart {
+        routers: 5,
+        ..FleetPart::default()
+    };
+    fleet.routers[1].on_fleet_part(fleet.now, id(3), &changes);
+    assert_eq!(fleet.load(1).requests, 1);
+}
