Let relays read the store for the other routers of a large fleet

A router that the store turned away learnt nothing newer from its peers: entries of the catalogue were asked for by one offset over all topics, without what a target says of itself.

Relays read; every other router asks two of them in turn every 300 ms for what it lacks. An answer is dated by its question. Whoever gets no answer for 0.9 s, or nothing recent, reads itself. A router whose reads fail asks peers in a fleet of any size, and pauses up to 1 s between its reads. The catalogue's catching up is no longer used with a store.

--- a/crates/bulrushtrestled/src/control/follow.rs
+++ b/crates/bulrushtrestled/src/control/follow.rs
@@ -1,28 +1,32 @@
 //! Follows topics of a hosting platform's store, and writes the few records that routers own.
 
 use std::cell::Cell;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bulrushtrestle_core::feed;
 use bulrushtrestle_core::key::Offset;
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_platform::rollout::{self, State, Status};
 use bulrushtrestle_platform::router;
 use bulrushtrestle_platform::store::{Appended, Batch, Record, Topic};
-use rand::Rng;
+use rand::{Rng, RngExt};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
 use crate::control::LATE_MAX;
+use crate::control::gate::Gate;
 use crate::metrics::{Edge, Metrics};
 use crate::platform::{CALL_TIMEOUT, Store, StoreError};
 
-/// The delay before a failed call of the store is retried. While the store is unavailable all routers
-/// of the fleet retry at this interval, a rate far below what the store sustains.
+/// The delay before a failed call of the store is retried. Reads double it with each failure in a
+/// row, up to the longest, because a store that turns routers away is relieved by none of their calls.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
+/// The range of the jitter of that delay, in per cent.
+const RETRY_JITTER_PERCENT: std::ops::RangeInclusive<u32> = 80..=120;
 
 /// The number of attempts to write the status of a rollout.
 const STATUS_TRIES: u32 = 40;
@@ -33,9 +37,19 @@
     /// Long poll: the store holds the answer back until there is a record, for at most `wait`. A read
     /// that returned records is followed by `pause`, so that a burst of records is read together.
     LongPoll { wait: Duration, pause: Duration },
-    /// Polls without waiting, after the first pause while the router has requests, otherwise after the
-    /// second.
-    Every(Duration, Duration),
+    /// Polls without waiting.
+    Every(Pauses),
+}
+
+/// The pauses between two reads that do not wait.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pauses {
+    /// While the router has requests.
+    pub(super) active: Duration,
+    /// While it has none.
+    pub(super) idle: Duration,
+    /// While other routers rely on what it reads.
+    pub(super) source: Duration,
 }
 
 /// The time after its last request for which a router is considered active.
@@ -80,8 +94,9 @@
 /// An event of a topic that is followed.
 #[derive(Debug)]
 pub(super) enum TopicEvent {
-    /// Records, in order. A key that was removed between two reads is reported as a removal.
-    Records(Topic, Vec<Record>),
+    /// Records, in order. If there is an offset, these are the newest records of all keys, and the
+    /// topic did not end below it.
+    Records(Topic, Vec<Record>, Option<Offset>),
     /// All records below the offset were received. The answer is as recent as the time.
     CaughtUp(Topic, Offset, Time),
     /// A read failed and will be retried. True if the failure was detected in time. Otherwise this
@@ -94,7 +109,7 @@
     store: Store,
     topic: Topic,
     schedule: ReadSchedule,
-    (clock, activity): (Clock, Activity),
+    (clock, activity, gate): (Clock, Activity, Gate),
     events: mpsc::UnboundedSender<TopicEvent>,
     metrics: Arc<Metrics>,
 ) {
@@ -104,15 +119,16 @@
         schedule,
         clock,
         activity,
+        gate,
         events,
-        keys: BTreeSet::new(),
         asked: clock.now(),
+        failures: 0,
+        has_read: false,
     };
     while !follower.events.is_closed() {
         if let Err(error) = follower.run().await {
             metrics.edge(Edge::ReadFailed);
-            follower.report_failure(&error);
-            sleep(RETRY_DELAY).await;
+            follower.on_failure(&error).await;
         }
     }
 }
@@ -123,44 +139,39 @@
     schedule: ReadSchedule,
     clock: Clock,
     activity: Activity,
+    gate: Gate,
     events: mpsc::UnboundedSender<TopicEvent>,
-    /// The keys that have a record, as reported by events so far.
-    keys: BTreeSet<String>,
     /// When the last call of the store began.
     asked: Time,
+    /// The reads in a row that failed.
+    failures: u32,
+    /// Whether the newest records were read once.
+    has_read: bool,
 }
 
 impl Follower {
     /// Reads the newest records, then follows the topic until too many reads in a row have failed.
     /// Reads the newest records again if records expired unread.
     async fn run(&mut self) -> Result<(), StoreError> {
+        self.wait_until_due().await;
         let mut next = self.read_newest().await?;
-        let mut failures = 0;
         loop {
-            let wait = match self.schedule {
-                ReadSchedule::LongPoll { wait, .. } => wait,
-                // The records of the failed read are already late.
-                ReadSchedule::Every(..) if failures > 0 => Duration::ZERO,
-                ReadSchedule::Every(active, idle) => {
-                    self.activity.pause(self.clock.now(), active, idle).await;
-                    Duration::ZERO
-                }
-            };
+            let wait = self.wait_until_due().await;
+            // Peers may have delivered records meanwhile.
+            next = next.max(self.known());
             let asked = self.clock.now();
             self.asked = asked;
             let batch = match self.store.read(self.topic, next, wait).await {
                 Ok(batch) => batch,
                 // The records read so far stay valid, so only repeated failures require reading all
                 // newest records again.
-                Err(error) if failures < READ_FAILURES_MAX => {
-                    failures += 1;
-                    self.report_failure(&error);
-                    sleep(RETRY_DELAY).await;
+                Err(error) if self.failures < READ_FAILURES_MAX => {
+                    self.on_failure(&error).await;
                     continue;
                 }
                 Err(error) => return Err(error),
             };
-            failures = 0;
+            self.failures = 0;
             match batch {
                 Batch::Expired => {
                     log::warn!(target: "store", "records expired unread topic={}", self.topic.as_str());
@@ -177,7 +188,9 @@
                         false => asked,
                     };
                     let had_records = !records.is_empty();
-                    self.forward(records);
+                    if had_records {
+                        self.send(TopicEvent::Records(self.topic, records, None));
+                    }
                     next = to;
                     if next >= end {
                         self.send(TopicEvent::CaughtUp(self.topic, next, as_of));
@@ -192,36 +205,58 @@
         }
     }
 
+    /// Waits until a read is due. Returns for how long the store may hold its answer back.
+    async fn wait_until_due(&self) -> Duration {
+        let Some(topic) = feed_topic(self.topic) else {
+            return Duration::ZERO;
+        };
+        if let ReadSchedule::Every(pauses) = self.schedule
+            && !self.gate.is_fed(self.clock.now(), topic)
+            // The records of a failed read are already late.
+            && self.failures == 0
+            && self.has_read
+        {
+            let now = self.clock.now();
+            match self.gate.is_source() {
+                true => sleep(pauses.source).await,
+                false => self.activity.pause(now, pauses.active, pauses.idle).await,
+            }
+        }
+        let was_fed = self.gate.wait(&self.clock, topic).await;
+        match self.schedule {
+            // What peers delivered last is old, so the read must return at once.
+            ReadSchedule::LongPoll { wait, .. } if !was_fed => match self.gate.is_source() {
+                true => wait.min(SOURCE_WAIT_MAX),
+                false => wait,
+            },
+            ReadSchedule::LongPoll { .. } | ReadSchedule::Every(_) => Duration::ZERO,
+        }
+    }
+
+    /// Returns the offset below which all records of the topic are known.
+    fn known(&self) -> Offset {
+        feed_topic(self.topic).map_or(Offset(0), |topic| self.gate.known(topic))
+    }
+
     /// Reads the newest record of every key, and returns the offset from which to follow the topic.
-    /// Reports keys that have disappeared as removed.
     async fn read_newest(&mut self) -> Result<Offset, StoreError> {
         let asked = self.clock.now();
         self.asked = asked;
-        let (mut records, end) = self.store.newest(self.topic).await?;
-        let present: BTreeSet<String> = records.iter().map(|record| record.key.clone()).collect();
-        let removed = self.keys.difference(&present).map(|key| Record {
-            offset: Offset(end.0.saturating_sub(1)),
-            key: key.clone(),
-            value: None,
-        });
-        records.extend(removed);
-        self.forward(records);
+        let (records, end) = self.store.newest(self.topic).await?;
+        self.failures = 0;
+        self.has_read = true;
+        self.send(TopicEvent::Records(self.topic, records, Some(end)));
         self.send(TopicEvent::CaughtUp(self.topic, end, asked));
         Ok(end)
     }
 
-    /// Sends records to the control thread and updates the known keys.
-    fn forward(&mut self, records: Vec<Record>) {
-        if records.is_empty() {
-            return;
-        }
-        for record in &records {
-            match record.value {
-                Some(_) => self.keys.insert(record.key.clone()),
-                None => self.keys.remove(&record.key),
-            };
-        }
-        self.send(TopicEvent::Records(self.topic, records));
+    /// Reports a failed read, and waits before the next.
+    async fn on_failure(&mut self, error: &StoreError) {
+        self.report_failure(error);
+        let doubled = RETRY_DELAY * 2_u32.saturating_pow(self.failures.min(READ_FAILURES_MAX));
+        self.failures += 1;
+        let percent = rand::rng().random_range(RETRY_JITTER_PERCENT);
+        sleep(doubled.min(RETRY_DELAY_MAX) * percent / 100).await;
     }
 
     fn report_failure(&self, error: &StoreError) {
@@ -229,7 +264,7 @@
         let took = self.clock.now().since(self.asked);
         let wait = match self.schedule {
             ReadSchedule::LongPoll { wait, .. } => wait,
-            ReadSchedule::Every(..) => Duration::ZERO,
+            ReadSchedule::Every(_) => Duration::ZERO,
         };
         let is_in_time = took <= CALL_TIMEOUT + wait + LATE_MAX;
         let (name, took) = (topic.as_str(), took.as_millis());
@@ -243,6 +278,20 @@
     }
 }
 
+/// The longest time for which the store may hold back a read of a router on which others rely. They
+/// know nothing newer than what it last read, and stop to serve if that is too old.
+const SOURCE_WAIT_MAX: Duration = Duration::from_secs(1);
+
+/// Returns the topic as peers pass it on, if they do.
+pub(super) const fn feed_topic(topic: Topic) -> Option<feed::Topic> {
+    match topic {
+        Topic::Operators => Some(feed::Topic::Operators),
+        Topic::Targets => Some(feed::Topic::Targets),
+        Topic::Routers => Some(feed::Topic::Routers),
+        Topic::Status => None,
+    }
+}
+
 /// The consecutive reads that may fail before the newest record of every key is read again.
 const READ_FAILURES_MAX: u32 = 8;
 
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -1,6 +1,6 @@
 //! The control thread's part for a hosting platform: following the store, and admitting requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,10 +8,11 @@
 use bulrushtrestle_core::catalogue::Scope;
 use bulrushtrestle_core::catalogue::entry::{DataCentreState, Entry, Kind, Route, RouteRepeat};
 use bulrushtrestle_core::counter::Counter;
+use bulrushtrestle_core::feed::{self, Feed};
 use bulrushtrestle_core::input::{
-    Input, RequestedPause, StoreChange, StoreEvent, TargetNotice, Vm, VmRole,
+    FeedEvent, Input, RequestedPause, StoreChange, StoreEvent, TargetNotice, Vm, VmRole,
 };
-use bulrushtrestle_core::key::{Offset, OrganisationId, PoolId};
+use bulrushtrestle_core::key::{Offset, OrganisationId, PoolId, RouterId};
 use bulrushtrestle_core::output::{MovePhase, MoveProgress};
 use bulrushtrestle_core::request::{Repeat, Request, RequestDetails};
 use bulrushtrestle_core::target::{RecordOrder, Standing};
@@ -23,7 +24,8 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
-use crate::control::follow::{self, Activity, ReadSchedule, TopicEvent};
+use crate::control::follow::{self, Activity, Pauses, ReadSchedule, TopicEvent, feed_topic};
+use crate::control::gate::Gate;
 use crate::control::message::{Decision, ForwardingPlan, HostedCall};
 use crate::control::peers::PeerListener;
 use crate::control::run::Control;
@@ -51,6 +53,19 @@
 /// of the same time. It is longer, so that many idle routers cause little load on the store.
 const TARGETS_IDLE_INTERVAL_PERCENT: u32 = 70;
 
+/// The pause between two reads of the targets' records by a router on which others rely, in percent of
+/// the same time: what they know is older by the time until they ask.
+const TARGETS_SOURCE_INTERVAL_PERCENT: u32 = 20;
+
+/// Records of the store, or the news that none is missing, that are to be applied.
+#[derive(Debug)]
+pub(super) enum Delivery {
+    /// New records, and the peer that passed them on unless this router read them.
+    Records(feed::Topic, Vec<feed::Record>, Option<RouterId>),
+    /// No record below the offset is missing, nor was any other at this time.
+    Complete(feed::Topic, Offset, Time),
+}
+
 /// The control thread's state for a hosting platform.
 #[derive(Debug)]
 pub(crate) struct Hosting {
@@ -69,6 +84,8 @@
     /// Whether the data centres of the settings have been added to the catalogue.
     has_data_centres: bool,
     activity: Activity,
+    gate: Gate,
+    deliveries: VecDeque<Delivery>,
 }
 
 /// Waits for the next event of a topic of the store. Never returns without a hosting platform.
@@ -95,9 +112,13 @@
     ) -> Self {
         let store = Store::new(cfg.store);
         let (sender, events) = mpsc::unbounded_channel();
-        let targets_interval = cfg.leave_within * TARGETS_INTERVAL_PERCENT / 100;
-        let targets_idle_interval = cfg.leave_within * TARGETS_IDLE_INTERVAL_PERCENT / 100;
+        let targets = Pauses {
+            active: cfg.leave_within * TARGETS_INTERVAL_PERCENT / 100,
+            idle: cfg.leave_within * TARGETS_IDLE_INTERVAL_PERCENT / 100,
+            source: cfg.leave_within * TARGETS_SOURCE_INTERVAL_PERCENT / 100,
+        };
         let activity = Activity::default();
+        let gate = Gate::default();
         let topics = [
             (
                 Topic::Operators,
@@ -106,10 +127,7 @@
                     pause: Duration::ZERO,
                 },
             ),
-            (
-                Topic::Targets,
-                ReadSchedule::Every(targets_interval, targets_idle_interval),
-            ),
+            (Topic::Targets, ReadSchedule::Every(targets)),
             (
                 Topic::Routers,
                 ReadSchedule::LongPoll {
@@ -123,7 +141,7 @@
                 store.clone(),
                 topic,
                 schedule,
-                (clock, activity.clone()),
+                (clock, activity.clone(), gate.clone()),
                 sender.clone(),
                 Arc::clone(&metrics),
             );
@@ -146,9 +164,26 @@
             clock,
             has_data_centres: false,
             activity,
+            gate,
+            deliveries: VecDeque::new(),
         }
     }
 
+    /// Queues records for [`Control::apply`].
+    pub(super) fn deliver(&mut self, delivery: Delivery) {
+        self.deliveries.push_back(delivery);
+    }
+
+    /// Returns what is to be applied next.
+    pub(super) fn next_delivery(&mut self) -> Option<Delivery> {
+        self.deliveries.pop_front()
+    }
+
+    /// Tells the followers of topics when they have to read.
+    pub(super) fn update_gate(&self, feed: &Feed) {
+        self.gate.update(self.clock.now(), feed);
+    }
+
     /// Records that this router received a request.
     pub(super) fn record_request(&self) {
         self.activity.record(self.clock.now());
@@ -281,6 +316,14 @@
         key
     }
 
+    /// Counts and logs records that a peer passed on.
+    fn log_received(&self, topic: feed::Topic, records: &[feed::Record], from: RouterId) {
+        self.metrics.edge(Edge::RecordsFromPeer);
+        let last = records.iter().map(|it| it.offset).max().unwrap_or_default();
+        let (topic, count) = (topic.as_str(), records.len());
+        log::info!(target: "store", "records from={from} topic={topic} count={count} last={last}");
+    }
+
     /// Counts and logs a record that cannot be decoded.
     fn skip_record(&self, topic: Topic, record: &Record, error: &dyn std::error::Error) {
         self.metrics.edge(Edge::RecordUnusable);
@@ -292,44 +335,92 @@
 impl Control {
     /// Handles an event of a topic of the store.
     pub(super) fn on_store_event(&mut self, event: TopicEvent) {
+        match event {
+            TopicEvent::Records(topic, records, all_below) => match feed_topic(topic) {
+                Some(feed_topic) => self.handle(Input::Feed(FeedEvent::Records {
+                    topic: feed_topic,
+                    records: records.iter().map(|it| to_feed(topic, it)).collect(),
+                    all_below,
+                })),
+                None => self.on_status(&records),
+            },
+            TopicEvent::CaughtUp(topic, known, asked) => {
+                if let Some(topic) = feed_topic(topic) {
+                    self.handle(Input::Feed(FeedEvent::Complete {
+                        topic,
+                        known,
+                        asked,
+                    }));
+                }
+            }
+            TopicEvent::Failed(topic, in_time) => {
+                if let Some(topic) = feed_topic(topic) {
+                    self.handle(Input::Feed(FeedEvent::Failed(topic)));
+                }
+                match (topic, in_time) {
+                    (Topic::Operators, _) => self.handle(Input::Store(StoreEvent::Failed)),
+                    (Topic::Targets, true) => self.handle(Input::Store(StoreEvent::TargetsFailed)),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Queues records of the store. They are applied once the node has handled its present input.
+    pub(super) fn deliver(&mut self, delivery: Delivery) {
+        if let Some(hosting) = &mut self.hosting {
+            hosting.deliver(delivery);
+        }
+    }
+
+    /// Applies records of the store, whoever read them.
+    pub(super) fn apply(&mut self, delivery: Delivery) {
         let Some(hosting) = &mut self.hosting else {
             return;
         };
-        match event {
-            TopicEvent::Records(Topic::Operators, records) => {
-                let changes = hosting.decode_operators(&records);
+        match delivery {
+            Delivery::Records(topic, records, from) => {
+                if let Some(from) = from {
+                    hosting.log_received(topic, &records, from);
+                }
+                let records: Vec<Record> = records.into_iter().map(from_feed).collect();
+                self.apply_records(topic, &records);
+            }
+            Delivery::Complete(feed::Topic::Operators, known, asked) => {
+                self.handle(Input::Store(StoreEvent::Current { known, asked }));
+            }
+            Delivery::Complete(feed::Topic::Targets, _, asked) => {
+                self.handle(Input::Store(StoreEvent::TargetsRead { asked }));
+            }
+            Delivery::Complete(feed::Topic::Routers, end, _) => {
+                self.offer_fleet_key_if_missing(end);
+            }
+        }
+    }
+
+    fn apply_records(&mut self, topic: feed::Topic, records: &[Record]) {
+        let Some(hosting) = &mut self.hosting else {
+            return;
+        };
+        match topic {
+            feed::Topic::Operators => {
+                let changes = hosting.decode_operators(records);
                 self.handle(Input::Store(StoreEvent::Changed(changes)));
             }
-            TopicEvent::Records(Topic::Targets, records) => {
-                for input in hosting.decode_targets(&records) {
+            feed::Topic::Targets => {
+                for input in hosting.decode_targets(records) {
                     self.handle(input);
                 }
-                self.withdraw(&records);
+                self.withdraw(records);
             }
-            TopicEvent::Records(Topic::Routers, records) => {
-                let key = hosting.decode_routers(&records);
+            feed::Topic::Routers => {
+                let key = hosting.decode_routers(records);
                 let vms = hosting.vms.values().cloned().collect();
                 self.handle(Input::Vms(vms));
                 if let Some(text) = key {
                     self.on_fleet_key(&text);
                 }
             }
-            TopicEvent::Records(Topic::Status, records) => self.on_status(&records),
-            TopicEvent::CaughtUp(Topic::Operators, known, asked) => {
-                self.handle(Input::Store(StoreEvent::Current { known, asked }));
-            }
-            TopicEvent::CaughtUp(Topic::Routers, end, _) => self.offer_fleet_key_if_missing(end),
-            TopicEvent::CaughtUp(Topic::Targets, _, asked) => {
-                self.handle(Input::Store(StoreEvent::TargetsRead { asked }));
-            }
-            TopicEvent::CaughtUp(Topic::Status, ..) => {}
-            TopicEvent::Failed(Topic::Operators, _) => {
-                self.handle(Input::Store(StoreEvent::Failed));
-            }
-            TopicEvent::Failed(Topic::Targets, true) => {
-                self.handle(Input::Store(StoreEvent::TargetsFailed));
-            }
-            TopicEvent::Failed(..) => {}
         }
     }
 
@@ -506,6 +597,28 @@
     }
 }
 
+/// Returns a record as routers pass it on.
+fn to_feed(topic: Topic, record: &Record) -> feed::Record {
+    feed::Record {
+        key: record.key.clone(),
+        offset: record.offset,
+        value: record.value.as_ref().map(|value| value.to_vec()),
+        digest: match topic {
+            Topic::Targets => target::digest(record),
+            // Whatever else is written again is passed on again.
+            Topic::Operators | Topic::Routers | Topic::Status => record.offset.0,
+        },
+    }
+}
+
+fn from_feed(record: feed::Record) -> Record {
+    Record {
+        offset: record.offset,
+        key: record.key,
+        value: record.value.map(Into::into),
+    }
+}
+
 fn request(
     call: &HostedCall,
     route: &Route,
--- a/crates/bulrushtrestled/src/control/mod.rs
+++ b/crates/bulrushtrestled/src/control/mod.rs
@@ -9,6 +9,7 @@
 
 mod backlog;
 mod follow;
+mod gate;
 mod handle;
 mod hosting;
 mod log;
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -8,6 +8,7 @@
 use bulrushtrestle_core::output::{Dispatch, Order, Output};
 use bulrushtrestle_core::verdict::Refusal;
 
+use crate::control::hosting::Delivery;
 use crate::control::message::Decision;
 use crate::control::run::{Attempt, Control};
 use crate::platform::{HttpTarget, Target};
@@ -36,6 +37,17 @@
                 }
             }
             Output::MoveProgress(progress) => self.record_move_progress(progress),
+            Output::Records {
+                topic,
+                records,
+                from,
+            } => self.deliver(Delivery::Records(topic, records, from)),
+            Output::Complete {
+                topic,
+                known,
+                as_of,
+                from: _,
+            } => self.deliver(Delivery::Complete(topic, known, as_of)),
             Output::Order {
                 target,
                 order,
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -399,8 +399,17 @@
     /// Passes an input to the node and executes the outputs, including all inputs that result.
     pub(super) fn handle(&mut self, input: Input) {
         self.handle_one(input);
-        while let Some(next) = self.follow_ups.pop_front() {
-            self.handle_one(next);
+        loop {
+            while let Some(next) = self.follow_ups.pop_front() {
+                self.handle_one(next);
+            }
+            let Some(delivery) = self.hosting.as_mut().and_then(Hosting::next_delivery) else {
+                break;
+            };
+            self.apply(delivery);
+        }
+        if let Some(hosting) = &self.hosting {
+            hosting.update_gate(self.node.feed());
         }
     }
 
--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -64,6 +64,8 @@
     TokenRepeated = "token_repeated";
     /// A target's report could not be read.
     ReportFailed = "report_failed";
+    /// A peer passed on records of the store that this router did not have.
+    RecordsFromPeer = "records_from_peer";
     /// A connection to a peer was made, and both sides proved that they hold the fleet's key.
     PeerConnected = "peer_connected";
     /// A connection to a peer could not be made.
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -51,6 +51,11 @@
 /// target.
 const TARGETS_STALE_PERCENT: u32 = 66;
 
+/// The age of the target list as known from peers at which a router reads the targets' records itself,
+/// as a percentage of the time within which a leaving target must stop receiving requests. The read
+/// ends before dispatch would stop.
+const FED_TARGETS_PERCENT: u32 = 45;
+
 /// The reasons for which the process cannot start or must end.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -247,6 +252,7 @@
 fn configure_hosting(config: &mut Config, hosting: &settings::Hosting) {
     config.log.source = CatalogueSource::Store;
     config.log.targets_stale_after = hosting.leave_within * TARGETS_STALE_PERCENT / 100;
+    config.feed.targets = hosting.leave_within * FED_TARGETS_PERCENT / 100;
     config.slots.policy = slots::Policy::Local;
     config.membership.mesh_max = HOSTED_MESH_MAX;
     config.membership.capacity = hosting.capacity;
--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -11,6 +11,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use http::Method;
@@ -524,3 +525,50 @@
         assert_eq!(answered, 30, "{copy:?}: after {number} requests");
     }
 }
+
+/// The time within which a router has to apply a new configuration.
+const APPLIED_WITHIN: Duration = Duration::from_secs(2);
+/// The time after which a router that hears nothing of the operators' records stops to serve.
+const STALE_AFTER: Duration = Duration::from_secs(3);
+
+#[tokio::test]
+async fn a_router_that_the_store_turns_away_learns_from_its_peer() {
+    let (store, target, address, _served) = start().await;
+    let (is_closed, second) = store.open_second().await;
+    let daemon = Daemon::start(second);
+    wait_until("ready", async || daemon.is_ready().await).await;
+    wait_until("peers are connected", async || {
+        let metrics = send(daemon.operators, Method::GET, "/metrics", &[], "").await;
+        let metrics = metrics.expect("an answer");
+        String::from_utf8_lossy(metrics.body()).contains("peers 1")
+    })
+    .await;
+
+    is_closed.store(true, Ordering::Relaxed);
+    sleep(STALE_AFTER + Duration::from_secs(1)).await;
+    assert!(daemon.is_ready().await, "it goes on serving");
+    assert_eq!(daemon.call(Method::POST, "/again/x").await.status(), 200);
+
+    let written = Instant::now();
+    store.put("keyed.op", "config", Some(configuration(2, 2_000, &["k2"])));
+    wait_until("the key is withdrawn", async || {
+        daemon.call(Method::POST, "/again/x").await.status() == 401
+    })
+    .await;
+    assert!(
+        written.elapsed() <= APPLIED_WITHIN,
+        "{:?}",
+        written.elapsed()
+    );
+
+    store.put("keyed.op", "config", Some(configuration(3, 2_000, &["k1"])));
+    store.put("keyed.servers", "i-1", Some(server(address, "draining", 2)));
+    sleep(APPLIED_WITHIN).await;
+    let before = target.arrived();
+    assert_eq!(daemon.call(Method::POST, "/once/x").await.status(), 503);
+    assert_eq!(
+        target.arrived(),
+        before,
+        "nothing reaches a target that leaves"
+    );
+}
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -12,6 +12,7 @@
 use axum::Router;
 use axum::body::{Body, Bytes};
 use axum::extract::{Query, Request, State};
+use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use futures::{StreamExt, stream};
@@ -36,12 +37,30 @@
     /// Starts a store and returns it with its address.
     pub(crate) async fn start() -> (Arc<Self>, SocketAddr) {
         let store = Arc::new(Self::default());
-        let router = Router::new()
+        let address = serve(Self::routes(Arc::clone(&store))).await;
+        (store, address)
+    }
+
+    /// Opens a second address of the store, which answers no calls while the returned switch is set.
+    pub(crate) async fn open_second(self: &Arc<Self>) -> (Arc<AtomicBool>, SocketAddr) {
+        let closed = Arc::new(AtomicBool::new(false));
+        let turn_away = |State(closed): State<Arc<AtomicBool>>, req: Request, next: Next| async move {
+            match closed.load(Ordering::Relaxed) {
+                true => StatusCode::TOO_MANY_REQUESTS.into_response(),
+                false => next.run(req).await,
+            }
+        };
+        let turn_away = middleware::from_fn_with_state(Arc::clone(&closed), turn_away);
+        let router = Self::routes(Arc::clone(self)).layer(turn_away);
+        (closed, serve(router).await)
+    }
+
+    fn routes(store: Arc<Self>) -> Router {
+        Router::new()
             .route("/bulrushtrestle/log-newest", get(newest))
             .route("/bulrushtrestle/log-read", get(read))
             .route("/bulrushtrestle/log-append", post(append))
-            .with_state(Arc::clone(&store));
-        (store, serve(router).await)
+            .with_state(store)
     }
 
     /// Appends a record, as an operator or a target does; `None` removes the key.
--- a/crates/core/src/cold_start/state.rs
+++ b/crates/core/src/cold_start/state.rs
@@ -101,6 +101,13 @@
         self.cold.get(&target).is_some_and(|cold| cold.until > now)
     }
 
+    /// Returns the targets that may have restarted without reporting so.
+    pub fn unconfirmed(&self, now: Time) -> impl Iterator<Item = TargetId> {
+        let cold = self.cold.iter();
+        let cold = cold.filter(move |(_, cold)| cold.until > now);
+        cold.filter_map(|(&target, cold)| cold.unconfirmed_since.map(|_| target))
+    }
+
     /// Drops the entries of targets that are warm, and the last states of targets that are unknown.
     pub fn retain_known(&mut self, now: Time, is_known: impl Fn(TargetId) -> bool) {
         self.cold.retain(|_, cold| cold.until > now);
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -4,6 +4,7 @@
 
 use crate::catalogue::Scope;
 use crate::catalogue::entry::Entry;
+use crate::feed::{Record, Topic};
 use crate::key::{AppendId, AttemptId, Fingerprint, Offset, RequestId, RouterId, TargetId};
 use crate::output::MoveProgress;
 use crate::request::Request;
@@ -32,6 +33,9 @@
     /// The store delivered an update. Applies to deployments that keep the catalogue in a store
     /// instead of the log.
     Store(StoreEvent),
+    /// A topic of the store was read. Its records come back as
+    /// [`Output::Records`](crate::output::Output::Records) if they are new.
+    Feed(FeedEvent),
     /// A target reported its load together with an answer.
     Load(TargetId, TargetLoad),
     /// A target stated with an answer that it is leaving, or that it wants no requests for a while.
@@ -127,6 +131,31 @@
     AppendUnknown(AppendId),
 }
 
+/// The outcome of a read of a topic whose records routers pass on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedEvent {
+    /// Records were read.
+    Records {
+        /// The topic.
+        topic: Topic,
+        /// The records, in order.
+        records: Vec<Record>,
+        /// If these are the newest records of all keys: an offset below which the topic did not end.
+        all_below: Option<Offset>,
+    },
+    /// A topic was read up to its end.
+    Complete {
+        /// The topic.
+        topic: Topic,
+        /// The offset below which all records were passed to the node.
+        known: Offset,
+        /// The time at which the read was sent.
+        asked: Time,
+    },
+    /// A read failed.
+    Failed(Topic),
+}
+
 /// An update from a store that keeps only the newest content of each of its records.
 #[derive(Debug, Clone)]
 pub enum StoreEvent {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use crate::balance::message::{FleetPart, LoadPart};
 use crate::catalogue::message::CataloguePart;
+use crate::feed::message::FeedPart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
 use crate::quarantine::message::QuarantinePart;
@@ -52,6 +53,8 @@
     Load(LoadPart),
     /// The requests of the whole fleet at targets.
     Fleet(FleetPart),
+    /// Records of the store, and questions for them.
+    Feed(FeedPart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -3,7 +3,8 @@
 use crate::prelude::*;
 use crate::version;
 use crate::{
-    address, attempt, balance, lease, membership, once, quarantine, queue, share, slots, target,
+    address, attempt, balance, feed, lease, membership, once, quarantine, queue, share, slots,
+    target,
 };
 
 /// The settings of a node. Every component has its own settings, with all defaults stated.
@@ -46,6 +47,8 @@
     pub version: version::Config,
     /// Settings of the choice of targets, where routers choose for themselves.
     pub balance: balance::Config,
+    /// Settings of passing on the store's records.
+    pub feed: feed::Config,
 }
 
 /// Where the catalogue is kept.
@@ -110,6 +113,7 @@
             slots: slots::Config::default(),
             version: version::Config::default(),
             balance: balance::Config::default(),
+            feed: feed::Config::default(),
         }
     }
 }
--- a/crates/core/src/node/freshness.rs
+++ b/crates/core/src/node/freshness.rs
@@ -6,8 +6,9 @@
 //! A router gives out new work only if it knows every edit that was on the log
 //! [`LogConfig::stale_after`] ago, or if most of the routers that it is in contact with report the
 //! log as down too, in which case nobody can have published since. The evidence is the router's own
-//! reads, or a heartbeat of a peer that is current and knows no more than this router does. A
-//! heartbeat is dated by the frame that it echoes, so a delayed heartbeat proves nothing.
+//! reads, an answer of a peer over the [feed](crate::feed), or a heartbeat of a peer that is current
+//! and knows no more than this router does. An answer is dated by its question and a heartbeat by the
+//! frame that it echoes, so delayed ones prove nothing.
 //!
 //! The rule costs service in the smaller part of a partition during an outage of the log.
 //! Continuing to serve there would break the promise about data centres that were taken out of
@@ -116,8 +117,12 @@
         }
     }
 
-    /// Requests entries from a peer if the peer is ahead and the log does not deliver them.
+    /// Requests entries from a peer if the peer is ahead and the log does not deliver them. The
+    /// records of a store come over the [feed](crate::feed).
     pub(super) fn catch_up_if_behind(&mut self) {
+        if self.cfg.log.source == CatalogueSource::Store {
+            return;
+        }
         let now = self.cx.now;
         let known = self.reader.known;
         let best = self
--- a/crates/core/src/node/load_exchange.rs
+++ b/crates/core/src/node/load_exchange.rs
@@ -28,6 +28,7 @@
         let has_members = self.balance.members(now).next().is_some();
         let (me, own) = (self.cx.me, &self.cfg.data_centre);
         let role = self.relays.role(now, &self.members, (me, own), has_members);
+        self.choose_sources(&role);
         let (coverage, readers) = match &role {
             Role::Direct => (Coverage::Router, self.members.partners().collect()),
             Role::Member(relay) => (Coverage::Router, relay.iter().copied().collect()),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod config;
 mod dispatch;
+mod feed;
 mod freshness;
 mod load_exchange;
 mod local_dispatch;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -111,6 +111,7 @@
             Part::Quarantine(part) => self.on_quarantine_part(from, part),
             Part::Load(part) => self.on_load_part(from, &part),
             Part::Fleet(part) => self.on_fleet_part(from, &part),
+            Part::Feed(part) => self.on_feed_part(from, part),
         }
     }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -9,6 +9,7 @@
 use crate::balance::Balance;
 use crate::catalogue::Catalogue;
 use crate::cold_start::ColdTargets;
+use crate::feed::Feed;
 use crate::input::{AttemptEvent, Input, StoreChange};
 use crate::lease::Leases;
 use crate::membership::Members;
@@ -103,6 +104,7 @@
     /// The routers that received the last sums of this relay.
     pub(super) sums_readers: BTreeSet<RouterId>,
     pub(super) relays: Relays,
+    pub(super) feed: Feed,
     pub(super) flush_all: bool,
     pub(super) started: Time,
     pub(super) was_ready: bool,
@@ -166,6 +168,7 @@
             load_readers: BTreeSet::new(),
             sums_readers: BTreeSet::new(),
             relays: Relays::default(),
+            feed: Feed::new(cfg.feed.clone()),
             flush_all: false,
             started: now,
             was_ready: false,
@@ -201,6 +204,7 @@
                 self.on_report_after_break(target, report);
             }
             Input::Store(event) => self.on_store(event),
+            Input::Feed(event) => self.on_feed(event),
             Input::Load(target, load) => self.targets.on_load(target, load),
             Input::Notice(target, notice) => self.on_target_notice(target, notice),
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
@@ -213,6 +217,7 @@
             self.dispatch_waiting();
         }
         self.report_load_if_due();
+        self.ask_for_records_if_due();
         self.flush();
         out.append(&mut self.cx.out);
     }
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use crate::counter::Counter;
+use crate::feed::{Record, Topic};
 use crate::key::{AppendId, AttemptId, Fence, Offset, RequestId, RouterId, TargetId};
 use crate::time::Time;
 use crate::verdict::Refusal;
@@ -54,6 +55,26 @@
     /// Record the progress of a version move for operators. Applies only if the catalogue is kept
     /// in a store.
     MoveProgress(MoveProgress),
+    /// Apply records of the store that are newer than all earlier ones of their keys.
+    Records {
+        /// The topic of the records.
+        topic: Topic,
+        /// The records.
+        records: Vec<Record>,
+        /// The peer that passed them on. `None` if this router read them.
+        from: Option<RouterId>,
+    },
+    /// All records of a topic have been passed on.
+    Complete {
+        /// The topic.
+        topic: Topic,
+        /// The offset below which no record is missing.
+        known: Offset,
+        /// The time as of which no record was missing.
+        as_of: Time,
+        /// The peer from which this is known. `None` if this router read the topic.
+        from: Option<RouterId>,
+    },
     /// All work is finished after [`Input::Stop`](crate::input::Input::Stop); the process may exit.
     Stopped,
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -106,6 +106,17 @@
         Role::Member(self.mine.map(|mine| mine.relay))
     }
 
+    /// Returns the routers that one which reports to a relay asks for other things: its relay, and
+    /// another one so that the loss of either changes nothing.
+    pub fn sources(&self, me: RouterId, own: &str) -> Vec<RouterId> {
+        let Some(mine) = self.mine else {
+            return Vec::new();
+        };
+        let is_other = |relay: &RouterId| *relay != mine.relay;
+        let other = self.ranked(me, own).into_iter().find(is_other);
+        core::iter::once(mine.relay).chain(other).collect()
+    }
+
     /// Records that a relay sent figures. Returns whether it is the one to which this router reports.
     pub fn on_figures(&mut self, now: Time, from: RouterId) -> bool {
         match &mut self.mine {
@@ -131,13 +142,21 @@
     /// Returns the relay to report to: one of the own data centre if any is left, and one that is
     /// not avoided if possible.
     fn pick(&self, me: RouterId, own: &str) -> Option<RouterId> {
+        let ranked = self.ranked(me, own);
+        let is_sound = |relay: &&RouterId| !self.avoided.contains_key(relay);
+        let sound = ranked.iter().find(is_sound);
+        sound.or(ranked.first()).copied()
+    }
+
+    /// Returns all relays in this router's own order, those of its data centre first. These come
+    /// twice.
+    fn ranked(&self, me: RouterId, own: &str) -> Vec<RouterId> {
         let near = self.plan.get(own).into_iter().flatten().copied();
         let all = self.plan.values().flatten().copied();
         let ranked = |relays: Vec<RouterId>| ranking(PICK_KEY | u64::from(me.0), relays);
-        let (near, all) = (ranked(near.collect()), ranked(all.collect()));
-        let is_sound = |relay: &&RouterId| !self.avoided.contains_key(relay);
-        let sound = near.iter().chain(&all).find(is_sound);
-        sound.or(near.first()).or(all.first()).copied()
+        let (mut near, all) = (ranked(near.collect()), ranked(all.collect()));
+        near.extend(all);
+        near
     }
 }
 
