Let one router after the other offer the fleet's key

Cause: every router of a fleet that starts found no key and appended one at the end of the topic, while hundreds appended their own records: most appends failed and were repeated after the next read. Until the key is known no router has peers, and each reads the store itself.

The router with the lowest id offers at once and reads on when its append fails; each other one leaves a second to each before it, four at most.

--- a/crates/bulrushtrestled/src/control/follow.rs
+++ b/crates/bulrushtrestled/src/control/follow.rs
@@ -31,6 +31,10 @@
 /// The number of attempts to write the status of a rollout.
 const STATUS_TRIES: u32 = 40;
 
+/// The attempts to append the fleet's key at the end of the topic, while other routers of a fleet that
+/// starts append their records.
+const OFFER_TRIES: u32 = 16;
+
 /// When a topic is read again.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum ReadSchedule {
@@ -304,22 +308,39 @@
     }
 }
 
-/// Generates a key for the fleet and appends it if the topic still ends at `at`. Which router's key
-/// was accepted is read from the topic.
+/// Generates a key for the fleet and appends it unless the topic holds one, of which the caller has
+/// read all below `at`. Which router's key was accepted is read from the topic.
 pub(super) async fn offer_fleet_key(store: Store, at: Offset) {
     let mut bytes = [0; 32];
     rand::rng().fill_bytes(&mut bytes);
     let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-    let offered = store
-        .append(
-            Topic::Routers,
-            router::FLEET_KEY,
-            Some(text.as_bytes()),
-            Some(at),
-        )
-        .await;
-    if let Err(error) = offered {
-        log::warn!(target: "store", "fleet key not appended error={error}");
+    let mut at = at;
+    for _ in 0..OFFER_TRIES {
+        match try_offer(&store, &text, at).await {
+            Ok(Some(next)) => at = next,
+            Ok(None) => return,
+            Err(error) => {
+                log::warn!(target: "store", "fleet key not appended error={error}");
+                return;
+            }
+        }
+    }
+}
+
+/// Appends the fleet's key if the topic ends at `at`. Otherwise reads on, and returns where the topic
+/// ends now unless it holds a key.
+async fn try_offer(store: &Store, text: &str, at: Offset) -> Result<Option<Offset>, StoreError> {
+    let value = Some(text.as_bytes());
+    let appended = store.append(Topic::Routers, router::FLEET_KEY, value, Some(at));
+    if appended.await? == Appended::Done {
+        return Ok(None);
+    }
+    match store.read(Topic::Routers, at, Duration::ZERO).await? {
+        Batch::Records { records, next, .. } => {
+            let has_key = records.iter().any(|it| it.key == router::FLEET_KEY);
+            Ok((!has_key).then_some(next))
+        }
+        Batch::Expired => Ok(None),
     }
 }
 
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -57,6 +57,10 @@
 /// the same time: what they know is older by the time until they ask.
 const TARGETS_SOURCE_INTERVAL_PERCENT: u32 = 20;
 
+/// How long each router with a lower id is given to offer a key for the fleet, and the longest wait.
+const KEY_OFFER_STEP: Duration = Duration::from_secs(1);
+const KEY_OFFER_MAX: Duration = Duration::from_secs(4);
+
 /// Records of the store, or the news that none is missing, that are to be applied.
 #[derive(Debug)]
 pub(super) enum Delivery {
@@ -86,6 +90,8 @@
     activity: Activity,
     gate: Gate,
     deliveries: VecDeque<Delivery>,
+    /// Since when no key of the fleet was found where one is needed.
+    key_missing_since: Option<Time>,
 }
 
 /// Waits for the next event of a topic of the store. Never returns without a hosting platform.
@@ -166,6 +172,7 @@
             activity,
             gate,
             deliveries: VecDeque::new(),
+            key_missing_since: None,
         }
     }
 
@@ -316,6 +323,18 @@
         key
     }
 
+    /// Returns whether this router offers a key for the fleet now: none is known, and the routers
+    /// before it in the order of ids have had their time to offer one.
+    fn offers_key(&mut self, now: Time) -> bool {
+        let Some(peers) = &self.peers else {
+            return false;
+        };
+        let since = *self.key_missing_since.get_or_insert(now);
+        let routers = self.vms.values().filter(|vm| vm.role == VmRole::Router);
+        let before = routers.filter(|vm| vm.id < peers.router).count();
+        now.since(since) >= key_offer_wait(before)
+    }
+
     /// Counts and logs records that a peer passed on.
     fn log_received(&self, topic: feed::Topic, records: &[feed::Record], from: RouterId) {
         self.metrics.edge(Edge::RecordsFromPeer);
@@ -473,13 +492,13 @@
         }
     }
 
-    /// Offers a key of the fleet if none is known at the end of the topic. If several routers offer one,
-    /// the first append wins.
-    fn offer_fleet_key_if_missing(&self, end: Offset) {
-        let Some(hosting) = &self.hosting else {
-            return;
-        };
-        if hosting.peers.is_some() {
+    /// Offers a key of the fleet if none is known at the end of the topic and it is this router's turn.
+    /// If several routers offer one, the first append wins.
+    fn offer_fleet_key_if_missing(&mut self, end: Offset) {
+        let now = self.clock.now();
+        if let Some(hosting) = &mut self.hosting
+            && hosting.offers_key(now)
+        {
             tokio::task::spawn_local(follow::offer_fleet_key(hosting.store.clone(), end));
         }
     }
@@ -597,6 +616,13 @@
     }
 }
 
+/// Returns how long a router leaves it to others to offer a key for the fleet. `before` is the number of
+/// routers before it in the order of ids.
+pub(super) fn key_offer_wait(before: usize) -> Duration {
+    let steps = u32::try_from(before).unwrap_or(u32::MAX);
+    KEY_OFFER_STEP.saturating_mul(steps).min(KEY_OFFER_MAX)
+}
+
 /// Returns a record as routers pass it on.
 fn to_feed(topic: Topic, record: &Record) -> feed::Record {
     feed::Record {
--- a/crates/bulrushtrestled/src/control/tests.rs
+++ b/crates/bulrushtrestled/src/control/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of how an overloaded control thread handles new requests.
+//! Tests of how an overloaded control thread handles new requests, and of who offers the fleet's key.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -9,6 +9,7 @@
 use bulrushtrestle_core::time::Time;
 
 use crate::control::backlog::{Backlog, DEFAULT_RETRY_AFTER, LATE_MAX, spread_retry_after};
+use crate::control::hosting::key_offer_wait;
 use crate::control::{Arrival, channels};
 
 const STEP: Duration = Duration::from_millis(1);
@@ -169,3 +170,11 @@
     let spread = slots.iter().all(|&count| count.abs_diff(fair) <= fair / 10);
     assert!(spread, "{slots:?}");
 }
+
+#[test]
+fn one_router_after_the_other_offers_the_fleets_key() {
+    for (before, seconds) in [(0, 0), (1, 1), (3, 3), (4, 4), (294, 4), (usize::MAX, 4)] {
+        let wait = key_offer_wait(before);
+        assert_eq!(wait, Duration::from_secs(seconds), "{before} before it");
+    }
+}
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -82,6 +82,13 @@
         newest.into_iter().map(|(key, ..)| key).collect()
     }
 
+    /// Returns the number of records of a key that a topic holds.
+    pub(crate) fn count(&self, topic: &str, key: &str) -> usize {
+        let topics = self.lock();
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        records.iter().filter(|(name, _)| name == key).count()
+    }
+
     /// Returns the newest value of each key of a topic with its offset, and the end offset
     /// of the topic.
     fn newest(&self, topic: &str) -> (Vec<(String, Vec<u8>, usize)>, usize) {
