--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -2,7 +2,7 @@
 //! read the catalogue from a store.
 //!
 //! Each target reads prompts one after the other at a fixed rate, generates for [`Fleet::generation_time`] and then
-//! finishes the request. A frame between routers takes one millisecond.
+//! finishes the request. A frame between routers takes one millisecond, unless a test says otherwise.
 
 #![allow(
     dead_code,
@@ -206,6 +206,12 @@
     generating: Vec<(Time, usize, AttemptId)>,
     /// The processor time of one router, if it is measured.
     pub(crate) measured: Option<Measured>,
+    /// Indices of the routers that handle nothing.
+    pub(crate) dead: BTreeSet<usize>,
+    /// Indices of the routers whose frames to others are lost.
+    pub(crate) mute: BTreeSet<usize>,
+    /// How much later frames arrive at a router.
+    pub(crate) delays: BTreeMap<usize, Duration>,
     /// The frames of each router, if they are counted.
     pub(crate) traffic: Vec<Traffic>,
     /// The identity of the last request.
@@ -315,6 +321,9 @@
             generation_time: Duration::ZERO,
             generating: Vec::new(),
             measured: None,
+            dead: BTreeSet::new(),
+            mute: BTreeSet::new(),
+            delays: BTreeMap::new(),
             traffic: Vec::new(),
             next: 0,
         };
@@ -341,6 +350,9 @@
 
     /// Delivers an input to a router and processes the outputs.
     pub(crate) fn input(&mut self, at: usize, input: Input) {
+        if self.dead.contains(&at) {
+            return;
+        }
         let mut out = Vec::new();
         let kind = kind_of(&input);
         let began = Instant::now();
@@ -367,7 +379,10 @@
                         self.traffic[at].bytes_sent += bytes.len() as u64;
                         self.traffic[to].received += 1;
                     }
-                    self.frames.push((self.now + STEP, to, from, bytes));
+                    if !self.mute.contains(&at) {
+                        let delay = self.delays.get(&to).copied().unwrap_or_default();
+                        self.frames.push((self.now + STEP + delay, to, from, bytes));
+                    }
                 }
                 Output::Wake(wake) => {
                     self.wakes.insert((wake, at));
