Take no more connections than a VM's memory holds

Cause: ten connections for a megabyte, whatever else the process needs.

The budget: 36 MB for the program and control, an eighth for bodies, which cost half as much again, the rest for connections at 64 KiB. 88 MB: 880 to 549, 110 MB: 1,100 to 823, 160 MB: 1,600 to 1,434, larger ones more than before. The table of settings files has the new figures: the limit is a stricter one below 160 MB, and 16 instead of 10 connections at 1 MB, where nothing can run.

--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -29,9 +29,21 @@
 const CONNECTIONS_MAX: u64 = 4_096;
 /// The largest number of connections that can be set.
 const CONNECTIONS_LIMIT: u64 = 1_000_000;
-/// The connections of callers for each megabyte of the VM's memory. At 100 KiB each, a connection
-/// with its request, its answer and its connection to a target fits.
-const CONNECTIONS_PER_MB: u64 = 10;
+/// The memory of a VM that is kept for the program and for control in a large fleet, in megabytes.
+const CONTROL_MB: u64 = 36;
+/// The part of a VM's memory that bodies may take, as its reciprocal.
+const BODIES_DIVISOR: u64 = 8;
+/// What a body costs while it is received and sent on, in halves of its size.
+const BODY_COST_HALVES: u64 = 3;
+/// The memory of a caller's connection with a request under way and the connection to its target,
+/// without the body, in KiB.
+const CONNECTION_KIB: u64 = 64;
+/// The connections that a VM takes however small it is.
+const CONNECTIONS_MIN: u64 = 16;
+/// The memory for bodies unless the VM has less.
+const BODY_MEMORY_MAX: u64 = 64 * MIB;
+/// The bytes of a megabyte.
+const MB: u64 = 1_000_000;
 
 /// All settings of a router.
 #[derive(Debug, Clone)]
@@ -266,13 +278,23 @@
     /// Returns the most connections of callers that the VM can hold. Each needs memory for its
     /// buffers, and a second descriptor for the connection to the target that serves it.
     fn connections_max(self) -> u64 {
-        let by_memory = self
-            .memory_mb
-            .map(|mb| mb.saturating_mul(CONNECTIONS_PER_MB));
+        let by_memory = self.memory_mb.map(|mb| {
+            let bodies = mb * BODY_COST_HALVES / (2 * BODIES_DIVISOR);
+            let left = mb.saturating_sub(bodies).saturating_sub(CONTROL_MB);
+            (left.saturating_mul(MB) / (CONNECTION_KIB * KIB)).max(CONNECTIONS_MIN)
+        });
         let by_descriptors = self.descriptors.map(|max| max / 2);
         let least = by_memory.into_iter().chain(by_descriptors).min();
         least.map_or(CONNECTIONS_MAX, |most| most.clamp(1, CONNECTIONS_LIMIT))
     }
+
+    /// Returns the memory for the bodies of all requests, in bytes.
+    fn body_memory_max(self) -> u64 {
+        let by_memory = self
+            .memory_mb
+            .map(|mb| mb.saturating_mul(MB) / BODIES_DIVISOR);
+        by_memory.map_or(BODY_MEMORY_MAX, |bytes| bytes.clamp(MIB, BODY_MEMORY_MAX))
+    }
 }
 
 impl Callers {
@@ -291,7 +313,11 @@
             handover_max: s.int("handover_max", 1..=65_536, 1_024)?,
             header_bytes_max: s.int("header_bytes_max", 8 * KIB..=MIB, 16 * KIB)?,
             body_bytes_max: s.int("body_bytes_max", KIB..=64 * MIB, MIB)?,
-            body_memory_max: s.int("body_memory_bytes_max", MIB..=65_536 * MIB, 64 * MIB)?,
+            body_memory_max: s.int(
+                "body_memory_bytes_max",
+                MIB..=65_536 * MIB,
+                vm.body_memory_max(),
+            )?,
             header_timeout: s.millis("header_timeout_ms", 100..=600_000, 10_000)?,
             body_timeout: s.millis("body_timeout_ms", 100..=600_000, 10_000)?,
             unread_timeout: s.millis("unread_timeout_ms", 100..=3_600_000, 30_000)?,
--- a/crates/bulrushtrestled/src/settings/tests/template.rs
+++ b/crates/bulrushtrestled/src/settings/tests/template.rs
@@ -87,20 +87,20 @@
     let share = "/bounds/expose_share";
     let permitted = "/bounds/expose_slack";
     let cases = [
-        case("memory", memory, Some(json!(160)), connections, 1_600),
+        case("memory", memory, Some(json!(160)), connections, 1_434),
         case(
             "memory with a fraction",
             memory,
             Some(json!(88.9)),
             connections,
-            880,
+            549,
         ),
         case(
             "memory as a float",
             memory,
             Some(json!(110.0)),
             connections,
-            1_100,
+            823,
         ),
         case(
             "much memory",
@@ -109,7 +109,7 @@
             connections,
             2_050,
         ),
-        case("little memory", memory, Some(json!(1)), connections, 10),
+        case("little memory", memory, Some(json!(1)), connections, 16),
         case("no memory stated", memory, None, connections, 2_050),
         case(
             "few descriptors",
@@ -123,7 +123,7 @@
             descriptors,
             None,
             connections,
-            1_600,
+            1_434,
         ),
         case(
             "a share with many digits",
