Name the store's topics of benches in their stand-in alone

The benches filled, goodput and hosted wrote records under the platform's names; the stand-in of the store does it for them now.

--- a/crates/bulrushtrestled/benches/filled.rs
+++ b/crates/bulrushtrestled/benches/filled.rs
@@ -90,10 +90,10 @@
             "service": "s1", "address": address, "zone": "dc-a", "version": "v1",
             "slots": 1_000, "state": "ready", "cold_left_ms": 0, "sequence": 1
         });
-        store.put("keyed.servers", &name, Some(record));
+        store.add_target(&name, record);
         targets.push(target);
     }
-    store.put("keyed.op", "config", Some(configuration()));
+    store.configure(configuration());
     wait_until("a target serves", async || {
         daemon.is_ready().await && daemon.call(Method::POST, "/again/x").await.status() == 200
     })
--- a/crates/bulrushtrestled/benches/goodput.rs
+++ b/crates/bulrushtrestled/benches/goodput.rs
@@ -196,7 +196,7 @@
         "limits": {"max_body_bytes": 4_194_304},
         "tenants": [{"name": "t1", "api_keys": [KEY]}]
     });
-    store.put("keyed.op", "config", Some(configuration));
+    store.configure(configuration);
     for at in 0..TARGETS {
         let name = format!("i-{at}");
         let (target, address) = Target::start(&name).await;
@@ -205,7 +205,7 @@
             "service": "s1", "address": address, "zone": "dc-a", "version": "v1", "slots": 16,
             "state": "ready", "cold_left_ms": 0, "sequence": 1
         });
-        store.put("keyed.servers", &name, Some(record));
+        store.add_target(&name, record);
     }
     // As the template of the settings has it for the users' weakest VMs, of 88 MB.
     let daemon = Daemon::start_with(store_address, |settings| {
--- a/crates/bulrushtrestled/benches/hosted.rs
+++ b/crates/bulrushtrestled/benches/hosted.rs
@@ -133,7 +133,7 @@
         "limits": {"max_body_bytes": 65_536},
         "tenants": [{"name": "t1", "api_keys": keys}]
     });
-    store.put("keyed.op", "config", Some(configuration));
+    store.configure(configuration);
     for at in 0..TARGETS {
         let name = format!("i-{at}");
         let (_target, address) = Target::start(&name).await;
@@ -141,7 +141,7 @@
             "service": "s1", "address": address, "zone": "dc-a", "version": "v1", "slots": 16,
             "state": "ready", "cold_left_ms": 0, "sequence": 1
         });
-        store.put("keyed.servers", &name, Some(record));
+        store.add_target(&name, record);
     }
     let daemon = Arc::new(Daemon::start(store_address));
     wait_until("ready", async || daemon.is_ready().await).await;
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -71,6 +71,16 @@
         topic.push((key.to_owned(), value));
     }
 
+    /// Publishes the operators' configuration.
+    pub(crate) fn configure(&self, configuration: serde_json::Value) {
+        self.put("keyed.op", "config", Some(configuration));
+    }
+
+    /// Publishes the record of a target.
+    pub(crate) fn add_target(&self, name: &str, record: serde_json::Value) {
+        self.put("keyed.servers", name, Some(record));
+    }
+
     /// Makes the store refuse every call (`true`) or answer again (`false`).
     pub(crate) fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::Relaxed);
