Name the parts of prompts and the flow of the answer in failed attempts

What callers saw: targets that crash one after the other. The line of a failed attempt told target, kind and tokens, so that a bad target, a bad rack and a part of prompts that crashes targets looked alike.

Now it also has the shared parts of the prompt (at most eight) and for how long the answer of this attempt had flowed.

--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -7,6 +7,7 @@
 use bulrushtrestle_core::input::{AttemptEvent, Failure, FailureKind};
 use bulrushtrestle_core::key::RequestId;
 use bulrushtrestle_core::output::Basis;
+use bulrushtrestle_core::request::PromptPart;
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use tokio::sync::mpsc;
@@ -85,6 +86,21 @@
     Left,
 }
 
+/// The most parts of a prompt that a log line names.
+const LOGGED_PARTS_MAX: usize = 8;
+
+/// Returns the parts of a prompt that other requests may share, as a log field: the content's hash
+/// of each part but the last, or `-` if there is none.
+pub(super) fn shared_parts(parts: &[PromptPart]) -> String {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    if shared.is_empty() {
+        return "-".to_owned();
+    }
+    let logged = shared.iter().take(LOGGED_PARTS_MAX);
+    let logged: Vec<String> = logged.map(|part| format!("{:x}", part.content.0)).collect();
+    logged.join(",")
+}
+
 struct Driver<'a> {
     hosted: &'a Hosted,
     call: &'a Call,
@@ -189,7 +205,13 @@
                 answer,
             } => {
                 let status = answer.as_ref().map_or(0, |answer| answer.status());
-                log::info!(target: "failed", "attempt={attempt} target={target} kind={kind:?} status={status} sent={was_sent} delivered={}", self.relay.delivered());
+                log::info!(
+                    target: "failed",
+                    "attempt={attempt} target={target} kind={kind:?} status={status} sent={was_sent} delivered={} flowing_ms={} parts={}",
+                    self.relay.delivered(),
+                    self.relay.flowing_ms(dispatch.attempt),
+                    shared_parts(&self.call.info.parts),
+                );
                 traffic.metrics.edge(attempt::failure_metric(kind));
                 if matches!(kind, FailureKind::Silent | FailureKind::Crossed) {
                     self.hosted.connections.discard_idle(dispatch.address);
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -120,8 +120,8 @@
     connected_after: Option<Duration>,
     /// The target of the last dispatch, or `-`.
     target: String,
-    /// The attempt whose start was last reported to the node.
-    reported: Option<AttemptId>,
+    /// The attempt whose start was last reported to the node, and when its answer began.
+    reported: Option<(AttemptId, Instant)>,
 }
 
 impl Relay {
@@ -159,6 +159,19 @@
         &self.target
     }
 
+    /// Returns when the answer of an attempt began; `None` if none of it was forwarded.
+    fn began(&self, attempt: AttemptId) -> Option<Instant> {
+        let (_, at) = self.reported.filter(|(reported, _)| *reported == attempt)?;
+        Some(at)
+    }
+
+    /// Returns for how long the answer of an attempt has been flowing, as a log field; `-` if none
+    /// of it was forwarded.
+    pub(super) fn flowing_ms(&self, attempt: AttemptId) -> String {
+        self.began(attempt)
+            .map_or_else(|| "-".to_owned(), |at| at.elapsed().as_millis().to_string())
+    }
+
     /// Sends the request to a target and forwards the answer to the caller.
     pub(super) async fn run(
         &mut self,
@@ -355,8 +368,8 @@
                 reply.begin(head);
             }
         }
-        if self.reported != Some(dispatch.attempt) {
-            self.reported = Some(dispatch.attempt);
+        if self.began(dispatch.attempt).is_none() {
+            self.reported = Some((dispatch.attempt, Instant::now()));
             hosted
                 .traffic
                 .control
