Show that a part of prompts crashes one target after the other

What callers saw: requests of one kind crash targets, each time with all that runs there.

The test plays fleets of 8 and 60 routers in virtual time: requests with a part that crashes the target which begins to answer, no two alike, beside sound ones that share their organisation and other parts. It allows three such requests later than 3 s after the fifth crash, and asks that 95 in 100 sound ones are still sent.

--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -41,6 +41,8 @@
 const MOVE_MARGIN: Duration = Duration::from_millis(1_500);
 /// The prompt tokens that a target reads in one [`STEP`].
 pub(crate) const TOKENS_PER_STEP: u64 = 80;
+/// How long a target is down after a crash.
+const DOWN_FOR: Duration = Duration::from_secs(3);
 /// The objective for the time to the first token of each request.
 pub(crate) const OBJECTIVE: Duration = Duration::from_millis(800);
 
@@ -178,6 +180,14 @@
 /// An attempt at a target: the index of the router that sent it, its identity, and the prompt tokens still to be read.
 pub(crate) type Job = (usize, AttemptId, u64);
 
+/// An attempt whose answer is being generated.
+struct Generating {
+    until: Time,
+    at: usize,
+    attempt: AttemptId,
+    target: TargetId,
+}
+
 /// The simulated fleet. A router's index in `nodes` is its identity minus one.
 pub(crate) struct Fleet {
     pub(crate) now: Time,
@@ -186,7 +196,7 @@
     pub(crate) frames: Vec<(Time, usize, RouterId, Vec<u8>)>,
     /// The attempts at each target whose prompts are not read yet, in order of arrival.
     pub(crate) targets: BTreeMap<TargetId, Vec<Job>>,
-    /// All dispatches: time, index of the router, target, request.
+    /// All dispatches to targets that are up: time, index of the router, target, request.
     pub(crate) dispatched: Vec<(Time, usize, TargetId, RequestId)>,
     /// The refusals, by the index of the router and the request.
     pub(crate) refused: BTreeMap<(usize, RequestId), Refusal>,
@@ -202,8 +212,22 @@
     wakes: BTreeSet<(Time, usize)>,
     /// How long a target generates for a request after it has read the prompt.
     pub(crate) generation_time: Duration,
-    /// The attempts whose answers are being generated: finishing time, index of the router, attempt.
-    generating: Vec<(Time, usize, AttemptId)>,
+    /// The attempts whose answers are being generated.
+    generating: Vec<Generating>,
+    /// The parts of prompts that crash each target that begins to answer on them.
+    pub(crate) crashing_parts: BTreeSet<Fingerprint>,
+    /// The prompts of the requests that name their parts.
+    prompts: BTreeMap<RequestId, Vec<PromptPart>>,
+    /// The crashes of targets.
+    pub(crate) crashes: Vec<(Time, TargetId)>,
+    /// The targets that are down after a crash, and until when.
+    down: BTreeMap<TargetId, Time>,
+    /// The requests with parts of their own choice that were answered completely.
+    pub(crate) answered: BTreeSet<RequestId>,
+    /// The attempts whose target refuses connections, until the next step.
+    refusing: Vec<(usize, AttemptId)>,
+    /// The requests of the attempts, for requests with parts of their own choice.
+    attempts: BTreeMap<(usize, AttemptId), RequestId>,
     /// The processor time of one router, if it is measured.
     pub(crate) measured: Option<Measured>,
     /// Indices of the routers that handle nothing.
@@ -320,6 +344,13 @@
             wakes: BTreeSet::new(),
             generation_time: Duration::ZERO,
             generating: Vec::new(),
+            crashing_parts: BTreeSet::new(),
+            prompts: BTreeMap::new(),
+            crashes: Vec::new(),
+            down: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            refusing: Vec::new(),
+            attempts: BTreeMap::new(),
             measured: None,
             dead: BTreeSet::new(),
             mute: BTreeSet::new(),
@@ -363,10 +394,27 @@
         for output in out {
             match output {
                 Output::Dispatch(dispatch) => {
+                    if self.prompts.contains_key(&dispatch.request) {
+                        self.attempts
+                            .insert((at, dispatch.attempt), dispatch.request);
+                    }
+                    if self.is_down(dispatch.target) {
+                        self.refusing.push((at, dispatch.attempt));
+                        continue;
+                    }
                     let sent = (self.now, at, dispatch.target, dispatch.request);
                     self.dispatched.push(sent);
+                    let tokens = match self.prompts.get(&dispatch.request) {
+                        Some(parts) => parts.iter().map(|part| u64::from(part.tokens)).sum(),
+                        None => 12_000,
+                    };
                     let jobs = self.targets.entry(dispatch.target).or_default();
-                    jobs.push((at, dispatch.attempt, 12_000));
+                    jobs.push((at, dispatch.attempt, tokens));
+                }
+                Output::Abort(attempt) => {
+                    for jobs in self.targets.values_mut() {
+                        jobs.retain(|(of, other, _)| (*of, *other) != (at, attempt));
+                    }
                 }
                 Output::Refuse(request, refusal) => {
                     self.refused.insert((at, request), refusal);
@@ -420,7 +468,19 @@
                 }
             }
         }
+        for (at, attempt) in std::mem::take(&mut self.refusing) {
+            self.fail(at, attempt, FailureKind::Connect);
+        }
         for (target, (at, attempt, _)) in done {
+            if self.is_down(target) {
+                // The target crashed earlier in this step.
+                self.fail(at, attempt, FailureKind::Broken);
+                continue;
+            }
+            if self.crashes_target(at, attempt) {
+                self.crash(target, (at, attempt));
+                continue;
+            }
             let hash = (attempt.0 * 16 + at as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
             if hash % 10 < self.failures_per_ten.get(&target).copied().unwrap_or(0) {
                 self.failed.push((self.now, target));
@@ -433,15 +493,22 @@
                 continue;
             }
             self.input(at, Input::Attempt(attempt, AttemptEvent::Started));
-            self.generating
-                .push((self.now + self.generation_time, at, attempt));
+            self.generating.push(Generating {
+                until: self.now + self.generation_time,
+                at,
+                attempt,
+                target,
+            });
         }
         let (done, rest) = std::mem::take(&mut self.generating)
             .into_iter()
-            .partition(|(until, ..)| *until <= self.now);
+            .partition(|answer: &Generating| answer.until <= self.now);
         self.generating = rest;
-        let done: Vec<(Time, usize, AttemptId)> = done;
-        for (_, at, attempt) in done {
+        let done: Vec<Generating> = done;
+        for Generating { at, attempt, .. } in done {
+            if let Some(request) = self.attempts.remove(&(at, attempt)) {
+                self.answered.insert(request);
+            }
             let finished = AttemptEvent::Finished { tokens: 1 };
             self.input(at, Input::Attempt(attempt, finished));
         }
@@ -477,6 +544,51 @@
         }
     }
 
+    fn is_down(&self, target: TargetId) -> bool {
+        self.down
+            .get(&target)
+            .is_some_and(|&until| until > self.now)
+    }
+
+    /// Returns whether a target crashes as it begins to answer an attempt.
+    fn crashes_target(&self, at: usize, attempt: AttemptId) -> bool {
+        let request = self.attempts.get(&(at, attempt));
+        let parts = request.and_then(|request| self.prompts.get(request));
+        let crashes = |part: &PromptPart| self.crashing_parts.contains(&part.content);
+        parts.is_some_and(|parts| parts.iter().any(crashes))
+    }
+
+    /// Crashes a target for [`DOWN_FOR`], as it begins to answer the attempt `first` or by itself. Everything that
+    /// runs there breaks off.
+    pub(crate) fn crash(&mut self, target: TargetId, first: impl Into<Option<(usize, AttemptId)>>) {
+        self.crashes.push((self.now, target));
+        self.down.insert(target, self.now + DOWN_FOR);
+        let unread = self.targets.remove(&target).unwrap_or_default();
+        let unread = unread.into_iter().map(|(at, attempt, _)| (at, attempt));
+        let broken: Vec<(usize, AttemptId)> = first.into().into_iter().chain(unread).collect();
+        let (flowing, rest) = std::mem::take(&mut self.generating)
+            .into_iter()
+            .partition(|answer: &Generating| answer.target == target);
+        self.generating = rest;
+        let flowing: Vec<Generating> = flowing;
+        for (at, attempt) in broken {
+            self.fail(at, attempt, FailureKind::Broken);
+        }
+        for Generating { at, attempt, .. } in flowing {
+            self.fail(at, attempt, FailureKind::Truncated);
+        }
+    }
+
+    /// Reports to a router that an attempt failed.
+    fn fail(&mut self, at: usize, attempt: AttemptId, kind: FailureKind) {
+        let failure = Failure {
+            kind,
+            sent: kind != FailureKind::Connect,
+            tokens: 0,
+        };
+        self.input(at, Input::Attempt(attempt, AttemptEvent::Failed(failure)));
+    }
+
     /// Returns how far the prompt tokens that routers know to be unread at targets differ from those that are unread there,
     /// in per cent of these, over all routers and targets.
     pub(crate) fn known_load_error(&self) -> f64 {
@@ -517,28 +629,64 @@
             content: Fingerprint(self.next),
             tokens: 12_000,
         };
+        let req = self.request(request, organisation, vec![own], before);
+        self.input(at, Input::Request(req));
+        request
+    }
+
+    /// Submits a request whose prompt consists of these parts, each of 100 tokens, and a last one of its own.
+    pub(crate) fn submit_prompt(
+        &mut self,
+        at: usize,
+        organisation: &str,
+        shared: &[Fingerprint],
+        repeat: Repeat,
+    ) -> RequestId {
+        self.next += 1;
+        let request = RequestId(self.next);
+        let own = Fingerprint(1 << 40 | self.next);
+        let part = |content| PromptPart {
+            content,
+            tokens: 100,
+        };
+        let parts: Vec<PromptPart> = shared.iter().copied().chain([own]).map(part).collect();
+        self.prompts.insert(request, parts.clone());
         let req = Request {
+            repeat,
+            ..self.request(request, organisation, parts, Duration::ZERO)
+        };
+        self.input(at, Input::Request(req));
+        request
+    }
+
+    fn request(
+        &self,
+        request: RequestId,
+        organisation: &str,
+        parts: Vec<PromptPart>,
+        before: Duration,
+    ) -> Request {
+        let tokens = parts.iter().map(|part| part.tokens).sum();
+        Request {
             id: request,
             organisation: OrganisationId(id(Kind::Organisation, organisation)),
             pool: PoolId(id(Kind::Pool, "m")),
             class: None,
             repeat: Repeat::Unkeyed,
             deadline: Some(self.now + Duration::from_secs(15)),
-            prompt_tokens: 12_000,
+            prompt_tokens: tokens,
             hint_tokens: None,
-            fingerprint: Fingerprint(self.next),
+            fingerprint: Fingerprint(request.0),
             prefix: None,
             details: RequestDetails {
-                parts: vec![own],
+                parts,
                 attempts_max: Some(1),
                 objective: Some(OBJECTIVE),
                 output_tokens: 10,
                 body_bytes: 10_000,
                 arrived: Some(self.now - before),
             },
-        };
-        self.input(at, Input::Request(req));
-        request
+        }
     }
 }
 
