Bar parts of prompts that crash targets in the whole fleet

Cause: routers knew a request only as a whole, by the hash of its content. A part that crashes targets comes in requests of which no two are alike, so each was new, and each router saw only its own requests at a crash.

The change: module poison. Evidence on parts (crashes, last answer, bar) merges in the whole fleet, over the links of load reports; a run of crashes without an answer that chance does not explain at the present fraction of breaks bars a part; crashes that it explains count against nothing else; an answer clears all parts of its prompt; after 30 s one request at a time may try it.

Why it works: the part that crashes targets is the only one of which every request breaks before it is answered. What breaks beside it is answered elsewhere within the half second for which a crash is held.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -79,4 +79,13 @@
     MoveRolledBack = "move_taken_back";
     /// A request was held as a suspect after a crash.
     Suspected = "suspected";
+    /// A target broke off a request before it answered, so that the parts of the prompt are
+    /// suspected.
+    PartsSuspected = "parts_suspected";
+    /// A part of prompts was barred because it crashed targets.
+    PartBarred = "part_barred";
+    /// A part of prompts is not barred any more.
+    PartCleared = "part_cleared";
+    /// A permit was received to try a part of prompts whose bar has run out.
+    PartTried = "part_tried";
 }
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -50,6 +50,8 @@
     Ordered(TargetId, OrderEvent),
     /// The time requested by an earlier [`Output::Wake`](crate::output::Output::Wake) was reached.
     Timer,
+    /// An operator allows a part of prompts again that is barred because it crashed targets.
+    LiftBar(Fingerprint),
     /// The process was asked to stop.
     Stop {
         /// The time by which all requests must be finished.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod node;
 pub mod once;
 pub mod output;
+pub mod poison;
 pub mod prelude;
 pub mod quarantine;
 pub mod queue;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -9,6 +9,7 @@
 use crate::feed::message::FeedPart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
+use crate::poison::message::PoisonPart;
 use crate::quarantine::message::QuarantinePart;
 use crate::share::message::SharePart;
 use crate::slots::message::SlotsPart;
@@ -55,6 +56,8 @@
     Fleet(FleetPart),
     /// Records of the store, and questions for them.
     Feed(FeedPart),
+    /// Parts of prompts that crash targets.
+    Poison(PoisonPart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -44,6 +44,8 @@
     pub(super) unread: u32,
     /// Whether the attempt counts in the balance of targets.
     pub(super) is_balanced: bool,
+    /// Whether the answer cleared the parts of the prompt.
+    pub(super) is_sound: bool,
 }
 
 /// The progress of an attempt's answer, as far as it matters to the target's health.
@@ -79,6 +81,7 @@
             sample,
             unread: 0,
             is_balanced: false,
+            is_sound: false,
         }
     }
 }
@@ -93,6 +96,7 @@
         if event != AttemptEvent::Withheld {
             self.update_health(attempt, event);
             self.compare_versions(attempt, event);
+            self.judge_parts(attempt, event);
         }
         match event {
             AttemptEvent::Started => {}
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -3,8 +3,8 @@
 use crate::prelude::*;
 use crate::version;
 use crate::{
-    address, attempt, balance, feed, lease, membership, once, quarantine, queue, share, slots,
-    target,
+    address, attempt, balance, feed, lease, membership, once, poison, quarantine, queue, share,
+    slots, target,
 };
 
 /// The settings of a node. Every component has its own settings, with all defaults stated.
@@ -29,6 +29,8 @@
     pub once: once::Config,
     /// Settings of the quarantine of requests that crash targets.
     pub quarantine: quarantine::Config,
+    /// Settings of the search for parts of prompts that crash targets.
+    pub poison: poison::Config,
     /// Settings of membership.
     pub membership: membership::Config,
     /// Settings of leases.
@@ -104,6 +106,7 @@
             attempt: attempt::Config::default(),
             once: once::Config::default(),
             quarantine: quarantine::Config::default(),
+            poison: poison::Config::default(),
             membership: membership::Config::default(),
             lease: lease::Config::default(),
             address: address::Config::default(),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod once;
 mod page;
 mod peer;
+mod poison;
 mod quarantine;
 mod request;
 mod share;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -112,6 +112,7 @@
             Part::Load(part) => self.on_load_part(from, &part),
             Part::Fleet(part) => self.on_fleet_part(from, &part),
             Part::Feed(part) => self.on_feed_part(from, part),
+            Part::Poison(part) => self.on_poison_part(from, part),
         }
     }
 }
--- a/crates/core/src/node/quarantine.rs
+++ b/crates/core/src/node/quarantine.rs
@@ -54,9 +54,9 @@
     }
 
     /// Holds a request that is about to be dispatched if it is a suspect, or refuses it if it is
-    /// quarantined. Returns `true` if it did either.
+    /// quarantined or a part of its prompt is barred. Returns `true` if it did either.
     pub(super) fn hold_if_suspect(&mut self, request: RequestId) -> bool {
-        if self.refuse_if_quarantined(request) {
+        if self.refuse_if_quarantined(request) || self.refuse_if_barred(request) {
             return true;
         }
         let Some(active) = self.requests.get_mut(&request) else {
@@ -109,6 +109,9 @@
         if let Some(part) = self.quarantine.entries() {
             self.cx.send(to, Part::Quarantine(part), Urgency::Now);
         }
+        if let Some(part) = self.poison.barred_rows(self.cx.now) {
+            self.cx.send(to, Part::Poison(part), Urgency::Now);
+        }
     }
 
     /// Advances the trials of suspects.
@@ -174,7 +177,7 @@
 }
 
 /// Says whether an attempt ended in the way that it does when the target's process ends.
-const fn looks_like_crash(ending: Ending) -> bool {
+pub(super) const fn looks_like_crash(ending: Ending) -> bool {
     match ending {
         Ending::Declined | Ending::Withheld => false,
         Ending::Failed(failure) => {
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -114,6 +114,7 @@
             return;
         };
         self.release_suspect(request);
+        self.poison.on_closed(request);
         if matches!(active.req.repeat, Repeat::Once(_)) {
             match active.retry_state.verdict() {
                 Verdict::NotRun => self.once.release(&mut self.cx, request),
@@ -176,10 +177,10 @@
         Ok(())
     }
 
-    /// Queues a request whose idempotency key allows it to run, or refuses the request if it is
-    /// quarantined.
+    /// Queues a request whose idempotency key allows it to run, or refuses the request if it or a
+    /// part of its prompt crashes targets.
     pub(super) fn enqueue(&mut self, request: RequestId) {
-        if self.refuse_if_quarantined(request) {
+        if self.refuse_if_quarantined(request) || self.refuse_if_barred(request) {
             return;
         }
         let Some(active) = self.requests.get_mut(&request) else {
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -22,6 +22,7 @@
 use crate::node::stop::Stopping;
 use crate::once::Once;
 use crate::output::Output;
+use crate::poison::Poison;
 use crate::prelude::*;
 use crate::quarantine::Quarantine;
 use crate::queue::{Queues, Running};
@@ -87,6 +88,7 @@
     pub(super) last_received: BTreeMap<TargetId, Time>,
     pub(super) once: Once,
     pub(super) quarantine: Quarantine,
+    pub(super) poison: Poison,
     pub(super) next_attempt: u64,
     pub(super) sequences: BTreeMap<RouterId, u64>,
     pub(super) next_tick: Time,
@@ -157,6 +159,7 @@
             last_received: BTreeMap::new(),
             once,
             quarantine: Quarantine::new(cfg.me, cfg.quarantine.clone()),
+            poison: Poison::new(cfg.me, cfg.poison),
             next_attempt: 0,
             sequences: BTreeMap::new(),
             next_tick: now,
@@ -210,6 +213,7 @@
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
             Input::Timer => {}
+            Input::LiftBar(content) => self.lift_bar(content),
             Input::Stop { deadline } => self.on_stop(deadline),
         }
         self.on_time();
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -25,6 +25,7 @@
             self.note_stalled();
             self.remove_lapsed();
             self.advance_suspects();
+            self.advance_poison();
             self.finish_stop();
             if self.members.has_unsent_rows() {
                 self.next_frame = self.cx.now;
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -90,6 +90,8 @@
     Stopping = "stopping", 503;
     /// A request with the same content crashed targets before, so this one is not run.
     Quarantined = "quarantined", 422;
+    /// A part of the prompt crashed targets, so that no request with it is run for now.
+    PartBarred = "part_barred", 503;
     /// A request with the same idempotency key has run or is running.
     Duplicate = "duplicate", 409;
     /// The idempotency key is older than the oldest records of claims, so it is unknown whether a
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -268,7 +268,8 @@
             world.run(case.every_ms);
         }
         let refused = world.fleet.refused.values();
-        let blamed = refused.filter(|refusal| refusal.reason == Reason::Quarantined);
+        let blamed = refused
+            .filter(|refusal| matches!(refusal.reason, Reason::Quarantined | Reason::PartBarred));
         assert_eq!(blamed.count(), 0, "{}", case.name);
     }
 }
