Let operators see and lift the bars of parts of prompts

What operators lacked: which parts are barred, why and since when, and a way to allow one again without a restart of the fleet.

/status lists barred parts with the crashes behind them.

--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushtrestle_core::input::{AttemptEvent, RequestedPause, TargetLoad, TargetNotice};
-use bulrushtrestle_core::key::{AttemptId, Offset, OrganisationId, RequestId};
+use bulrushtrestle_core::key::{AttemptId, Fingerprint, Offset, OrganisationId, RequestId};
 use bulrushtrestle_core::verdict::Refusal;
 use bulrushtrestle_platform::operator::CallerLimits;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -180,6 +180,11 @@
         self.send(LocalEvent::Progress(tokens));
     }
 
+    /// Allows a part of prompts again that is barred because it crashed targets.
+    pub(crate) fn lift_bar(&self, content: Fingerprint) {
+        self.send(LocalEvent::LiftBar(content));
+    }
+
     /// Begins a planned stop.
     pub(crate) fn stop(&self) {
         self.send(LocalEvent::Stop);
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -240,6 +240,8 @@
     Attempt(AttemptId, AttemptEvent),
     /// The tokens that attempts have answered so far.
     Progress(Vec<(AttemptId, u64)>),
+    /// An operator allows a barred part of prompts again.
+    LiftBar(Fingerprint),
     /// The process was asked to stop.
     Stop,
 }
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -166,9 +166,12 @@
             Self::Local(LocalEvent::Load(..)) => Stage::ControlLoad,
             Self::Local(LocalEvent::Progress(_)) => Stage::ControlProgress,
             Self::Local(LocalEvent::Notice(..)) => Stage::ControlLoad,
-            Self::Local(LocalEvent::Cancelled(_) | LocalEvent::TimedOut(_) | LocalEvent::Stop) => {
-                Stage::ControlNote
-            }
+            Self::Local(
+                LocalEvent::Cancelled(_)
+                | LocalEvent::TimedOut(_)
+                | LocalEvent::LiftBar(_)
+                | LocalEvent::Stop,
+            ) => Stage::ControlNote,
             Self::Query(_) => Stage::ControlAsk,
             Self::NewRequest(..) => Stage::ControlRequest,
             Self::Store(_) => Stage::ControlStore,
@@ -486,6 +489,7 @@
                     self.on_attempt(attempt, AttemptEvent::Progress { tokens });
                 }
             }
+            LocalEvent::LiftBar(content) => self.handle(Input::LiftBar(content)),
             LocalEvent::Stop => {
                 let deadline = self.clock.now() + self.stop_timeout;
                 self.handle(Input::Stop { deadline });
--- a/crates/bulrushtrestled/src/operators.rs
+++ b/crates/bulrushtrestled/src/operators.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use axum::error_handling::HandleErrorLayer;
-use axum::extract::{Query, Request, State};
+use axum::extract::{Path, Query, Request, State};
 use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
-use axum::routing::get;
+use axum::routing::{delete, get};
 use axum::{BoxError, Router};
-use bulrushtrestle_core::key::Offset;
+use bulrushtrestle_core::key::{Fingerprint, Offset};
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, StatusCode};
@@ -88,6 +88,7 @@
         .route("/readyz", get(ready))
         .route("/status", get(status))
         .route("/catalogue", get(catalogue))
+        .route("/barred-parts/{part}", delete(lift_bar))
         .layer(limits)
         .layer(middleware::from_fn_with_state(Arc::clone(&app), authorise))
         .with_state(app);
@@ -183,3 +184,18 @@
         Ok(None) | Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
     }
 }
+
+/// Allows a part of prompts again that is barred because it crashed targets. The router tells the
+/// others.
+async fn lift_bar(State(app): State<Arc<App>>, Path(part): Path<String>) -> Response {
+    match u64::from_str_radix(&part, 16) {
+        Ok(content) => {
+            app.control.lift_bar(Fingerprint(content));
+            StatusCode::ACCEPTED.into_response()
+        }
+        Err(_) => {
+            let error = format!("part: {part}; it has to be 1 to 16 hexadecimal digits\n");
+            (StatusCode::BAD_REQUEST, error).into_response()
+        }
+    }
+}
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -32,6 +32,25 @@
     pub targets: Vec<TargetStatus>,
     /// The version moves.
     pub moves: Vec<MoveStatus>,
+    /// The parts of prompts that are barred because they crashed targets.
+    pub barred_parts: Vec<BarredPartStatus>,
+}
+
+/// The status of a barred part of prompts for operators.
+#[derive(Debug, Clone, Serialize)]
+pub struct BarredPartStatus {
+    /// The name of the pool whose targets crashed.
+    pub pool: String,
+    /// The hash of the part's content, in hexadecimal.
+    pub part: String,
+    /// How long ago the run of crashes began for which the part is barred, in milliseconds.
+    pub since_ms: u128,
+    /// How long no request with the part is sent, in milliseconds. At zero a trial is due.
+    pub left_ms: u128,
+    /// How many trials have failed.
+    pub failed_trials: u8,
+    /// The names of the targets that crashed, as far as they are remembered and listed.
+    pub crashed: Vec<String>,
 }
 
 /// The status of a target for operators.
@@ -64,9 +83,23 @@
             requests: self.requests.len(),
             targets: self.target_status(now),
             moves: self.moves.status(),
+            barred_parts: self.barred_part_status(now),
         }
     }
 
+    fn barred_part_status(&self, now: Time) -> Vec<BarredPartStatus> {
+        let barred = self.poison.barred();
+        let status = barred.map(|(key, bar, crashes)| BarredPartStatus {
+            pool: self.pool_name(key.pool),
+            part: format!("{:x}", key.content.0),
+            since_ms: now.since(bar.since).as_millis(),
+            left_ms: bar.until.since(now).as_millis(),
+            failed_trials: bar.failed_trials,
+            crashed: self.target_names(crashes.iter().map(|crash| crash.target)),
+        });
+        status.collect()
+    }
+
     /// Returns the targets whose reports and cache events the embedding should request. Polling is
     /// thus bounded by the targets that a router owns or uses, not by the number of all targets.
     pub fn watched_targets(&self) -> impl Iterator<Item = TargetId> {
