Show that a stream that ends inside an event is not passed on as whole

The test plays seven endings against the real daemon, with and without a length and chunks. It passes on the code as it was: no fault was found.

--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -528,6 +528,133 @@
     }
 }
 
+/// How a target delimits a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// Neither with a length nor in chunks: the stream ends with its connection.
+    Connection,
+    /// In chunks, of which the last one is sent.
+    Chunks,
+    /// With the length of the body that is sent.
+    Length,
+}
+
+/// Serves one connection: answers a request with a body and closes the connection.
+async fn answer_and_close(mut stream: TcpStream, framing: Framing, body: &'static str) {
+    let mut received = Vec::new();
+    while !received.ends_with(b"\r\n\r\nbody") {
+        let mut bytes = [0; 4_096];
+        match stream.read(&mut bytes).await {
+            Ok(0) | Err(_) => return,
+            Ok(read) => received.extend_from_slice(&bytes[..read]),
+        }
+    }
+    let text = String::from_utf8_lossy(&received).into_owned();
+    let id = text.split("attempt-id: ").nth(1).expect("it has an id");
+    let id = id.split("\r\n").next().expect("the line ends");
+    let length = body.len();
+    let (header, body) = match framing {
+        Framing::Connection => (String::new(), body.to_owned()),
+        Framing::Chunks => (
+            "transfer-encoding: chunked\r\n".to_owned(),
+            format!("{length:x}\r\n{body}\r\n0\r\n\r\n"),
+        ),
+        Framing::Length => (format!("content-length: {length}\r\n"), body.to_owned()),
+    };
+    let head =
+        format!("HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-stamp: proof\r\n{header}\r\n");
+    // The router may close the connection first.
+    let _ = stream.write_all(format!("{head}{body}").as_bytes()).await;
+    let _ = stream.shutdown().await;
+}
+
+/// Guards against a stream that was broken off inside an event and reaches the caller as complete, because neither a
+/// length nor chunks show where it ends.
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_is_not_complete() {
+    const WHOLE: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+    struct Case {
+        name: &'static str,
+        framing: Framing,
+        body: &'static str,
+        is_complete: bool,
+    }
+    let case = |name, framing, body, is_complete| Case {
+        name,
+        framing,
+        body,
+        is_complete,
+    };
+    let cases = [
+        case("whole", Framing::Connection, WHOLE, true),
+        case("whole, in chunks", Framing::Chunks, WHOLE, true),
+        case("in a line", Framing::Connection, &WHOLE[..25], false),
+        case("in a line, in chunks", Framing::Chunks, &WHOLE[..25], false),
+        case(
+            "in a line, with a length",
+            Framing::Length,
+            &WHOLE[..25],
+            false,
+        ),
+        case(
+            "before the blank line",
+            Framing::Connection,
+            &WHOLE[..WHOLE.len() - 1],
+            false,
+        ),
+        case(
+            "in the first event",
+            Framing::Connection,
+            &WHOLE[..9],
+            false,
+        ),
+    ];
+    for case in cases {
+        let (store, _, _, daemon) = start().await;
+        let mut configuration = configuration(2, 2_000, &["k1"]);
+        let route = json!({
+            "name": "stream", "host": HOST, "path_prefix": "/stream/", "kind": "streaming",
+            "timeout_ms": 2_000, "target_latency_ms": 1_000, "service": "s1", "max_attempts": 1
+        });
+        configuration["routes"]
+            .as_array_mut()
+            .expect("a list")
+            .push(route);
+        store.put("keyed.op", "config", Some(configuration));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("the listener has an address");
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(answer_and_close(stream, case.framing, case.body));
+            }
+        });
+        store.put("keyed.servers", "i-1", None);
+        store.put("keyed.servers", "i-2", Some(server(address, "ready", 1)));
+        let mut number = 0;
+        wait_until(case.name, async || {
+            number += 1;
+            let id = format!("a-{number}");
+            let headers = [("attempt-id", id.as_str()), ("authorization", "Bearer k1")];
+            let path = format!("/stream/{number}");
+            let answer = send(daemon.callers, Method::POST, &path, &headers, "body").await;
+            let Some(answer) = answer else {
+                assert!(!case.is_complete, "{}: broken off", case.name);
+                return true;
+            };
+            let body = String::from_utf8_lossy(answer.body()).into_owned();
+            if answer.status() != 200 || body.contains("token") {
+                // The router has not read the new records, or nothing was passed on.
+                let is_broken = answer.status() == 502;
+                return is_broken && !case.is_complete;
+            }
+            assert!(case.is_complete, "{}", case.name);
+            assert_eq!(body, WHOLE, "{}", case.name);
+            true
+        })
+        .await;
+    }
+}
+
 /// The time within which a router has to apply a new configuration.
 const APPLIED_WITHIN: Duration = Duration::from_secs(2);
 /// The time after which a router that hears nothing of the operators' records stops to serve.
