--- a/crates/core/src/node/poison.rs
+++ b/crates/core/src/node/poison.rs
@@ -12,7 +12,7 @@
 use crate::node::request::Stage;
 use crate::output::Output;
 use crate::poison::message::{PartKey, PoisonPart};
-use crate::poison::{BarredPart, Change};
+use crate::poison::{BarredPart, Change, shared_parts};
 use crate::prelude::*;
 use crate::slots::Policy;
 
@@ -212,11 +212,7 @@
     /// Refuses the requests with a barred part that wait or whose answer has not begun. Targets drop
     /// a request that is aborted, so that it crashes none.
     fn end_requests_with(&mut self, key: PartKey, left: Duration) {
-        let has_part = |req: &Request| {
-            let shared = req.details.parts.split_last();
-            let mut shared = shared.map_or(&[][..], |(_, shared)| shared).iter();
-            req.pool == key.pool && shared.any(|part| part.content == key.content)
-        };
+        let has_part = |req: &Request| shared_parts(req).any(|part| part == key);
         let ended: Vec<(RequestId, Stage)> = self
             .requests
             .iter()
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -33,4 +33,4 @@
 pub use self::evidence::{Bar, Crash, Evidence};
 pub use self::outcomes::Outcomes;
 pub use self::sound::SoundParts;
-pub use self::state::{BarredPart, Change, Poison};
+pub use self::state::{BarredPart, Change, Poison, shared_parts};
--- a/crates/core/src/poison/state.rs
+++ b/crates/core/src/poison/state.rs
@@ -45,6 +45,20 @@
     parts: Vec<PartKey>,
 }
 
+/// What speaks for a bar of a part.
+#[derive(Debug)]
+struct Conviction {
+    key: PartKey,
+    /// When the run of crashes began.
+    since: Time,
+    /// The length of the run.
+    run: usize,
+    /// The length of run that chance explains.
+    explained_run: usize,
+    /// Whether no target was ever seen to answer a request with the part.
+    was_never_sound: bool,
+}
+
 /// The trial of a part whose bar has run out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trial {
@@ -163,13 +177,7 @@
         for key in shared_parts(req) {
             counted = true;
             self.sound.insert(now, key);
-            if let Some(evidence) = self.parts.get_mut(&key)
-                && evidence.clear(now)
-            {
-                evidence.changed = now;
-                self.unsent.insert(key);
-                self.note_cleared(key, &mut changes);
-            }
+            self.clear(now, key, &mut changes);
         }
         if counted {
             self.outcomes.entry(req.pool).or_default().record_sound(now);
@@ -260,13 +268,7 @@
             .collect();
         let mut changes = Vec::new();
         for key in keys {
-            if let Some(evidence) = self.parts.get_mut(&key)
-                && evidence.clear(now)
-            {
-                evidence.changed = now;
-                self.unsent.insert(key);
-                self.note_cleared(key, &mut changes);
-            }
+            self.clear(now, key, &mut changes);
         }
         changes
     }
@@ -276,13 +278,20 @@
     pub fn on_time(&mut self, now: Time, targets_of: impl Fn(PoolId) -> usize) -> Vec<Change> {
         let mut changes = Vec::new();
         self.count_held(now, &mut changes);
-        while let Some((key, bar, explained_run)) = self.next_bar(now, &targets_of) {
+        while let Some(conviction) = self.next_bar(now, &targets_of) {
+            let key = conviction.key;
+            let bar = Bar {
+                id: self.new_id(now),
+                since: conviction.since,
+                until: now + self.cfg.bar_for,
+                failed_trials: 0,
+            };
             if let Some(evidence) = self.parts.get_mut(&key) {
                 evidence.set_bar(bar);
                 evidence.changed = now;
             }
             self.unsent.insert(key);
-            self.bar(now, key, bar, Some(explained_run), &mut changes);
+            self.bar(now, key, bar, Some(conviction.explained_run), &mut changes);
         }
         if now >= self.next_repeat {
             self.next_repeat = now + self.cfg.repeat;
@@ -407,57 +416,51 @@
         self.bar(now, key, bar, None, changes);
     }
 
-    /// Returns the next part to be barred, its bar, and the length of run that chance explains.
+    /// Returns the part to be barred next.
     ///
     /// A part that no target has ever been seen to answer comes first: what stands beside it in the
     /// same prompts is then cleared of the same crashes.
-    fn next_bar(
+    fn next_bar(&self, now: Time, targets_of: &impl Fn(PoolId) -> usize) -> Option<Conviction> {
+        let convictions = self
+            .parts
+            .iter()
+            .filter(|(_, evidence)| evidence.is_own && evidence.bar().is_none())
+            .filter_map(|(&key, evidence)| self.convict(now, key, evidence, targets_of));
+        convictions.max_by_key(|it| (it.was_never_sound, it.run))
+    }
+
+    /// Returns what speaks for a bar of a part, if its run of crashes is longer than chance explains.
+    fn convict(
         &self,
         now: Time,
+        key: PartKey,
+        evidence: &Evidence,
         targets_of: &impl Fn(PoolId) -> usize,
-    ) -> Option<(PartKey, Bar, usize)> {
-        let counted_until = now - self.cfg.hearing;
-        let mut found: Option<((bool, usize), PartKey, Bar, usize)> = None;
-        for (&key, evidence) in &self.parts {
-            let fewest = evidence.crashes().len() < self.cfg.run_min;
-            if fewest || !evidence.is_own || evidence.bar().is_some() {
-                continue;
-            }
-            let run = evidence.run(|crash| self.is_explained(crash));
-            let run: Vec<Crash> = run.filter(|crash| crash.at <= counted_until).collect();
-            let Some(first) = run.first() else {
-                continue;
-            };
-            let chance = self.outcomes.get(&key.pool).map_or(usize::MAX, |outcomes| {
-                outcomes.run_explained(now, self.cfg.chance_max)
-            });
-            let needed = chance.max(self.cfg.run_min);
-            let targets: BTreeSet<TargetId> = run.iter().map(|crash| crash.target).collect();
-            // A crash that is heard of late may look like two, so that each target counts once
-            // unless the pool has too few.
-            let length = match targets_of(key.pool) >= 2 * needed {
-                true => targets.len(),
-                false => run.len(),
-            };
-            if length < needed {
-                continue;
-            }
-            let is_new = evidence
-                .sound_at()
-                .or_else(|| self.sound.last(key))
-                .is_none();
-            let bar = Bar {
-                id: self.new_id(now),
-                since: first.at,
-                until: now + self.cfg.bar_for,
-                failed_trials: 0,
-            };
-            let rank = (is_new, length);
-            if found.as_ref().is_none_or(|(best, ..)| rank > *best) {
-                found = Some((rank, key, bar, chance));
-            }
+    ) -> Option<Conviction> {
+        if evidence.crashes().len() < self.cfg.run_min {
+            return None;
         }
-        found.map(|(_, key, bar, chance)| (key, bar, chance))
+        let counted_until = now - self.cfg.hearing;
+        let run = evidence.run(|crash| self.is_explained(crash));
+        let run: Vec<Crash> = run.filter(|crash| crash.at <= counted_until).collect();
+        let first = run.first()?;
+        let outcomes = self.outcomes.get(&key.pool)?;
+        let explained_run = outcomes.run_explained(now, self.cfg.chance_max);
+        let needed = explained_run.max(self.cfg.run_min);
+        let targets: BTreeSet<TargetId> = run.iter().map(|crash| crash.target).collect();
+        // A crash that is heard of late may look like two, so that each target counts once unless
+        // the pool has too few.
+        let length = match targets_of(key.pool) >= 2 * needed {
+            true => targets.len(),
+            false => run.len(),
+        };
+        (length >= needed).then(|| Conviction {
+            key,
+            since: first.at,
+            run: length,
+            explained_run,
+            was_never_sound: evidence.sound_at().or(self.sound.last(key)).is_none(),
+        })
     }
 
     /// Returns an identity for a new bar of this router.
@@ -510,6 +513,17 @@
             .any(|known| known.is_same(crash, within))
     }
 
+    /// Clears a part of its crashes, and has peers told if that is news.
+    fn clear(&mut self, now: Time, key: PartKey, changes: &mut Vec<Change>) {
+        if let Some(evidence) = self.parts.get_mut(&key)
+            && evidence.clear(now)
+        {
+            evidence.changed = now;
+            self.unsent.insert(key);
+            self.note_cleared(key, changes);
+        }
+    }
+
     /// Notes that a part is not barred any more, if it was.
     fn note_cleared(&mut self, key: PartKey, changes: &mut Vec<Change>) {
         let is_barred = self
@@ -567,7 +581,7 @@
 }
 
 /// Returns the parts of a request's prompt that other requests may share: all but the last.
-fn shared_parts(req: &Request) -> impl Iterator<Item = PartKey> {
+pub fn shared_parts(req: &Request) -> impl Iterator<Item = PartKey> {
     let parts = &req.details.parts;
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
     let pool = req.pool;
