Review: one spoilt byte costs the rest of a stream

Case 5: an event id that a faulty server spoilt makes the router drop the sound pieces after it; the stream ends as complete (ORDER). Case 2 breaks off exactly one answer in fifty of the faulty server now, so that it stays inside the dose. Case 3, a look-up whose answer was lost once is not served any more (CONFIG), comes with this too.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/release/bulrushtrestled ] && [ -x target/review/standin ] || exit 2
+exec target/review/standin spoilt review/5/record.txt
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,6 +2,7 @@
 
 mod joined;
 mod rollout;
+mod spoilt;
 mod suspect;
 mod tenant;
 mod traffic;
@@ -15,6 +16,7 @@
         "rollout" => rollout::run(trouble, record),
         "suspect" => suspect::run(trouble, record),
         "tenant" => tenant::run(trouble, record),
+        "spoilt" => spoilt::run(trouble, record),
         "joined" => joined::run(trouble, record),
         _ => Err(format!("no case {name}")),
     }
--- a/review/standin/cases/joined.rs
+++ b/review/standin/cases/joined.rs
@@ -6,7 +6,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use super::traffic::{desired_state, Random, Traffic};
+use super::traffic::{desired_state, Traffic};
 use crate::fleet::{wait_ready, Machine, Record};
 use crate::http::End;
 use crate::server::{Answering, Server, Spec};
@@ -20,8 +20,8 @@
 const BYTES: usize = 320 * 1024;
 /// The bytes after which a faulty server breaks off.
 const BROKEN_AT: usize = 300 * 1024;
-/// The share of a faulty server's answers that it breaks off.
-const BROKEN_SHARE: f64 = 0.02;
+/// Of so many answers a faulty server breaks off one.
+const BROKEN_EVERY: u64 = 50;
 /// For how long a server is faulty, and the calm time around it; the site's list of troubles has
 /// `garble` with a share of 0.35 of the servers, 0.02 of their answers, for 5.5 s.
 const FAULTY_FOR: Duration = Duration::from_millis(5_500);
@@ -49,14 +49,15 @@
     let mut servers = Vec::new();
     for index in 0..3 {
         let (is_faulty, broken) = (Arc::clone(&is_faulty), Arc::clone(&broken));
+        // The answers of the server while it is faulty.
+        let answers = AtomicU64::new(0);
         let answering: Answering = Arc::new(move |server, req, stream| {
             sleep(WORK);
             let attempt = req.header("attempt-id").unwrap_or("").to_owned();
             let body = body_of(&attempt);
-            let number = server.runs.load(Ordering::SeqCst);
             server.record.line(&format!("run id={attempt} server={}", server.spec.id));
             let faulty = index == 0 && is_faulty.load(Ordering::SeqCst);
-            if faulty && Random::new(number + 1).share() < BROKEN_SHARE {
+            if faulty && answers.fetch_add(1, Ordering::SeqCst) % BROKEN_EVERY == BROKEN_EVERY / 2 {
                 broken.fetch_add(1, Ordering::SeqCst);
                 server.record.line(&format!("broken off id={attempt} server={}", server.spec.id));
                 let (stamp, length) = (server.stamp(&attempt), body.len());
--- a/review/standin/cases/suspect.rs
+++ b/review/standin/cases/suspect.rs
@@ -5,7 +5,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use super::traffic::{desired_state, Class, Random, Traffic, CLASSES};
+use super::traffic::{desired_state, Class, Traffic, CLASSES};
 use crate::fleet::{wait_ready, Machine, Record};
 use crate::http::{Answer, End};
 use crate::server::{Answering, Server, Spec};
@@ -14,14 +14,17 @@
 const MACHINES: usize = 7;
 const ZONES: [&str; 3] = ["gent-a", "gent-b", "gent-c"];
 const EVENTS: u64 = 8;
-/// The share of the servers that lose answers, the share of the answers, and for how long, as on
-/// the site's own day trouble-2.
+/// The share of the servers that lose answers, and for how long, as on the site's own day
+/// trouble-2.
 const LOSING: f64 = 0.6;
-const LOST_SHARE: f64 = 0.3;
+/// Which of ten answers are lost: a share of 0.3.
+const LOST_OF_TEN: [u64; 3] = [2, 5, 9];
 const LOSES_FOR: Duration = Duration::from_secs(6);
 /// The calm time before the requests that are judged: the site's `stable_ms` and a second more.
 const CALM: Duration = Duration::from_secs(4);
-const JUDGED: Duration = Duration::from_secs(40);
+const JUDGED: Duration = Duration::from_secs(30);
+/// How often answers are lost for a while.
+const SPELLS: usize = 2;
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let text = |error: std::io::Error| error.to_string();
@@ -41,11 +44,14 @@
         // Of three servers, a share of 0.6 is one.
         let is_losing = index < (3.0 * LOSING) as usize;
         let (loses, lost) = (Arc::clone(&loses), Arc::clone(&lost));
+        // The answers of the server while it loses some.
+        let answers = AtomicU64::new(0);
         let desk: Answering = Arc::new(move |server, req, stream| {
             sleep(Duration::from_millis(15));
             let attempt = req.header("attempt-id").unwrap_or("").to_owned();
-            let mut random = Random::new(server.runs.load(Ordering::SeqCst) + 7);
-            let is_lost = is_losing && loses.load(Ordering::SeqCst) && random.share() < LOST_SHARE;
+            let is_lost = is_losing
+                && loses.load(Ordering::SeqCst)
+                && LOST_OF_TEN.contains(&(answers.fetch_add(1, Ordering::SeqCst) % 10));
             let (id, target) = (&server.spec.id, &req.target);
             server.record.line(&format!("run id={attempt} server={id} target={target} answer_lost={is_lost}"));
             if is_lost {
@@ -84,13 +90,15 @@
     let path = Some("/branch-stock/clocks");
     let later = Traffic::start(fronts, look_ups, 48.0, path, judge, record);
     sleep(Duration::from_secs(3));
-    record.line("answers may be lost from now on");
-    loses.store(trouble, Ordering::SeqCst);
-    sleep(LOSES_FOR);
-    loses.store(false, Ordering::SeqCst);
+    for _ in 0..SPELLS {
+        record.line("answers may be lost from now on");
+        loses.store(trouble, Ordering::SeqCst);
+        sleep(LOSES_FOR);
+        loses.store(false, Ordering::SeqCst);
+        record.line(&format!("no more answers are lost; lost={}", lost.load(Ordering::SeqCst)));
+        sleep(CALM);
+    }
     let lost = lost.load(Ordering::SeqCst);
-    record.line(&format!("no more answers are lost; lost={lost}"));
-    sleep(CALM);
     let (from_first, from_later) = (first.started.elapsed(), later.started.elapsed());
     record.line("steady state");
     sleep(JUDGED);
--- a/review/standin/cases/traffic.rs
+++ b/review/standin/cases/traffic.rs
@@ -86,7 +86,11 @@
 
 impl Random {
     pub fn new(seed: u64) -> Self {
-        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+        // The finalizer of splitmix64, so that neighbouring seeds have nothing in common.
+        let mut mixed = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        Self((mixed ^ (mixed >> 31)) | 1)
     }
 
     pub fn next(&mut self) -> u64 {
