--- a/review/standin/cases/joined.rs
+++ b/review/standin/cases/joined.rs
@@ -107,7 +107,7 @@
         (success && complete && whole, mixed)
     });
     let fronts = machines.iter().map(|machine| machine.front).collect();
-    let traffic = Traffic::start(fronts, [0.0, 0.0, 0.0, 0.0, 1.0], 150.0, Some("/stock-lookup/clocks"), judge, record);
+    let traffic = Traffic::start(fronts, [0.0, 0.0, 0.0, 0.0, 1.0], 150.0, Some("/stock-lookup/clocks"), false, judge, record);
     for _ in 0..SPELLS {
         sleep(CALM);
         is_faulty.store(trouble, Ordering::SeqCst);
--- a/review/standin/cases/rollout.rs
+++ b/review/standin/cases/rollout.rs
@@ -67,7 +67,7 @@
     });
     let fronts = machines.iter().map(|machine| machine.front).collect();
     let weights = CLASSES.map(|class| class.weight);
-    let traffic = Traffic::start(fronts, weights, 190.0, None, judge, record);
+    let traffic = Traffic::start(fronts, weights, 190.0, None, false, judge, record);
     let now = || traffic.started.elapsed();
 
     sleep(Duration::from_secs(4));
--- a/review/standin/cases/spoilt.rs
+++ b/review/standin/cases/spoilt.rs
@@ -101,7 +101,7 @@
     let mut weights = CLASSES.map(|class| class.weight);
     // The booking service takes no part.
     weights[3..].fill(0.0);
-    let traffic = Traffic::start(fronts, weights, 150.0, None, judge, record);
+    let traffic = Traffic::start(fronts, weights, 150.0, None, false, judge, record);
     for _ in 0..SPELLS {
         sleep(CALM);
         is_faulty.store(trouble, Ordering::SeqCst);
