Review: lay the stand-ins beside the cases

Only case folders stand in review/ now; the code of each case is in its folder, what they share is beside them.

--- a/review/standin/cases/rollout.rs
+++ b/review/1/case.rs
@@ -6,7 +6,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use super::traffic::{desired_state, Traffic, CLASSES};
+use crate::traffic::{desired_state, Traffic, CLASSES};
 use crate::fleet::{wait_ready, Machine, Record};
 use crate::http::End;
 use crate::server::{Answering, Server, Spec};
@@ -56,7 +56,7 @@
     }
     wait_ready(&machines, Duration::from_secs(15))?;
     sleep(Duration::from_secs(2));
-    let judge = Arc::new(|class: &super::traffic::Class, id: &str, answer: &crate::http::Answer| {
+    let judge = Arc::new(|class: &crate::traffic::Class, id: &str, answer: &crate::http::Answer| {
         let stamped = answer.header("server-stamp").is_some_and(|stamp| stamp.ends_with(id));
         let last = format!("piece {EVENTS} of {EVENTS}\n\n");
         let whole = match class.service {
--- a/review/standin/cases/tenant.rs
+++ b/review/4/case.rs
@@ -6,7 +6,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use super::traffic::HOST;
+use crate::traffic::HOST;
 use crate::client;
 use crate::fleet::{wait_ready, Machine, Record};
 use crate::server::{Answering, Server, Spec};
--- a/review/standin/cases/spoilt.rs
+++ b/review/5/case.rs
@@ -6,7 +6,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use super::traffic::{desired_state, Class, Traffic, CLASSES};
+use crate::traffic::{desired_state, Class, Traffic, CLASSES};
 use crate::fleet::{wait_ready, Machine, Record};
 use crate::http::{Answer, End};
 use crate::server::{Answering, Server, Spec};
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o "${OUT:-target/review/standin}" review/standin/main.rs
+rustc --edition 2021 -O -o "${OUT:-target/review/standin}" review/standin.rs
--- a/review/standin/cases.rs
+++ b/review/cases.rs
@@ -1,11 +1,15 @@
 //! The cases of the review.
 
+#[path = "2/case.rs"]
 mod joined;
+#[path = "1/case.rs"]
 mod rollout;
+#[path = "5/case.rs"]
 mod spoilt;
+#[path = "3/case.rs"]
 mod suspect;
+#[path = "4/case.rs"]
 mod tenant;
-mod traffic;
 
 use crate::fleet::Record;
 use std::sync::Arc;
--- a/review/standin/main.rs
+++ b/review/standin.rs
@@ -11,6 +11,7 @@
 mod http;
 mod server;
 mod store;
+mod traffic;
 
 use std::process::exit;
 use std::sync::atomic::{AtomicBool, Ordering};
