Read the recorded status of a rollout before deciding on it

Cause: that a move is final was written to the store for operators and never read back; routers kept it in memory and told each other. A start of all of them took the order for a new one, gave the turn to the old version, which has no targets any more, and the share of the new one grows with dispatches only, of which there were none.

With the adoption taken out again, two of the five tests of `recorded_moves` fail.

The routers that decide on a move read the recorded statuses before their first step, and adopt a final one. The status names the order by the offset of its record, so that a version that is ordered again is not taken for the earlier move.

The same with the adoption of roll-backs: a bad version got its first share again after each start of all routers.

--- a/crates/bulrushtrestled/src/control/follow.rs
+++ b/crates/bulrushtrestled/src/control/follow.rs
@@ -95,7 +95,7 @@
     }
 }
 
-/// An event of a topic that is followed.
+/// An event of a topic.
 #[derive(Debug)]
 pub(super) enum TopicEvent {
     /// Records, in order. If there is an offset, these are the newest records of all keys, and the
@@ -106,6 +106,8 @@
     /// A read failed and will be retried. True if the failure was detected in time. Otherwise this
     /// process was delayed, and the failure is no evidence about the store.
     Failed(Topic, bool),
+    /// The newest statuses of all rollouts, as of the time or later.
+    Statuses(Vec<Record>, Time),
 }
 
 /// Follows a topic until the receiver of its events is dropped.
@@ -344,7 +346,26 @@
     }
 }
 
-/// Writes the status of a rollout to the store, unless a final status is already recorded.
+/// Reads the statuses of all rollouts once. A failure is only logged, because the node asks again.
+pub(super) async fn read_statuses(
+    store: Store,
+    clock: Clock,
+    events: mpsc::UnboundedSender<TopicEvent>,
+    metrics: Arc<Metrics>,
+) {
+    let asked = clock.now();
+    match store.newest(Topic::Status).await {
+        Ok((records, _)) => drop(events.send(TopicEvent::Statuses(records, asked))),
+        Err(error) => {
+            metrics.edge(Edge::ReadFailed);
+            let took = clock.now().since(asked).as_millis();
+            log::warn!(target: "store", "read failed topic=status took_ms={took} error={error}");
+        }
+    }
+}
+
+/// Writes the status of a rollout to the store, unless a final status of the rollout or the status of a
+/// later one is already recorded.
 pub(super) async fn record_rollout(store: Store, status: Status) {
     let (key, value) = rollout::encode(&status);
     for _ in 0..STATUS_TRIES {
@@ -370,15 +391,26 @@
 ) -> Result<bool, StoreError> {
     let (records, end) = store.newest(Topic::Status).await?;
     let present = records.iter().find(|record| record.key == key);
-    if let Some(present) = present
-        && let Some(present) = rollout::decode(present)?
-        && present.version == status.version
-        && (present.state != State::Running || present.state == status.state)
-    {
-        return Ok(true);
+    match present.map(rollout::decode).transpose() {
+        Ok(Some(Some(present))) if !replaces(status, &present) => return Ok(true),
+        Ok(_) => {}
+        // Whoever wrote it, operators cannot read it either.
+        Err(error) => {
+            log::warn!(target: "store", "unusable status replaced key={key} error={error}");
+        }
     }
     let appended = store
         .append(Topic::Status, key, Some(value), Some(end))
         .await?;
     Ok(appended == Appended::Done)
 }
+
+/// Returns whether a status is to replace the recorded one.
+fn replaces(status: &Status, present: &Status) -> bool {
+    let is_same = match (status.order, present.order) {
+        (Some(order), Some(recorded)) if recorded > order => return false,
+        (Some(order), Some(recorded)) => recorded == order,
+        _ => present.version == status.version,
+    };
+    !is_same || (present.state == State::Running && status.state != State::Running)
+}
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -76,6 +76,8 @@
     store: Store,
     regions: BTreeMap<String, String>,
     events: mpsc::UnboundedReceiver<TopicEvent>,
+    /// The sending end of `events`, for reads of a topic that is not followed.
+    event_sender: mpsc::UnboundedSender<TopicEvent>,
     /// The listener for peers. `None` once the key of the fleet is known and the listener is in use.
     peers: Option<PeerListener>,
     /// The routers and targets in the store, which serve as the platform's VM list.
@@ -162,6 +164,7 @@
             store,
             regions: cfg.regions.clone(),
             events,
+            event_sender: sender,
             peers: Some(peers),
             vms: BTreeMap::new(),
             record_order: RecordOrder::default(),
@@ -355,14 +358,16 @@
     /// Handles an event of a topic of the store.
     pub(super) fn on_store_event(&mut self, event: TopicEvent) {
         match event {
-            TopicEvent::Records(topic, records, all_below) => match feed_topic(topic) {
-                Some(feed_topic) => self.handle(Input::Feed(FeedEvent::Records {
-                    topic: feed_topic,
-                    records: records.iter().map(|it| to_feed(topic, it)).collect(),
-                    all_below,
-                })),
-                None => self.on_status(&records),
-            },
+            TopicEvent::Records(topic, records, all_below) => {
+                if let Some(feed_topic) = feed_topic(topic) {
+                    self.handle(Input::Feed(FeedEvent::Records {
+                        topic: feed_topic,
+                        records: records.iter().map(|it| to_feed(topic, it)).collect(),
+                        all_below,
+                    }));
+                }
+            }
+            TopicEvent::Statuses(records, asked) => self.on_statuses(&records, asked),
             TopicEvent::CaughtUp(topic, known, asked) => {
                 if let Some(topic) = feed_topic(topic) {
                     self.handle(Input::Feed(FeedEvent::Complete {
@@ -503,20 +508,32 @@
         }
     }
 
-    fn on_status(&mut self, records: &[Record]) {
-        for record in records {
-            let progress = match rollout::decode(record) {
-                Ok(Some(status)) => move_progress(status),
-                Ok(None) => continue,
-                Err(error) => {
-                    if let Some(hosting) = &self.hosting {
-                        hosting.skip_record(Topic::Status, record, &error);
-                    }
-                    continue;
-                }
-            };
-            self.handle(Input::Store(StoreEvent::MoveProgress(progress)));
-        }
+    /// Reads the statuses of all rollouts, and passes them to the node.
+    pub(super) fn read_move_statuses(&self) {
+        let Some(hosting) = &self.hosting else {
+            return;
+        };
+        tokio::task::spawn_local(follow::read_statuses(
+            hosting.store.clone(),
+            hosting.clock,
+            hosting.event_sender.clone(),
+            Arc::clone(&hosting.metrics),
+        ));
+    }
+
+    fn on_statuses(&mut self, records: &[Record], asked: Time) {
+        let Some(hosting) = &self.hosting else {
+            return;
+        };
+        let decode = |record| match rollout::decode(record) {
+            Ok(status) => status.map(move_progress),
+            Err(error) => {
+                hosting.skip_record(Topic::Status, record, &error);
+                None
+            }
+        };
+        let statuses = records.iter().filter_map(decode).collect();
+        self.handle(Input::Store(StoreEvent::MoveStatuses { asked, statuses }));
     }
 
     /// Logs the progress of a version move and writes it to the store for operators.
@@ -538,6 +555,7 @@
             pool: progress.pool,
             version: progress.version,
             state,
+            order: progress.revision,
         };
         let store = hosting.store.clone();
         tokio::task::spawn_local(follow::record_rollout(store, status));
@@ -684,6 +702,7 @@
     MoveProgress {
         pool: status.pool,
         version: status.version,
+        revision: status.order,
         phase: match status.state {
             rollout::State::Running => MovePhase::Running,
             rollout::State::Completed => MovePhase::Finished,
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -37,6 +37,7 @@
                 }
             }
             Output::MoveProgress(progress) => self.record_move_progress(progress),
+            Output::ReadMoveStatuses => self.read_move_statuses(),
             Output::Records {
                 topic,
                 records,
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -99,6 +99,13 @@
         records.iter().filter(|(name, _)| name == key).count()
     }
 
+    /// Returns the newest value of a key of a topic.
+    pub(crate) fn value(&self, topic: &str, key: &str) -> Option<String> {
+        let (items, _) = self.newest(topic);
+        let found = items.into_iter().find(|(name, ..)| name == key);
+        found.map(|(_, value, _)| String::from_utf8_lossy(&value).into_owned())
+    }
+
     /// Returns the newest value of each key of a topic with its offset, and the end offset
     /// of the topic.
     fn newest(&self, topic: &str) -> (Vec<(String, Vec<u8>, usize)>, usize) {
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -182,8 +182,13 @@
     TargetsFailed,
     /// Targets published their own state.
     Targets(Vec<TargetState>),
-    /// A router, this one or another, recorded the progress of a version move for operators.
-    MoveProgress(MoveProgress),
+    /// The progress of all version moves that routers have recorded for operators was read.
+    MoveStatuses {
+        /// The time at which the read was sent.
+        asked: Time,
+        /// The recorded progress of each move.
+        statuses: Vec<MoveProgress>,
+    },
 }
 
 /// A changed record of the store.
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -13,13 +13,13 @@
 use crate::input::{AttemptEvent, Input, StoreChange};
 use crate::lease::Leases;
 use crate::membership::Members;
-use crate::node::Config;
 use crate::node::attempt::Attempt;
 use crate::node::freshness::CatchUp;
 use crate::node::local_dispatch::TargetList;
 use crate::node::log::Reader;
 use crate::node::request::Active;
 use crate::node::stop::Stopping;
+use crate::node::{CatalogueSource, Config};
 use crate::once::Once;
 use crate::output::Output;
 use crate::poison::Poison;
@@ -146,7 +146,10 @@
             running: Running::default(),
             targets: Targets::new(cfg.me, cfg.target.clone(), now),
             prefixes: Prefixes::new(),
-            moves: Moves::new(cfg.me, cfg.version.clone()),
+            moves: match cfg.log.source {
+                CatalogueSource::Log => Moves::new(cfg.me, cfg.version.clone()),
+                CatalogueSource::Store => Moves::with_recorded_status(cfg.me, cfg.version.clone()),
+            },
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             budgets: Budgets::new(cfg.attempt.clone()),
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -27,9 +27,10 @@
             StoreEvent::TargetsFailed => self.target_store_down = true,
             StoreEvent::Failed => self.on_read_failed(),
             StoreEvent::Targets(states) => self.on_target_states(&states),
-            StoreEvent::MoveProgress(status) => {
-                self.moves.follow(&self.catalogue);
-                self.moves.on_recorded_status(&mut self.cx, &status);
+            StoreEvent::MoveStatuses { asked, statuses } => {
+                self.moves.follow(self.cx.now, &self.catalogue);
+                self.moves
+                    .on_recorded_statuses(&mut self.cx, asked, &statuses);
             }
         }
     }
--- a/crates/core/src/node/version.rs
+++ b/crates/core/src/node/version.rs
@@ -44,7 +44,8 @@
     /// responsible.
     pub(super) fn follow_moves(&mut self) {
         let now = self.cx.now;
-        self.moves.follow(&self.catalogue);
+        self.moves.follow(now, &self.catalogue);
+        self.request_recorded_statuses();
         if !self.moves.is_due(now) {
             return;
         }
@@ -57,8 +58,7 @@
         // Without a log there are no leases: the preferred router decides, and facts only merge.
         let log_down = self.reader.down || self.cfg.log.source == CatalogueSource::Store;
         for pool in pools {
-            let count = self.moves.cfg().deciders;
-            let deciders = membership::best(decider_key(pool), self.members.live(now), count);
+            let deciders = self.deciders(pool);
             let rank = deciders.iter().position(|&router| router == self.cx.me);
             if open.contains(&pool) {
                 self.take_steps(pool, &deciders);
@@ -72,6 +72,22 @@
         }
     }
 
+    /// Returns the routers that decide on the move of a pool, the most preferred first.
+    fn deciders(&self, pool: PoolId) -> Vec<RouterId> {
+        let count = self.moves.cfg().deciders;
+        membership::best(decider_key(pool), self.members.live(self.cx.now), count)
+    }
+
+    /// Asks the embedding for the recorded statuses if this router decides on a move whose status it
+    /// does not know. The other routers learn the status from those that decide.
+    fn request_recorded_statuses(&mut self) {
+        let pools = self.moves.pools_without_status(self.cx.now);
+        let me = self.cx.me;
+        if pools.iter().any(|&pool| self.deciders(pool).contains(&me)) {
+            self.cx.out.push(Output::ReadMoveStatuses);
+        }
+    }
+
     /// Asks the embedding to record the status of a move whenever the status has changed. Deciders
     /// of lower preference wait, so that they find the status recorded unless the preferred ones
     /// cannot reach the store.
@@ -180,6 +196,7 @@
             fence: self.leases.held(now, lease),
             log_down,
             has_target: usable,
+            targets_known: self.targets_read,
         };
         self.moves.step(&mut self.cx, pool, deciders);
     }
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -55,6 +55,10 @@
     /// Record the progress of a version move for operators. Applies only if the catalogue is kept
     /// in a store.
     MoveProgress(MoveProgress),
+    /// Read the recorded progress of all moves and pass it to the node as
+    /// [`StoreEvent::MoveStatuses`](crate::input::StoreEvent::MoveStatuses). If the read fails, the
+    /// node asks again. Applies only if the catalogue is kept in a store.
+    ReadMoveStatuses,
     /// Apply records of the store that are newer than all earlier ones of their keys.
     Records {
         /// The topic of the records.
@@ -86,6 +90,9 @@
     pub pool: String,
     /// The version to which traffic moves.
     pub version: String,
+    /// The revision of the move's catalogue entry, which tells moves to the same version apart.
+    /// `None` if the record does not state it; it then applies to any move to the version.
+    pub revision: Option<Offset>,
     /// The phase that the move has reached.
     pub phase: MovePhase,
 }
--- a/crates/core/src/version/state.rs
+++ b/crates/core/src/version/state.rs
@@ -27,6 +27,11 @@
 /// Number of requests that must have ended at the new version in the last stage before the move may
 /// finish.
 const LAST_STAGE_ENDED_MIN: u32 = 8;
+/// The time after the start of a router before which it does not rely on the absence of targets.
+/// Targets whose records lapsed in an outage of the store write them again within two seconds.
+const SETTLED_AFTER: Duration = Duration::from_secs(3);
+/// The interval at which the recorded statuses are requested until they have been read.
+const STATUS_READ_RETRY: Duration = Duration::from_secs(1);
 /// Percentage of the permitted exposure that planning uses. The rest is a reserve, because the
 /// counts of other routers arrive half a second late.
 const PLANNED_EXPOSURE_PERCENT: u64 = 90;
@@ -55,6 +60,8 @@
     pub log_down: bool,
     /// Whether a target of the new version may currently receive requests.
     pub has_target: bool,
+    /// The time as of which the records of all targets are known; `None` if they were never read.
+    pub targets_known: Option<Time>,
 }
 
 /// The status of a move, for operators.
@@ -85,6 +92,14 @@
     followed: Option<u64>,
     /// The time of the next periodic check.
     next_check: Time,
+    /// Whether the statuses of moves are recorded in a store, from which a router must read them
+    /// before it decides on a move.
+    has_recorded_status: bool,
+    /// The time before which the recorded statuses are not requested again.
+    next_status_read: Time,
+    /// The first and the last time at which the catalogue was followed.
+    started: Option<Time>,
+    now: Time,
 }
 
 /// A move that the catalogue names.
@@ -93,6 +108,15 @@
     name: String,
     revision: Offset,
     entry: Move,
+    /// When this router learned of the move.
+    known_since: Time,
+    /// Whether the recorded status of the move, if there is one, is known. Until then another
+    /// router may have finished the move or rolled it back before this one started.
+    is_status_read: bool,
+    /// Whether a target of any other version is listed now, and whether one ever was since this
+    /// router learned of the move.
+    has_old_target: bool,
+    had_old_target: bool,
     /// The number of requests that the new version is owed, in thousandths.
     credit: i64,
     /// The arm whose turn it is while this router has no slot at its targets, and the time since
@@ -174,6 +198,19 @@
             facts: BTreeMap::new(),
             followed: None,
             next_check: Time(0),
+            has_recorded_status: false,
+            next_status_read: Time(0),
+            started: None,
+            now: Time(0),
+        }
+    }
+
+    /// Returns a state without moves whose statuses are recorded in a store. No step is taken on a
+    /// move before [`on_recorded_statuses`](Self::on_recorded_statuses).
+    pub fn with_recorded_status(me: RouterId, cfg: Config) -> Self {
+        Self {
+            has_recorded_status: true,
+            ..Self::new(me, cfg)
         }
     }
 
@@ -285,7 +322,9 @@
     /// Updates the moves from the catalogue. The caller must do this between a change of the
     /// catalogue and the next dispatch, so that no target of a new version is used before its move
     /// is known.
-    pub fn follow(&mut self, catalogue: &Catalogue) {
+    pub fn follow(&mut self, now: Time, catalogue: &Catalogue) {
+        self.started.get_or_insert(now);
+        self.now = now;
         if self.followed.replace(catalogue.changes()) == Some(catalogue.changes()) {
             return;
         }
@@ -307,13 +346,21 @@
         for (pool, (name, revision, entry)) in entries {
             let known = self.moves.get(&pool).map(|active| active.revision);
             if known != Some(revision) {
-                let active = Active::new(self.me, pool, name, revision, entry);
+                let active = Active {
+                    known_since: now,
+                    is_status_read: !self.has_recorded_status,
+                    ..Active::new(self.me, pool, name, revision, entry)
+                };
                 self.moves.insert(pool, active);
+                self.next_status_read = now;
             }
             if let Some(active) = self.moves.get_mut(&pool) {
-                let targets = catalogue.targets_of(pool);
-                let new = targets.filter(|view| view.entry.version == active.entry.to);
-                active.new_targets = new.map(|view| view.id).collect();
+                let (new, old): (Vec<_>, Vec<_>) = catalogue
+                    .targets_of(pool)
+                    .partition(|view| view.entry.version == active.entry.to);
+                active.new_targets = new.iter().map(|view| view.id).collect();
+                active.has_old_target = !old.is_empty();
+                active.had_old_target |= active.has_old_target;
             }
         }
     }
@@ -358,7 +405,9 @@
         let verdict = self.evaluate_fleet(cx, pool);
         self.log_evidence(cx, pool, verdict);
         let may_decide = deciders.fence.is_some() || deciders.log_down;
-        let Some(active) = self.moves.get(&pool).filter(|_| may_decide) else {
+        let is_status_read = |active: &&Active| active.is_status_read;
+        let active = self.moves.get(&pool).filter(|_| may_decide);
+        let Some(active) = active.filter(is_status_read) else {
             return;
         };
         let fact = self.fact(pool, active.revision);
@@ -368,7 +417,11 @@
         }
         let start = *fact.start.get_or_insert(cx.now);
         let due = due(cx.now, start, active.entry.finish_at - self.cfg.margin);
+        let knows_targets = deciders.targets_known >= Some(active.known_since);
+        let is_uncontested = self.is_uncontested(active, &fact) && knows_targets;
         match active.next_step(cx.now, &self.cfg, due, verdict) {
+            // No evidence can compare the new version with targets that do not exist.
+            _ if due == Due::Finish && is_uncontested => fact.finished = true,
             Some(Due::Finish) => fact.finished = true,
             Some(Due::Stage(stage)) => fact.stage = Some(stage),
             None if due == Due::Finish && verdict == Verdict::Doubtful => {
@@ -475,6 +528,7 @@
         match self.fact(pool, active.revision) {
             Some(fact) if fact.taken_back.is_some() => 0,
             Some(fact) if fact.finished => FULL_SHARE,
+            fact if self.is_uncontested(active, fact.unwrap_or(&Fact::default())) => FULL_SHARE,
             Some(Fact {
                 stage: Some(stage), ..
             }) => share_within(*stage, self.cfg.share_max),
@@ -482,6 +536,19 @@
         }
     }
 
+    /// Returns whether the new version is the only one that can take the pool's requests: no other
+    /// version has a target, and none had one since this router learned of the move. The latter
+    /// counts only once it is known that the move is not final, because the targets of the old
+    /// version stop as soon as a move has finished.
+    fn is_uncontested(&self, active: &Active, fact: &Fact) -> bool {
+        let is_settled = self
+            .started
+            .is_some_and(|started| self.now.since(started) >= SETTLED_AFTER);
+        let may_be_final = !active.is_status_read && *fact == Fact::default();
+        let is_alone = !active.has_old_target && !active.new_targets.is_empty();
+        is_settled && is_alone && (!active.had_old_target || may_be_final)
+    }
+
     fn merge(&mut self, cx: &mut Context, step: &MoveStep) {
         let known = self.facts.entry((step.pool, step.revision)).or_default();
         let before = known.fact.clone();
@@ -556,6 +623,10 @@
         if fact.is_final() || self.cfg.policy != Policy::Staged {
             return;
         }
+        if self.is_uncontested(active, &fact) {
+            // There is no version to which the traffic could return.
+            return;
+        }
         fact.taken_back = Some(Rollback {
             at: cx.now,
             by: cx.me,
@@ -692,6 +763,10 @@
             name: name.to_owned(),
             revision,
             entry: entry.clone(),
+            known_since: Time(0),
+            is_status_read: true,
+            has_old_target: false,
+            had_old_target: false,
             credit,
             starved: None,
             own: Evidence::default(),
--- a/crates/core/src/version/state/operator_status.rs
+++ b/crates/core/src/version/state/operator_status.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 use crate::version::evidence::{Load, Route};
 use crate::version::message::{Fault, MoveStep, Rollback};
-use crate::version::state::Moves;
+use crate::version::state::{Moves, STATUS_READ_RETRY};
 
 /// The route of a rollback that is known only from the status recorded for operators, which
 /// contains no route.
@@ -24,6 +24,9 @@
         wait: Duration,
     ) -> Option<MoveProgress> {
         let active = self.moves.get(&pool)?;
+        if !active.is_status_read {
+            return None;
+        }
         let phase = match self.fact(pool, active.revision) {
             Some(fact) if fact.taken_back.is_some() => MovePhase::TakenBack,
             Some(fact) if fact.finished => MovePhase::Finished,
@@ -46,16 +49,49 @@
         Some(MoveProgress {
             pool: active.name.clone(),
             version: active.entry.to.clone(),
+            revision: Some(active.revision),
             phase,
         })
     }
 
-    /// Adopts the status of a move that this router or another one recorded for operators.
-    pub fn on_recorded_status(&mut self, cx: &mut Context, status: &MoveProgress) {
-        let found = self
-            .moves
-            .iter()
-            .find(|(_, active)| active.name == status.pool && active.entry.to == status.version);
+    /// Returns the pools of which this router cannot tell whether their move was finished or rolled
+    /// back before it learned of the move. Returns nothing before the next retry is due.
+    pub fn pools_without_status(&mut self, now: Time) -> Vec<PoolId> {
+        if now < self.next_status_read {
+            return Vec::new();
+        }
+        let unknown = self.moves.iter().filter(|(_, it)| !it.is_status_read);
+        let pools: Vec<PoolId> = unknown.map(|(&pool, _)| pool).collect();
+        if !pools.is_empty() {
+            self.next_status_read = now + STATUS_READ_RETRY;
+        }
+        pools
+    }
+
+    /// Adopts the recorded statuses of all moves, which were read at `asked` or later.
+    pub fn on_recorded_statuses(
+        &mut self,
+        cx: &mut Context,
+        asked: Time,
+        statuses: &[MoveProgress],
+    ) {
+        for status in statuses {
+            self.adopt(cx, status);
+        }
+        for active in self.moves.values_mut() {
+            // A status that was written after the read belongs to a later order.
+            active.is_status_read |= asked >= active.known_since;
+        }
+    }
+
+    /// Adopts the status of a move that this router or another one recorded for operators. A status
+    /// of an earlier move of the pool to the same version has another revision.
+    fn adopt(&mut self, cx: &mut Context, status: &MoveProgress) {
+        let found = self.moves.iter().find(|(_, active)| {
+            active.name == status.pool
+                && active.entry.to == status.version
+                && status.revision.is_none_or(|it| it == active.revision)
+        });
         let Some((&pool, active)) = found else {
             return;
         };
@@ -76,6 +112,9 @@
         if let Some(active) = self.moves.get_mut(&pool) {
             active.reported_phase = Some(status.phase);
         }
+        let (name, version) = (&status.pool, &status.version);
+        let subject = format!("{name} to {version}: recorded as {:?}", status.phase);
+        cx.notice(NoticeKind::Version, subject);
         let step = MoveStep {
             pool,
             revision,
--- a/crates/core/src/version/tests.rs
+++ b/crates/core/src/version/tests.rs
@@ -80,7 +80,7 @@
     catalogue.apply(Offset(0), &Edit::put(Uuid::from_u128(1), None, pool));
     catalogue.apply(Offset(1), &Edit::put(Uuid::from_u128(2), None, entry));
     let mut moves = Moves::new(RouterId(me), Config::default());
-    moves.follow(&catalogue);
+    moves.follow(Time(0), &catalogue);
     let cx = Context::new(RouterId(me), Incarnation(1), ChaCha8Rng::seed_from_u64(1));
     (moves, cx, PoolId(0))
 }
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -22,7 +22,7 @@
     AttemptEvent, Failure, FailureKind, Input, StoreChange, StoreEvent, Vm, VmRole,
 };
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
-use bulrushtrestle_core::output::Output;
+use bulrushtrestle_core::output::{MovePhase, MoveProgress, Output};
 use bulrushtrestle_core::prelude::*;
 use bulrushtrestle_core::slots::Policy;
 use bulrushtrestle_core::version::Exposure;
@@ -164,6 +164,11 @@
 
 /// Returns the order to move all traffic from version `v1` to `v2` by `finish_at`.
 pub(crate) fn move_order(finish_at: Time) -> StoreChange {
+    move_order_at(5, finish_at)
+}
+
+/// Returns the same order as the record at `revision`.
+pub(crate) fn move_order_at(revision: u64, finish_at: Time) -> StoreChange {
     let entry = Move {
         pool: "m".to_owned(),
         from: "v1".to_owned(),
@@ -171,7 +176,7 @@
         finish_at,
     };
     StoreChange {
-        revision: Offset(5),
+        revision: Offset(revision),
         scope: Scope::One(Kind::Move, "m".to_owned()),
         entries: vec![Entry::Move(entry)],
     }
@@ -208,6 +213,16 @@
     pub(crate) store_blocked: BTreeSet<usize>,
     /// Changes in the store, each with the index of a router that has not read it yet.
     unread: Vec<(usize, StoreChange)>,
+    /// The newest change of each scope in the store, in the order of writing.
+    store: Vec<StoreChange>,
+    /// The recorded statuses of moves, in the order of writing.
+    pub(crate) statuses: Vec<MoveProgress>,
+    /// Whether reads of the recorded statuses fail.
+    pub(crate) statuses_unreadable: bool,
+    /// The reads of the recorded statuses under way: index of the router and time of the question.
+    status_reads: Vec<(usize, Time)>,
+    /// The capacities of the routers and the number of data centres, with which they start again.
+    placement: (Vec<u32>, usize),
     /// The requested wake-ups: time and index of the router.
     wakes: BTreeSet<(Time, usize)>,
     /// How long a target generates for a request after it has read the prompt.
@@ -313,23 +328,9 @@
     ) -> Self {
         let now = Time::from_millis(1_800_000_000_000);
         let routers = u32::try_from(capacities.len()).expect("few routers");
-        let nodes = (1..=routers).zip(capacities).map(|(me, &capacity)| {
-            let mut cfg = Config::new(RouterId(me), Incarnation(1));
-            cfg.membership.capacity = capacity;
-            cfg.log.source = CatalogueSource::Store;
-            cfg.slots.policy = Policy::Local;
-            cfg.membership.mesh_max = MESH_MAX;
-            cfg.share.full_replication_max = MESH_MAX + 1;
-            cfg.version.share_max = SHARE_MAX_MILLIS;
-            cfg.version.margin = MOVE_MARGIN;
-            cfg.version.exposure = Exposure {
-                share: 100,
-                slack: 50,
-            };
-            cfg.data_centre = data_centre_of(me as usize - 1, data_centres);
-            cfg.caller_address = format!("127.0.0.1:{me}");
-            Node::new(cfg, now, u64::from(me))
-        });
+        let nodes = (1..=routers)
+            .zip(capacities)
+            .map(|(me, &capacity)| node(me, Incarnation(1), capacity, data_centres, now));
         let mut fleet = Self {
             now,
             nodes: nodes.collect(),
@@ -341,6 +342,11 @@
             failed: Vec::new(),
             store_blocked: BTreeSet::new(),
             unread: Vec::new(),
+            store: Vec::new(),
+            statuses: Vec::new(),
+            statuses_unreadable: false,
+            status_reads: Vec::new(),
+            placement: (capacities.to_vec(), data_centres),
             wakes: BTreeSet::new(),
             generation_time: Duration::ZERO,
             generating: Vec::new(),
@@ -358,27 +364,87 @@
             traffic: Vec::new(),
             next: 0,
         };
-        let vms: Vec<Vm> = (1..=routers)
-            .map(|id| Vm {
-                data_centre: data_centre_of(id as usize - 1, data_centres),
-                ..router(id)
-            })
-            .collect();
+        let mut changes = vec![
+            data_centre(DataCentreState::In),
+            configuration(cold_starts_per_s),
+        ];
+        changes.extend((1..=targets).map(|target| {
+            target_change_with_slots(&format!("t{target}"), u64::from(target), true, slots)
+        }));
+        fleet.keep(&changes);
         for at in 0..fleet.nodes.len() {
-            fleet.input(at, Input::Vms(vms.clone()));
-            let mut changes = vec![
-                data_centre(DataCentreState::In),
-                configuration(cold_starts_per_s),
-            ];
-            changes.extend((1..=targets).map(|target| {
-                target_change_with_slots(&format!("t{target}"), u64::from(target), true, slots)
-            }));
-            fleet.input(at, Input::Store(StoreEvent::Changed(changes)));
+            fleet.read_store(at);
         }
         fleet.run(Duration::from_secs(2));
         fleet
     }
 
+    /// Keeps the newest change of each scope for routers that start later.
+    fn keep(&mut self, changes: &[StoreChange]) {
+        for change in changes {
+            self.store.retain(|kept| kept.scope != change.scope);
+            self.store.push(change.clone());
+        }
+    }
+
+    /// Delivers the list of VMs and all that the store holds to a router that has just started.
+    fn read_store(&mut self, at: usize) {
+        let (capacities, data_centres) = &self.placement;
+        let routers = u32::try_from(capacities.len()).expect("few routers");
+        let vms = (1..=routers).map(|id| Vm {
+            data_centre: data_centre_of(id as usize - 1, *data_centres),
+            ..router(id)
+        });
+        let vms = vms.collect();
+        self.input(at, Input::Vms(vms));
+        let changes = self.store.clone();
+        self.input(at, Input::Store(StoreEvent::Changed(changes)));
+    }
+
+    /// Kills routers and starts them again: they know what the store holds and nothing else.
+    pub(crate) fn restart(&mut self, routers: impl IntoIterator<Item = usize>) {
+        let routers: BTreeSet<usize> = routers.into_iter().collect();
+        self.frames.retain(|(_, to, ..)| !routers.contains(to));
+        self.wakes.retain(|(_, at)| !routers.contains(at));
+        self.unread.retain(|(at, _)| !routers.contains(at));
+        self.status_reads.retain(|(at, _)| !routers.contains(at));
+        self.generating.retain(|it| !routers.contains(&it.at));
+        self.attempts.retain(|(at, _), _| !routers.contains(at));
+        for jobs in self.targets.values_mut() {
+            jobs.retain(|(at, ..)| !routers.contains(at));
+        }
+        for &at in &routers {
+            let (capacities, data_centres) = &self.placement;
+            let me = u32::try_from(at + 1).expect("few routers");
+            let run = Incarnation(self.now.as_millis());
+            self.nodes[at] = node(me, run, capacities[at], *data_centres, self.now);
+            self.read_store(at);
+        }
+    }
+
+    /// Records the status of a move, unless a final one of the same move is recorded.
+    fn record_status(&mut self, progress: MoveProgress) {
+        let last = self.statuses.last();
+        let is_final = last.is_some_and(|last| {
+            last.revision == progress.revision && last.phase != MovePhase::Running
+        });
+        if !is_final && last != Some(&progress) {
+            self.statuses.push(progress);
+        }
+    }
+
+    /// Answers the reads of the recorded statuses.
+    fn answer_status_reads(&mut self) {
+        for (at, asked) in std::mem::take(&mut self.status_reads) {
+            if self.statuses_unreadable || self.store_blocked.contains(&at) {
+                continue;
+            }
+            let statuses = self.statuses.last().cloned().into_iter().collect();
+            let read = StoreEvent::MoveStatuses { asked, statuses };
+            self.input(at, Input::Store(read));
+        }
+    }
+
     /// Delivers an input to a router and processes the outputs.
     pub(crate) fn input(&mut self, at: usize, input: Input) {
         if self.dead.contains(&at) {
@@ -435,6 +501,10 @@
                 Output::Wake(wake) => {
                     self.wakes.insert((wake, at));
                 }
+                Output::MoveProgress(progress) if !self.store_blocked.contains(&at) => {
+                    self.record_status(progress);
+                }
+                Output::ReadMoveStatuses => self.status_reads.push((at, self.now)),
                 _ => {}
             }
         }
@@ -520,6 +590,7 @@
             self.input(at, Input::Timer);
         }
         if self.now.as_millis().is_multiple_of(10) {
+            self.answer_status_reads();
             let asked = self.now;
             for at in 0..self.nodes.len() {
                 if self.store_blocked.contains(&at) {
@@ -605,6 +676,7 @@
 
     /// Writes changes to the store. Each router reads them at its next successful read.
     pub(crate) fn write(&mut self, changes: &[StoreChange]) {
+        self.keep(changes);
         for at in 0..self.nodes.len() {
             let unread = changes.iter().map(|change| (at, change.clone()));
             self.unread.extend(unread);
@@ -690,6 +762,25 @@
     }
 }
 
+/// Returns a router as it is after its start.
+fn node(me: u32, run: Incarnation, capacity: u32, data_centres: usize, now: Time) -> Node {
+    let mut cfg = Config::new(RouterId(me), run);
+    cfg.membership.capacity = capacity;
+    cfg.log.source = CatalogueSource::Store;
+    cfg.slots.policy = Policy::Local;
+    cfg.membership.mesh_max = MESH_MAX;
+    cfg.share.full_replication_max = MESH_MAX + 1;
+    cfg.version.share_max = SHARE_MAX_MILLIS;
+    cfg.version.margin = MOVE_MARGIN;
+    cfg.version.exposure = Exposure {
+        share: 100,
+        slack: 50,
+    };
+    cfg.data_centre = data_centre_of(me as usize - 1, data_centres);
+    cfg.caller_address = format!("127.0.0.1:{me}");
+    Node::new(cfg, now, u64::from(me))
+}
+
 /// Returns the VM of a router.
 pub(crate) fn router(id: u32) -> Vm {
     Vm {
