Forward the events of a stream as they come, and end it if their order breaks

Cause: an event whose id was not above the last one was dropped in every attempt, as one that the caller had received before the stream was resumed, though nothing had been resumed; and the last id was taken as it came, so that one wrong id decided on all that followed.

Only events that the caller has are dropped, at the beginning of a resumed attempt. An id that does not increase ends the attempt as failed. An event that is further ahead than any step before is held until the next one shows which is right, so that a stream that may be resumed goes on after the last confirmed id and reaches the caller whole; one without such a position ends as broken off and is not sent again. The product's own listener dropped a falling id as well, which cost the last token of an answer if just its id was spoilt.

--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -60,6 +60,10 @@
     TargetError = "target_error";
     /// An answer belonged to another attempt and was dropped.
     TargetCrossed = "target_crossed";
+    /// An answer failed after a part of it had been sent, and could not be resumed.
+    TargetUnresumable = "target_unresumable";
+    /// The id of an event in a stream was not above the one before it.
+    EventOutOfOrder = "event_out_of_order";
     /// A token that the caller had already received was dropped.
     TokenRepeated = "token_repeated";
     /// A target's report could not be read.
--- a/crates/bulrushtrestled/src/traffic/attempt.rs
+++ b/crates/bulrushtrestled/src/traffic/attempt.rs
@@ -219,5 +219,6 @@
         FailureKind::Silent => Edge::TargetSilent,
         FailureKind::Error => Edge::TargetError,
         FailureKind::Crossed => Edge::TargetCrossed,
+        FailureKind::Unresumable => Edge::TargetUnresumable,
     }
 }
--- a/crates/bulrushtrestled/src/traffic/chat.rs
+++ b/crates/bulrushtrestled/src/traffic/chat.rs
@@ -211,7 +211,8 @@
         if event.is_end {
             result.flow = Flow::End;
         } else if let Some(id) = event.id {
-            if id <= result.delivered {
+            // An earlier attempt delivered these, if this one starts again from the beginning.
+            if id <= resumed_from && result.delivered == resumed_from {
                 attempt.traffic.metrics.edge(Edge::TokenRepeated);
                 return;
             }
--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -15,6 +15,7 @@
 mod drive;
 mod refusal_log;
 mod relay;
+mod sequence;
 #[cfg(test)]
 mod tests;
 
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -3,7 +3,7 @@
 //! Answers that do not stream are buffered until they are complete, up to a limit, so that nothing
 //! of an answer that breaks off reaches the caller. Streams are forwarded event by event. An
 //! incomplete event is never forwarded, so that a stream can be resumed after the last complete
-//! event.
+//! event. [`Sequence`] checks their order.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,7 +22,9 @@
 use tokio::time::{Instant, timeout};
 
 use crate::control::ForwardingPlan;
+use crate::metrics::Edge;
 use crate::traffic::hosted::connections::Sender;
+use crate::traffic::hosted::sequence::{OutOfOrder, Sequence};
 use crate::traffic::hosted::{Call, Hosted};
 use crate::traffic::reply::Reply;
 use crate::traffic::sse::Splitter;
@@ -110,8 +112,8 @@
     reply: Option<Reply>,
     /// Whether the head of an answer was sent to the caller.
     begun: bool,
-    /// The id of the last event that was sent to the caller, or 0.
-    delivered: u64,
+    /// The events of a stream that were sent to the caller.
+    sequence: Sequence,
     /// When the request was handed over to the control thread.
     started: Instant,
     /// The time from `started` to the first part of an answer.
@@ -129,7 +131,7 @@
         Self {
             reply: Some(reply),
             begun: false,
-            delivered: 0,
+            sequence: Sequence::default(),
             started: Instant::now(),
             first_byte_after: None,
             connected_after: None,
@@ -139,8 +141,8 @@
     }
 
     /// Returns the id of the last event that was sent to the caller, or 0.
-    pub(super) const fn delivered(&self) -> u64 {
-        self.delivered
+    pub(super) fn delivered(&self) -> u64 {
+        self.sequence.delivered()
     }
 
     /// Returns the time from the hand-over of the request to the first part of an answer.
@@ -182,7 +184,7 @@
         dispatch.target.clone_into(&mut self.target);
         match self.attempt(hosted, call, dispatch).await {
             Ok(()) => Ended::Complete {
-                tokens: self.delivered,
+                tokens: self.delivered(),
             },
             Err(ended) => ended,
         }
@@ -281,7 +283,10 @@
             });
         }
         if dispatch.plan.streams && head.status.is_success() {
-            self.forward_stream(hosted, dispatch, &head, body).await?;
+            let forwarded = self.forward_stream(hosted, call, dispatch, &head, body);
+            forwarded
+                .await
+                .map_err(|ended| self.unless_resumable(ended))?;
         } else {
             self.forward_buffered(hosted, dispatch, &head, body).await?;
         }
@@ -321,41 +326,69 @@
     async fn forward_stream(
         &mut self,
         hosted: &Hosted,
+        call: &Call,
         dispatch: &Dispatch<'_>,
         head: &response::Parts,
         mut body: Incoming,
     ) -> Result<(), Ended> {
         let mut splitter = Splitter::default();
+        self.sequence.begin_attempt();
         while let Some(chunk) = next_chunk(&mut body).await? {
             splitter
                 .push(&chunk)
                 .map_err(|_| Ended::failed(FailureKind::Error))?;
             let mut batch = BytesMut::new();
-            while let Some(event) = splitter.next() {
-                if event.id.is_some_and(|id| id <= self.delivered) {
-                    // The caller received this event before the stream was resumed.
-                    continue;
-                }
-                self.delivered = event.id.unwrap_or(self.delivered);
-                batch.extend_from_slice(&event.raw);
+            let mut order = Ok(());
+            while order.is_ok()
+                && let Some(event) = splitter.next()
+            {
+                order = self.sequence.push(event, &mut batch);
             }
-            if !batch.is_empty() {
-                self.begin(hosted, dispatch, for_caller(head));
-                self.send(batch.freeze()).await?;
-                hosted
-                    .traffic
-                    .progress
-                    .record(dispatch.attempt, self.delivered);
+            self.send_events(hosted, dispatch, head, batch).await?;
+            if let Err(error) = order {
+                return Err(report_disorder(hosted, call, dispatch, error));
             }
         }
         if splitter.has_partial_event() {
             return Err(Ended::failed(FailureKind::Truncated));
         }
+        let mut batch = BytesMut::new();
+        self.sequence.finish(&mut batch);
+        self.send_events(hosted, dispatch, head, batch).await?;
         // A stream without events is a complete answer too.
         self.begin(hosted, dispatch, for_caller(head));
         Ok(())
     }
 
+    /// Sends events of a stream to the caller, if there are any.
+    async fn send_events(
+        &mut self,
+        hosted: &Hosted,
+        dispatch: &Dispatch<'_>,
+        head: &response::Parts,
+        batch: BytesMut,
+    ) -> Result<(), Ended> {
+        if batch.is_empty() {
+            return Ok(());
+        }
+        self.begin(hosted, dispatch, for_caller(head));
+        self.send(batch.freeze()).await?;
+        let delivered = self.delivered();
+        hosted.traffic.progress.record(dispatch.attempt, delivered);
+        Ok(())
+    }
+
+    /// Returns how a stream ended. A failure becomes final if the stream has no position from which
+    /// it could be resumed.
+    fn unless_resumable(&self, ended: Ended) -> Ended {
+        match ended {
+            Ended::Failed { sent: true, .. } if !self.sequence.is_resumable() => {
+                Ended::failed(FailureKind::Unresumable)
+            }
+            ended => ended,
+        }
+    }
+
     /// Sends the head to the caller, unless one was sent, and reports the start of the attempt to
     /// the node, unless it was reported.
     fn begin(&mut self, hosted: &Hosted, dispatch: &Dispatch<'_>, head: response::Parts) {
@@ -385,6 +418,27 @@
     }
 }
 
+/// Logs and counts an event that is out of order, and returns how the dispatch ended.
+fn report_disorder(
+    hosted: &Hosted,
+    call: &Call,
+    dispatch: &Dispatch<'_>,
+    error: OutOfOrder,
+) -> Ended {
+    let OutOfOrder {
+        id,
+        after,
+        is_resumable,
+    } = error;
+    let (attempt, target) = (&call.info.attempt, dispatch.target);
+    log::info!(target: "disordered", "attempt={attempt} target={target} id={id} after={after} resumable={is_resumable}");
+    hosted.traffic.metrics.edge(Edge::EventOutOfOrder);
+    Ended::failed(match is_resumable {
+        true => FailureKind::Error,
+        false => FailureKind::Unresumable,
+    })
+}
+
 /// Returns whether a request may still be sent to the target of its dispatch. Since the decision,
 /// the target may have been withdrawn and the caller's deadline may have passed.
 fn may_send(hosted: &Hosted, dispatch: &Dispatch<'_>) -> bool {
--- a/crates/bulrushtrestled/src/traffic/hosted/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/tests.rs
@@ -1,14 +1,17 @@
-//! Log lines of requests on a hosting platform.
+//! Log lines of requests on a hosting platform, and the order of streamed events.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bulrushtrestle_core::key::Fingerprint;
 use bulrushtrestle_core::request::PromptPart;
+use bytes::BytesMut;
 use tokio::time::sleep;
 
 use crate::traffic::hosted::drive::shared_parts;
 use crate::traffic::hosted::refusal_log::{LINES_PER_SECOND, RefusalLog};
+use crate::traffic::hosted::sequence::Sequence;
+use crate::traffic::sse::Splitter;
 
 /// Guards against an overloaded router that writes a log line for each request that it refuses.
 #[tokio::test]
@@ -60,3 +63,270 @@
         assert_eq!(shared_parts(&parts), case.field, "{}", case.name);
     }
 }
+
+/// What becomes of the events of one attempt.
+#[derive(Debug, PartialEq, Eq)]
+enum Outcome {
+    /// The answer is complete.
+    Complete,
+    /// An event is out of order, and the answer may be resumed after the id.
+    Resumable(u64),
+    /// An event is out of order, and the answer cannot be resumed.
+    Final,
+}
+
+/// Pushes the events of an attempt that are named by their ids: `-` has none, `:` is a comment and `D` the end mark.
+/// Returns those that were forwarded, and what became of the answer.
+fn push_all(sequence: &mut Sequence, events: &str) -> (String, Outcome) {
+    let mut splitter = Splitter::default();
+    for event in events.split_whitespace() {
+        let raw = match event {
+            "-" => "data: x\n\n".to_owned(),
+            ":" => ": x\n\n".to_owned(),
+            "D" => "data: [DONE]\n\n".to_owned(),
+            id => format!("id: {id}\ndata: x\n\n"),
+        };
+        splitter.push(raw.as_bytes()).expect("small events");
+    }
+    sequence.begin_attempt();
+    let mut batch = BytesMut::new();
+    let mut outcome = Outcome::Complete;
+    while let Some(event) = splitter.next() {
+        if let Err(error) = sequence.push(event, &mut batch) {
+            outcome = match error.is_resumable {
+                true => Outcome::Resumable(sequence.delivered()),
+                false => Outcome::Final,
+            };
+            break;
+        }
+    }
+    if outcome == Outcome::Complete {
+        sequence.finish(&mut batch);
+    }
+    let text = String::from_utf8(batch.to_vec()).expect("text");
+    let events = text.split_terminator("\n\n").map(|event| match event {
+        "data: x" => "-",
+        ": x" => ":",
+        "data: [DONE]" => "D",
+        event => event
+            .trim_start_matches("id: ")
+            .trim_end_matches("\ndata: x"),
+    });
+    let events: Vec<&str> = events.collect();
+    (events.join(" "), outcome)
+}
+
+/// Guards against a spoilt id of an event after which sound events of the same answer are dropped as repeated ones, while the
+/// stream ends as complete.
+#[test]
+fn no_event_is_left_out_of_a_stream_that_is_forwarded_as_complete() {
+    struct Case {
+        name: &'static str,
+        events: &'static str,
+        forwarded: &'static str,
+        outcome: Outcome,
+    }
+    let case = |name, events, forwarded, outcome| Case {
+        name,
+        events,
+        forwarded,
+        outcome,
+    };
+    let whole = |name, events| case(name, events, events, Outcome::Complete);
+    let cases = [
+        whole("sound", "1 2 3 4"),
+        whole("ids that start at 0", "0 1 2 3"),
+        whole("ids that start late", "1000 1001 1002"),
+        whole("steps of six, the last one shorter", "6 12 18 20"),
+        whole("a first step that is shorter", "1 7 13 19"),
+        whole("steps that grow", "1 2 4 9 30 31"),
+        whole("no ids", "- - - D"),
+        whole("comments and an end mark", ": 1 : 2 : D"),
+        whole("an event without an id", "1 2 - 4 5"),
+        whole("two events without an id", "1 2 - - 5 6"),
+        whole("an id that jumps at the end", "1 2 3 94"),
+        whole("an id that jumps before events without one", "1 2 9 - - D"),
+        case(
+            "an id that jumps",
+            "1 2 93 4 5 6",
+            "1 2",
+            Outcome::Resumable(2),
+        ),
+        case(
+            "an id that jumps beside one without",
+            "1 2 93 - 5 6",
+            "1 2",
+            Outcome::Resumable(2),
+        ),
+        case(
+            "an id that falls",
+            "1 2 3 0 5 6",
+            "1 2 3",
+            Outcome::Resumable(3),
+        ),
+        case(
+            "an id that falls at the end",
+            "1 2 3 1",
+            "1 2 3",
+            Outcome::Resumable(3),
+        ),
+        case("an id twice", "1 2 2 3", "1 2", Outcome::Resumable(2)),
+        case("the first id jumps", "9 2 3 4", "9", Outcome::Final),
+        case(
+            "the second id jumps",
+            "1 92 3 4",
+            "1",
+            Outcome::Resumable(1),
+        ),
+        case("the second id falls", "1 0 3 4", "1", Outcome::Final),
+        case(
+            "an id that falls after an event without one",
+            "1 2 - 1",
+            "1 2 -",
+            Outcome::Final,
+        ),
+    ];
+    for case in cases {
+        let mut sequence = Sequence::default();
+        let (forwarded, outcome) = push_all(&mut sequence, case.events);
+        assert_eq!(forwarded, case.forwarded, "{}", case.name);
+        assert_eq!(outcome, case.outcome, "{}", case.name);
+    }
+}
+
+/// Guards against a resumed answer that repeats events, leaves some out, or continues at a spoilt id.
+#[test]
+fn a_stream_is_resumed_after_the_last_event_whose_id_is_confirmed() {
+    struct Case {
+        name: &'static str,
+        /// The events of the first attempt until it breaks off, and whether the answer can then be resumed.
+        first: &'static str,
+        is_resumable: bool,
+        /// The id from which the second attempt resumes.
+        from: u64,
+        second: &'static str,
+        forwarded: &'static str,
+        outcome: Outcome,
+    }
+    const RESUMED: Case = Case {
+        name: "goes on",
+        first: "1 2 3",
+        is_resumable: true,
+        from: 3,
+        second: "4 5 6",
+        forwarded: "4 5 6",
+        outcome: Outcome::Complete,
+    };
+    let cases = [
+        RESUMED,
+        Case {
+            name: "starts again from the beginning",
+            second: "1 2 3 4 5 6",
+            ..RESUMED
+        },
+        Case {
+            name: "breaks off at an id that jumps",
+            first: "1 2 3 94",
+            ..RESUMED
+        },
+        Case {
+            name: "is not resumed at the event that is due",
+            second: "5 6",
+            forwarded: "",
+            outcome: Outcome::Resumable(3),
+            ..RESUMED
+        },
+        Case {
+            name: "the first id of the second attempt is spoilt and falls",
+            second: "0 5 6",
+            forwarded: "",
+            outcome: Outcome::Resumable(3),
+            ..RESUMED
+        },
+        Case {
+            name: "an id of the second attempt falls",
+            second: "4 5 1 7",
+            forwarded: "4 5",
+            outcome: Outcome::Resumable(5),
+            ..RESUMED
+        },
+        Case {
+            name: "breaks off after an event without an id",
+            first: "1 2 3 -",
+            is_resumable: false,
+            ..RESUMED
+        },
+    ];
+    for case in cases {
+        let mut sequence = Sequence::default();
+        sequence.begin_attempt();
+        let mut splitter = Splitter::default();
+        for event in case.first.split_whitespace() {
+            let raw = match event {
+                "-" => "data: x\n\n".to_owned(),
+                id => format!("id: {id}\ndata: x\n\n"),
+            };
+            splitter.push(raw.as_bytes()).expect("small events");
+        }
+        while let Some(event) = splitter.next() {
+            let pushed = sequence.push(event, &mut BytesMut::new());
+            pushed.expect("the ids increase");
+        }
+        assert_eq!(sequence.is_resumable(), case.is_resumable, "{}", case.name);
+        assert_eq!(sequence.delivered(), case.from, "{}", case.name);
+        if !case.is_resumable {
+            continue;
+        }
+        let (forwarded, outcome) = push_all(&mut sequence, case.second);
+        assert_eq!(forwarded, case.forwarded, "{}", case.name);
+        assert_eq!(outcome, case.outcome, "{}", case.name);
+    }
+}
+
+/// Guards against bytes of a stream that go missing because any one of them is spoilt: what is complete holds every byte that
+/// the target sent, and what is resumed continues with the piece that is due.
+#[test]
+fn any_one_spoilt_byte_leaves_a_stream_whole_or_breaks_it_off_at_a_known_piece() {
+    const PIECES: usize = 12;
+    const SPOILT_BY: &[u8] = b"09x-: \n\r\0\xff";
+    let pieces: Vec<String> = (1..=PIECES)
+        .map(|number| format!("id: {number}\ndata: piece {number}\n\n"))
+        .collect();
+    let sound = pieces.concat();
+    for at in 0..sound.len() {
+        for &byte in SPOILT_BY {
+            let mut sent = sound.clone().into_bytes();
+            sent[at] = byte;
+            let mut splitter = Splitter::default();
+            splitter.push(&sent).expect("a small stream");
+            let mut sequence = Sequence::default();
+            sequence.begin_attempt();
+            let mut batch = BytesMut::new();
+            let mut error = None;
+            while error.is_none()
+                && let Some(event) = splitter.next()
+            {
+                error = sequence.push(event, &mut batch).err();
+            }
+            let name = format!("byte {at} is {byte:#x}");
+            match error {
+                None if splitter.has_partial_event() => {}
+                None => {
+                    sequence.finish(&mut batch);
+                    assert_eq!(&batch[..], &sent[..], "{name}");
+                }
+                Some(error) => {
+                    assert!(sent.starts_with(&batch), "{name}");
+                    if error.is_resumable {
+                        let due: usize = pieces
+                            [usize::try_from(sequence.delivered()).expect("small")..]
+                            .iter()
+                            .map(String::len)
+                            .sum();
+                        assert_eq!(batch.len() + due, sound.len(), "{name}: {error:?}");
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/bulrushtrestled/src/traffic/sse.rs
+++ b/crates/bulrushtrestled/src/traffic/sse.rs
@@ -15,6 +15,8 @@
     pub(super) id: Option<u64>,
     /// Whether the event is the end mark of the stream, `[DONE]`.
     pub(super) is_end: bool,
+    /// Whether the event has no field, as one that only keeps the connection open.
+    pub(super) is_comment: bool,
 }
 
 /// The error for an event larger than [`EVENT_BYTES_MAX`].
@@ -61,8 +63,10 @@
     fn parse(raw: Bytes) -> Self {
         let mut id = None;
         let mut is_end = false;
+        let mut is_comment = true;
         for line in raw.split(|&byte| byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
+            is_comment &= line.first().is_none_or(|&first| first == b':');
             if let Some(value) = line.strip_prefix(b"id:") {
                 id = str::from_utf8(value)
                     .ok()
@@ -71,7 +75,12 @@
                 is_end = value.trim_ascii() == b"[DONE]";
             }
         }
-        Self { raw, id, is_end }
+        Self {
+            raw,
+            id,
+            is_end,
+            is_comment,
+        }
     }
 
     /// Returns the value of the first `data` line, if there is one.
--- a/crates/core/src/attempt/retry.rs
+++ b/crates/core/src/attempt/retry.rs
@@ -116,7 +116,11 @@
             self.runs += u32::from(failure.sent);
             self.deliver(failure.tokens);
         }
-        if self.exposed && !self.repeatable {
+        let is_unresumable = matches!(
+            ending,
+            Ending::Failed(failure) if failure.kind == FailureKind::Unresumable
+        );
+        if is_unresumable || (self.exposed && !self.repeatable) {
             return self.refuse(reason_of(ending), None);
         }
         if let Err(refusal) = self.check_limits(ending, limits) {
@@ -189,7 +193,10 @@
             Ending::Failed(failure) => match failure.kind {
                 FailureKind::Silent => failure.sent,
                 FailureKind::Broken | FailureKind::Truncated => progressed,
-                FailureKind::Connect | FailureKind::Error | FailureKind::Crossed => false,
+                FailureKind::Connect
+                | FailureKind::Error
+                | FailureKind::Crossed
+                | FailureKind::Unresumable => false,
             },
         };
         if connection_at_fault && self.resumed_at != Some(target) {
@@ -227,7 +234,7 @@
         Ending::Failed(failure) => match failure.kind {
             FailureKind::Connect => Reason::NoTarget,
             FailureKind::Broken | FailureKind::Error | FailureKind::Crossed => Reason::TargetFailed,
-            FailureKind::Truncated => Reason::AnswerIncomplete,
+            FailureKind::Truncated | FailureKind::Unresumable => Reason::AnswerIncomplete,
             FailureKind::Silent => Reason::TargetSilent,
         },
     }
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -109,6 +109,9 @@
     Error,
     /// The target sent the answer to another request.
     Crossed,
+    /// The answer failed after a part of it had reached the caller, at a position from which it
+    /// cannot be resumed.
+    Unresumable,
 }
 
 /// An answer of the platform's log to a read or an append.
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -327,7 +327,10 @@
         FailureKind::Silent => Signal::Silent,
         FailureKind::Broken if failure.sent => Signal::Broken,
         FailureKind::Broken => Signal::Unanswered,
-        FailureKind::Truncated | FailureKind::Error | FailureKind::Crossed => Signal::Failed,
+        FailureKind::Truncated
+        | FailureKind::Error
+        | FailureKind::Crossed
+        | FailureKind::Unresumable => Signal::Failed,
     }
 }
 
