Tell entries apart whose names share a hash

Cause: an entry from a store is identified by a hash of its kind and name, and nothing noticed that two entries had the same one: the entry that was put last was found for both.

An identity that several entries of a kind claim stays with the one that has it, or goes to none of those that come together; the others get the next of their own, so that no identity means two entries on any router. The index has the kind as well, so that entries of two kinds may share one. Pools and targets had the same fault; targets and routers shared a table by number; a token that two organisations held for a while was lost with the one that was put last.

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bulrushtrestle_core::catalogue::Scope;
 use bulrushtrestle_core::catalogue::entry::{DataCentreState, Entry, Kind, Route, RouteRepeat};
+use bulrushtrestle_core::catalogue::{Catalogue, Scope};
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::feed::{self, Feed};
 use bulrushtrestle_core::input::{
     FeedEvent, Input, RequestedPause, StoreChange, StoreEvent, TargetNotice, Vm, VmRole,
 };
-use bulrushtrestle_core::key::{Offset, OrganisationId, PoolId, RouterId};
+use bulrushtrestle_core::key::{Offset, OrganisationId, PoolId, RouterId, TargetId};
 use bulrushtrestle_core::output::{MovePhase, MoveProgress};
 use bulrushtrestle_core::request::{Repeat, Request, RequestDetails};
 use bulrushtrestle_core::target::{RecordOrder, Standing};
@@ -80,8 +80,10 @@
     event_sender: mpsc::UnboundedSender<TopicEvent>,
     /// The listener for peers. `None` once the key of the fleet is known and the listener is in use.
     peers: Option<PeerListener>,
-    /// The routers and targets in the store, which serve as the platform's VM list.
-    vms: BTreeMap<u32, Vm>,
+    /// The routers and the targets in the store, which serve as the platform's VM list. A target may
+    /// have the same number as a router.
+    routers: BTreeMap<u32, Vm>,
+    targets: BTreeMap<TargetId, Vm>,
     /// Detects records of targets that are older than one already applied.
     record_order: RecordOrder,
     limits: watch::Sender<Option<CallerLimits>>,
@@ -166,7 +168,8 @@
             events,
             event_sender: sender,
             peers: Some(peers),
-            vms: BTreeMap::new(),
+            routers: BTreeMap::new(),
+            targets: BTreeMap::new(),
             record_order: RecordOrder::default(),
             limits,
             metrics,
@@ -245,12 +248,14 @@
 
     /// Decodes records of targets and updates the VM list. Records older than one already applied are
     /// skipped.
-    fn decode_targets(&mut self, records: &[Record]) -> Vec<Input> {
+    fn decode_targets(&mut self, catalogue: &Catalogue, records: &[Record]) -> Vec<Input> {
         let mut changes = Vec::new();
         let mut states = Vec::new();
         for record in records {
-            let vm = target::id(record).0;
-            let described = match target::decode(record) {
+            let Some(id) = catalogue.target_id(&record.key) else {
+                continue;
+            };
+            let described = match target::decode(record, id) {
                 Ok(described) => described,
                 Err(error) => {
                     self.skip_record(Topic::Targets, record, &error);
@@ -268,14 +273,14 @@
                 Some(described) => {
                     let entry = &described.entry;
                     let listed = Vm {
-                        id: vm,
+                        id: id.0,
                         role: VmRole::Target,
                         address: entry.address.clone(),
                         data_centre: entry.data_centre.clone(),
                         leaving: described.state.leaving,
                     };
                     let leaving = listed.leaving;
-                    let before = self.vms.insert(vm, listed);
+                    let before = self.targets.insert(id, listed);
                     if leaving != before.is_some_and(|before| before.leaving) {
                         let sequence = described.state.sequence;
                         log::info!(target: "target", "name={} leaving={leaving} offset={} sequence={sequence}", record.key, record.offset);
@@ -283,9 +288,8 @@
                     states.push(described.state);
                 }
                 None => {
-                    self.record_order
-                        .on_removed(self.clock.now(), target::id(record));
-                    if self.vms.remove(&vm).is_some() {
+                    self.record_order.on_removed(self.clock.now(), id);
+                    if self.targets.remove(&id).is_some() {
                         log::info!(target: "target", "name={} gone=true offset={}", record.key, record.offset);
                     }
                 }
@@ -301,11 +305,16 @@
         }
         vec![
             Input::Store(StoreEvent::Changed(changes)),
-            Input::Vms(self.vms.values().cloned().collect()),
+            Input::Vms(self.vms()),
             Input::Store(StoreEvent::Targets(states)),
         ]
     }
 
+    fn vms(&self) -> Vec<Vm> {
+        let vms = self.routers.values().chain(self.targets.values());
+        vms.cloned().collect()
+    }
+
     /// Decodes records of routers and updates the VM list. Returns the fleet's key if a record holds
     /// it.
     fn decode_routers(&mut self, records: &[Record]) -> Option<String> {
@@ -314,10 +323,10 @@
             match router::decode(record) {
                 Ok(Some(router::RouterRecord::FleetKey(text))) => key = Some(text),
                 Ok(Some(router::RouterRecord::Router(vm))) => {
-                    self.vms.insert(vm.id, vm);
+                    self.routers.insert(vm.id, vm);
                 }
                 Ok(Some(router::RouterRecord::Removed(id))) => {
-                    self.vms.remove(&id);
+                    self.routers.remove(&id);
                 }
                 Ok(None) => {}
                 Err(error) => self.skip_record(Topic::Routers, record, &error),
@@ -333,8 +342,7 @@
             return false;
         };
         let since = *self.key_missing_since.get_or_insert(now);
-        let routers = self.vms.values().filter(|vm| vm.role == VmRole::Router);
-        let before = routers.filter(|vm| vm.id < peers.router).count();
+        let before = self.routers.range(..peers.router).count();
         now.since(since) >= key_offer_wait(before)
     }
 
@@ -423,6 +431,11 @@
     }
 
     fn apply_records(&mut self, topic: feed::Topic, records: &[Record]) {
+        if topic == feed::Topic::Targets {
+            let names = records.iter().map(|it| (Kind::Target, it.key.clone()));
+            let names = names.collect();
+            self.handle(Input::Store(StoreEvent::Named(names)));
+        }
         let Some(hosting) = &mut self.hosting else {
             return;
         };
@@ -432,14 +445,14 @@
                 self.handle(Input::Store(StoreEvent::Changed(changes)));
             }
             feed::Topic::Targets => {
-                for input in hosting.decode_targets(records) {
+                for input in hosting.decode_targets(self.node.catalogue(), records) {
                     self.handle(input);
                 }
                 self.withdraw(records);
             }
             feed::Topic::Routers => {
                 let key = hosting.decode_routers(records);
-                let vms = hosting.vms.values().cloned().collect();
+                let vms = hosting.vms();
                 self.handle(Input::Vms(vms));
                 if let Some(text) = key {
                     self.on_fleet_key(&text);
@@ -452,9 +465,11 @@
     /// whose entry expired while the store was unavailable stays in use for a while.
     fn withdraw(&self, records: &[Record]) {
         for record in records {
-            let id = target::id(record);
+            let Some(id) = self.node.catalogue().target_id(&record.key) else {
+                continue;
+            };
             let is_known = self.node.catalogue().target(id).is_some();
-            let vm = self.hosting.as_ref().and_then(|h| h.vms.get(&id.0));
+            let vm = self.hosting.as_ref().and_then(|h| h.targets.get(&id));
             let standing = self.node.standing(id);
             let is_leaving = standing == Standing::Leaving || vm.is_some_and(|vm| vm.leaving);
             self.withdrawn.record(&record.key, is_known && !is_leaving);
@@ -466,7 +481,9 @@
 
     /// Passes on to the node what a target stated in an answer, and logs it if it is new.
     pub(super) fn on_target_notice(&mut self, name: &str, notice: TargetNotice) {
-        let id = target::id_of(name);
+        let Some(id) = self.node.catalogue().target_id(name) else {
+            return;
+        };
         let before = self.node.standing(id);
         self.handle(Input::Notice(id, notice));
         let standing = self.node.standing(id);
--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -726,3 +726,54 @@
         "one key was accepted"
     );
 }
+
+/// Publishes a configuration with organisations of these names, and sends a request with the key of each once the daemon has
+/// applied it.
+async fn request_as_each(
+    (store, target, daemon): (&Store, &Target, &Daemon),
+    version: u32,
+    names: &[&str],
+) {
+    let call = async |key: &str| {
+        let token = format!("Bearer {key}");
+        let headers = [("attempt-id", "a1"), ("authorization", token.as_str())];
+        send(daemon.callers, Method::POST, "/again/x", &headers, "body").await
+    };
+    let key = |at: usize| format!("key-{at}-of-{version}");
+    let tenants = names.iter().enumerate();
+    let tenants = tenants.map(|(at, name)| json!({"name": name, "api_keys": [key(at)]}));
+    let mut configuration = configuration(version, 2_000, &[]);
+    configuration["tenants"] = Value::Array(tenants.collect());
+    store.configure(configuration);
+    wait_until("the configuration is applied", async || {
+        let answer = call(&key(0)).await;
+        answer.is_some_and(|answer| answer.status() == 200)
+    })
+    .await;
+    for (at, name) in names.iter().enumerate() {
+        let answer = call(&key(at)).await.expect("an answer");
+        assert_eq!(answer.status(), 200, "{name} of {names:?}");
+        let head = target.requests().pop().expect("the target ran it");
+        assert_eq!(head["tenant"].as_bytes(), name.as_bytes(), "{names:?}");
+    }
+}
+
+/// Guards against requests that run under the name of another organisation, whose name has the same hash, once a
+/// configuration has added it.
+#[tokio::test]
+async fn requests_run_under_the_name_of_the_organisation_that_holds_the_key() {
+    // The names have the same identity of 31 bits.
+    const FIRST: &str = "lender-13546";
+    const SECOND: &str = "lender-15039";
+    let (store, target, _, daemon) = start().await;
+    let contents: [&[&str]; 5] = [
+        &[FIRST],
+        &[FIRST, SECOND],
+        &[SECOND],
+        &[SECOND, FIRST],
+        &[FIRST],
+    ];
+    for (version, names) in (2..).zip(contents) {
+        request_as_each((&store, &target, &daemon), version, names).await;
+    }
+}
--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -21,7 +21,8 @@
 //! Where the platform itself keeps the newest content of each record in a store,
 //! [`Catalogue::replace`] takes over that content unchanged. The store's offsets serve as
 //! revisions, and identities are derived from names ([`derived_id`]), so that routers agree even if
-//! they have read different parts of the history.
+//! they have read different parts of the history. No two entries of a kind share an identity,
+//! whatever their names ([`Catalogue::assign_identities`]).
 //!
 //! See `docs/OPERATIONS.md` for how operators edit the catalogue.
 
--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -10,6 +10,9 @@
 use crate::catalogue::validate::{InvalidError, check, parse_sha256};
 use crate::key::{DataCentreId, Offset, OrganisationId, PoolId, TargetId};
 
+/// The kind that the order of [`Kind`] puts first.
+const LOWEST_KIND: Kind = Kind::Organisation;
+
 /// The outcome of an edit.
 #[derive(Debug)]
 pub enum Applied {
@@ -59,13 +62,17 @@
 #[derive(Debug, Clone, Default)]
 pub struct Catalogue {
     entries: BTreeMap<Kind, BTreeMap<String, Stored>>,
-    /// The kind and name of each entry, by creation offset.
-    names: BTreeMap<Offset, (Kind, String)>,
+    /// The name of each entry, by creation offset and kind. Entries from a store may share a creation
+    /// offset with entries of other kinds.
+    names: BTreeMap<(Offset, Kind), String>,
+    /// The identities of entries from a store whose [`derived_id`] another entry of their kind has
+    /// or claims.
+    reassigned: BTreeMap<Kind, BTreeMap<String, Offset>>,
     targets_by_pool: BTreeMap<String, BTreeSet<TargetId>>,
     /// The names of the routes of each host, by path prefix.
     routes_by_host: BTreeMap<String, BTreeMap<String, String>>,
-    /// The organisation of each SHA-256 hash of a bearer token.
-    tokens: BTreeMap<[u8; 32], OrganisationId>,
+    /// The SHA-256 hashes of bearer tokens, each with an organisation that holds the token.
+    tokens: BTreeSet<([u8; 32], OrganisationId)>,
     /// Whether the log dropped records that this catalogue has not applied, and the tail was not
     /// reached yet.
     truncated_log: bool,
@@ -166,15 +173,16 @@
     ) -> impl Iterator<Item = &Stored> {
         let start = after.map_or(Offset(0), |after| Offset(after.0.saturating_add(1)));
         self.names
-            .range(start..)
-            .filter_map(|(_, (kind, name))| self.stored(*kind, name))
+            .range((start, LOWEST_KIND)..)
+            .filter_map(|((_, kind), name)| self.stored(*kind, name))
             .filter(move |stored| stored.revision >= from)
     }
 
-    /// Returns the entry that was created at `created`, with its revision.
+    /// Returns the entry that was created at `created` of the log, with its revision.
     pub fn stored_by_id(&self, created: Offset) -> Option<&Stored> {
-        let (kind, name) = self.names.get(&created)?;
-        self.stored(*kind, name)
+        let mut from = self.names.range((created, LOWEST_KIND)..);
+        let ((found, kind), name) = from.next()?;
+        self.stored(*kind, name).filter(|_| *found == created)
     }
 
     /// Returns an entry with its revision, also if it was removed.
@@ -193,15 +201,18 @@
 
     /// Returns an organisation's entry.
     pub fn organisation(&self, id: OrganisationId) -> Option<&Organisation> {
-        match self.by_id(id.0)? {
+        match self.by_id(Kind::Organisation, id.0)? {
             Entry::Organisation(entry) => Some(entry),
             _ => None,
         }
     }
 
-    /// Returns the organisation of the bearer token with this SHA-256 hash.
+    /// Returns the organisation of the bearer token with this SHA-256 hash. If several hold it, the
+    /// one with the lowest key is returned.
     pub fn organisation_by_token(&self, sha256: &[u8; 32]) -> Option<OrganisationId> {
-        self.tokens.get(sha256).copied()
+        let mut holders = self.tokens.range((*sha256, OrganisationId(0))..);
+        let (held, organisation) = holders.next()?;
+        (held == sha256).then_some(*organisation)
     }
 
     /// Returns the key and the entry of the organisation with this name.
@@ -215,7 +226,7 @@
 
     /// Returns a pool's entry.
     pub fn pool(&self, id: PoolId) -> Option<&Pool> {
-        match self.by_id(id.0)? {
+        match self.by_id(Kind::Pool, id.0)? {
             Entry::Pool(entry) => Some(entry),
             _ => None,
         }
@@ -230,9 +241,18 @@
         }
     }
 
+    /// Returns the key of the target with this name, also if it is not in the catalogue. `None` if
+    /// only [`assign_identities`](Self::assign_identities) can tell it from another target.
+    pub fn target_id(&self, name: &str) -> Option<TargetId> {
+        let id = self.identity(Kind::Target, name);
+        let owner = self.names.get(&(id, Kind::Target));
+        let is_own = owner.is_none_or(|owner| owner == name);
+        is_own.then_some(TargetId(short_id(id)))
+    }
+
     /// Returns a target and the entries to which it refers.
     pub fn target(&self, id: TargetId) -> Option<TargetView<'_>> {
-        let Entry::Target(entry) = self.by_id(id.0)? else {
+        let Entry::Target(entry) = self.by_id(Kind::Target, id.0)? else {
             return None;
         };
         let data_centre = self.data_centre_by_name(&entry.data_centre);
@@ -316,6 +336,7 @@
     /// copies from peers and reads of the store can arrive in any order.
     pub fn replace(&mut self, revision: Offset, scope: &Scope, entries: Vec<Entry>) -> bool {
         let before = self.changes;
+        self.assign_identities(entries.iter().map(|entry| (entry.kind(), entry.name())));
         let names: BTreeSet<(Kind, &str)> = entries.iter().map(|e| (e.kind(), e.name())).collect();
         let removed: Vec<(Kind, String)> = self
             .in_scope(scope)
@@ -357,9 +378,7 @@
                 return;
             }
         }
-        let created = self
-            .stored(kind, &name)
-            .map_or_else(|| derived_id(kind, &name), |stored| stored.created);
+        let created = self.identity(kind, &name);
         self.put(Stored {
             created,
             revision,
@@ -370,6 +389,58 @@
         });
     }
 
+    /// Assigns an identity to each entry of a store that has none yet, so that no two entries of a
+    /// kind share one. Entries that are read together are to be assigned together.
+    ///
+    /// An identity that several entries claim is left to the entry that has it, or else to none of
+    /// them. So routers that read different parts of the history never use one identity for
+    /// different entries, even if one of them has another identity for an entry.
+    pub fn assign_identities<'a>(&mut self, entries: impl IntoIterator<Item = (Kind, &'a str)>) {
+        let is_new = |&(kind, name): &(Kind, &str)| {
+            self.stored(kind, name).is_none() && self.reassigned(kind, name).is_none()
+        };
+        let new: BTreeSet<(Kind, &str)> = entries.into_iter().filter(is_new).collect();
+        let mut claims: BTreeMap<(Offset, Kind), u32> = BTreeMap::new();
+        for &(kind, name) in &new {
+            *claims.entry((derived_id(kind, name), kind)).or_default() += 1;
+        }
+        for (kind, name) in new {
+            let derived = derived_id(kind, name);
+            if claims.get(&(derived, kind)) == Some(&1) && !self.is_assigned(kind, derived) {
+                continue;
+            }
+            let is_free =
+                |id: &Offset| !claims.contains_key(&(*id, kind)) && !self.is_assigned(kind, *id);
+            let mut others = (1..).map(|rank| ranked_id(kind, name, rank));
+            let free = others.find(is_free);
+            if let Some(id) = free {
+                let names = self.reassigned.entry(kind).or_default();
+                names.insert(name.to_owned(), id);
+            }
+        }
+    }
+
+    /// Returns the identity of an entry from a store, also if the entry is not in the catalogue.
+    fn identity(&self, kind: Kind, name: &str) -> Offset {
+        let stored = self.stored(kind, name).map(|stored| stored.created);
+        stored
+            .or_else(|| self.reassigned(kind, name))
+            .unwrap_or_else(|| derived_id(kind, name))
+    }
+
+    fn reassigned(&self, kind: Kind, name: &str) -> Option<Offset> {
+        self.reassigned.get(&kind)?.get(name).copied()
+    }
+
+    fn is_assigned(&self, kind: Kind, id: Offset) -> bool {
+        let mut reassigned = self
+            .reassigned
+            .get(&kind)
+            .into_iter()
+            .flat_map(BTreeMap::values);
+        self.names.contains_key(&(id, kind)) || reassigned.any(|it| *it == id)
+    }
+
     /// Applies the undecided edits selected by `is_due`, in log order.
     fn apply_undecided(&mut self, is_due: impl Fn(&Edit) -> bool) {
         let all = core::mem::take(&mut self.undecided);
@@ -395,8 +466,9 @@
             .map(|stored| short_id(stored.created))
     }
 
-    fn by_id(&self, id: u32) -> Option<&Entry> {
-        self.stored_by_id(Offset(u64::from(id)))?.entry.as_ref()
+    fn by_id(&self, kind: Kind, id: u32) -> Option<&Entry> {
+        let name = self.names.get(&(Offset(u64::from(id)), kind))?;
+        self.stored(kind, name)?.entry.as_ref()
     }
 
     fn put(&mut self, stored: Stored) {
@@ -404,7 +476,7 @@
         self.unindex(stored.kind, &stored.name);
         self.index(&stored);
         self.names
-            .insert(stored.created, (stored.kind, stored.name.clone()));
+            .insert((stored.created, stored.kind), stored.name.clone());
         self.entries
             .entry(stored.kind)
             .or_default()
@@ -423,10 +495,8 @@
                 routes.insert(route.path_prefix.clone(), route.name.clone());
             }
             Some(Entry::Organisation(organisation)) => {
-                let hashes = organisation
-                    .tokens_sha256
-                    .iter()
-                    .filter_map(|hash| parse_sha256(hash));
+                let hashes = organisation.tokens_sha256.iter();
+                let hashes = hashes.filter_map(|hash| parse_sha256(hash));
                 self.tokens
                     .extend(hashes.map(|hash| (hash, OrganisationId(id))));
             }
@@ -458,8 +528,11 @@
                     routes.remove(&route.path_prefix);
                 }
             }
-            Some(Entry::Organisation(_)) => {
-                self.tokens.retain(|_, owner| *owner != OrganisationId(id));
+            Some(Entry::Organisation(organisation)) => {
+                let hashes = organisation.tokens_sha256.iter();
+                for hash in hashes.filter_map(|hash| parse_sha256(hash)) {
+                    self.tokens.remove(&(hash, OrganisationId(id)));
+                }
             }
             _ => {}
         }
@@ -475,11 +548,18 @@
     All(Vec<Kind>),
 }
 
-/// Returns the identity of an entry that comes from a store and not from the log: a hash of its
-/// kind and name, which is equal on every router. The identity has 31 bits, because
-/// [`lane`](crate::slots::lane) uses the highest bit of a 32-bit key to mark lanes.
+/// Returns the identity of an entry that comes from a store and not from the log, unless another
+/// entry claims the same one ([`Catalogue::assign_identities`]): a hash of its kind and name, which
+/// is equal on every router. The identity has 31 bits, because [`lane`](crate::slots::lane) uses the
+/// highest bit of a 32-bit key to mark lanes. Among 22,000 names, two have the same hash in one
+/// fleet out of ten.
 pub fn derived_id(kind: Kind, name: &str) -> Offset {
-    let hash = xxh3_64_with_seed(name.as_bytes(), kind as u64);
+    ranked_id(kind, name, 0)
+}
+
+/// Returns one of the identities that an entry may have, of which the one of rank 0 comes first.
+fn ranked_id(kind: Kind, name: &str, rank: u64) -> Offset {
+    let hash = xxh3_64_with_seed(name.as_bytes(), rank << u8::BITS | kind as u64);
     Offset(hash >> 33)
 }
 
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -1,12 +1,17 @@
 //! Tests of the application of edits and of store records.
 
+use std::collections::HashMap;
+
 use assert_matches::assert_matches;
 use uuid::Uuid;
 
-use super::entry::{Bounds, Entry, Kind, Pool, PoolShare, Route, RouteRepeat, Service};
+use super::entry::{
+    Bounds, Entry, Kind, Limits, Organisation, Pool, PoolShare, Route, RouteRepeat, Service, Target,
+};
 use super::message::{Change, Edit, Stored};
 use super::{Applied, Catalogue, Scope, derived_id};
-use crate::key::Offset;
+use crate::key::{Offset, OrganisationId, PoolId};
+use crate::request::Class;
 
 fn pool(id: u128, replaces: Option<u64>, service: Service) -> Edit {
     let entry = Entry::Pool(Pool {
@@ -293,3 +298,227 @@
     let timeout = catalogue.route("h", "/a/").map(|route| route.timeout_ms);
     assert_eq!(timeout, Some(9));
 }
+
+/// Returns two names whose entries have the same derived identity, in alphabetical order.
+fn colliding_names(kind: Kind) -> (String, String) {
+    let mut names: HashMap<Offset, String> = HashMap::new();
+    for number in 0..1_000_000 {
+        let name = format!("name-{number:06}");
+        if let Some(other) = names.insert(derived_id(kind, &name), name.clone()) {
+            return (other, name);
+        }
+    }
+    panic!("no two of a million names share a hash of 31 bits");
+}
+
+/// Returns the hash of the only token of an organisation.
+fn token_of(name: &str) -> [u8; 32] {
+    let mut hash = [0; 32];
+    hash[..name.len()].copy_from_slice(name.as_bytes());
+    hash
+}
+
+fn organisation_with(name: &str, tokens: &[[u8; 32]]) -> Entry {
+    let hex = |hash: &[u8; 32]| hash.iter().map(|byte| format!("{byte:02x}")).collect();
+    Entry::Organisation(Organisation {
+        name: name.to_owned(),
+        owner: String::new(),
+        class: Class::Interactive,
+        weight: 1,
+        limits: Limits {
+            waiting: 1,
+            running: 1,
+            wait_ms: 1,
+        },
+        tokens_sha256: tokens.iter().map(hex).collect(),
+    })
+}
+
+fn entry(kind: Kind, name: &str) -> Entry {
+    match kind {
+        Kind::Organisation => organisation_with(name, &[token_of(name)]),
+        Kind::Pool => Entry::Pool(Pool {
+            name: name.to_owned(),
+            service: Service::Plain,
+            bounds: Bounds::default(),
+        }),
+        Kind::Target => Entry::Target(Target {
+            name: name.to_owned(),
+            vm: 0,
+            address: "127.0.0.1:9000".to_owned(),
+            data_centre: "a".to_owned(),
+            pool: "p".to_owned(),
+            version: "v1".to_owned(),
+            slots: 1,
+            checks_fence: false,
+        }),
+        Kind::DataCentre | Kind::Move | Kind::Route => unreachable!("not looked up by a key"),
+    }
+}
+
+/// Returns the name of the entry that the key of `name` leads to, or `None` if there is no such entry.
+fn found_by_key(catalogue: &Catalogue, kind: Kind, name: &str) -> Option<String> {
+    match kind {
+        Kind::Organisation => {
+            let id = catalogue.organisation_by_token(&token_of(name))?;
+            catalogue.organisation(id).map(|entry| entry.name.clone())
+        }
+        Kind::Pool => {
+            let (id, _) = catalogue.pool_by_name(name)?;
+            catalogue.pool(id).map(|entry| entry.name.clone())
+        }
+        Kind::Target => {
+            let view = catalogue.target(catalogue.target_id(name)?)?;
+            Some(view.entry.name.clone())
+        }
+        Kind::DataCentre | Kind::Move | Kind::Route => None,
+    }
+}
+
+/// Returns the identity of an entry that is in the catalogue.
+fn identity_of(catalogue: &Catalogue, kind: Kind, name: &str) -> Option<Offset> {
+    let stored = catalogue.stored(kind, name)?;
+    stored.entry.as_ref().map(|_| stored.created)
+}
+
+/// Guards against two names that share a hash: requests with the token of one organisation run under the name of the other,
+/// and what is known of one target or pool is taken for the other.
+#[test]
+fn entries_whose_names_share_a_hash_are_told_apart() {
+    /// A content of the store: whether it holds the first and the second name.
+    type Content = (bool, bool);
+    struct Case {
+        name: &'static str,
+        contents: &'static [Content],
+    }
+    let cases = [
+        Case {
+            name: "both at once",
+            contents: &[(true, true)],
+        },
+        Case {
+            name: "the first is added",
+            contents: &[(false, true), (true, true)],
+        },
+        Case {
+            name: "the second is added",
+            contents: &[(true, false), (true, true)],
+        },
+        Case {
+            name: "one is removed",
+            contents: &[(true, true), (true, false)],
+        },
+        Case {
+            name: "one takes the place of the other",
+            contents: &[(true, false), (false, true)],
+        },
+        Case {
+            name: "one goes and comes back",
+            contents: &[(true, true), (false, true), (true, true)],
+        },
+    ];
+    for kind in [Kind::Organisation, Kind::Pool, Kind::Target] {
+        let (first, second) = colliding_names(kind);
+        let scope = Scope::All(vec![kind]);
+        for case in &cases {
+            let mut catalogue = Catalogue::new();
+            for (revision, &content) in (1..).zip(case.contents) {
+                let names = [(content.0, &first), (content.1, &second)];
+                let entries = names
+                    .iter()
+                    .filter(|(is_held, _)| *is_held)
+                    .map(|(_, name)| entry(kind, name))
+                    .collect();
+                catalogue.replace(Offset(revision), &scope, entries);
+                for (is_held, name) in names {
+                    let found = found_by_key(&catalogue, kind, name);
+                    let expected = is_held.then(|| name.clone());
+                    assert_eq!(found, expected, "{kind:?}, {}: {content:?}", case.name);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against routers of which each takes one identity for another entry than its peers do, because they have read other
+/// parts of the history. An entry may have two identities, but no identity two entries.
+#[test]
+fn an_identity_means_the_same_entry_on_routers_with_different_histories() {
+    for kind in [Kind::Organisation, Kind::Pool, Kind::Target] {
+        let (first, second) = colliding_names(kind);
+        let scope = Scope::All(vec![kind]);
+        let both = || vec![entry(kind, &second), entry(kind, &first)];
+        let started_late = {
+            let mut catalogue = Catalogue::new();
+            catalogue.replace(Offset(2), &scope, both());
+            catalogue
+        };
+        for earlier in [&first, &second] {
+            let mut catalogue = Catalogue::new();
+            catalogue.replace(Offset(1), &scope, vec![entry(kind, earlier)]);
+            let before = identity_of(&catalogue, kind, earlier);
+            catalogue.replace(Offset(2), &scope, both());
+            let ids = |name| {
+                let of = |catalogue| identity_of(catalogue, kind, name).expect("it is there");
+                [of(&catalogue), of(&started_late)]
+            };
+            let is_shared = ids(&first).iter().any(|id| ids(&second).contains(id));
+            assert!(!is_shared, "{kind:?}: {earlier} was there first");
+            let after = identity_of(&catalogue, kind, earlier);
+            assert_eq!(
+                before, after,
+                "{kind:?}: requests in progress keep their organisation"
+            );
+        }
+    }
+}
+
+/// Guards against entries of one kind that hide those of another whose names have the same hash.
+#[test]
+fn entries_of_two_kinds_may_share_an_identity() {
+    let mut pools: HashMap<Offset, String> = HashMap::new();
+    let mut pair = None;
+    for number in 0..200_000 {
+        let name = format!("name-{number:06}");
+        pools.insert(derived_id(Kind::Pool, &name), name);
+    }
+    for number in 0..200_000 {
+        let name = format!("name-{number:06}");
+        if let Some(pool) = pools.get(&derived_id(Kind::Organisation, &name)) {
+            pair = Some((name, pool.clone()));
+        }
+    }
+    let (organisation, pool) = pair.expect("two of so many names share a hash of 31 bits");
+    let scope = Scope::All(vec![Kind::Organisation, Kind::Pool]);
+    let mut catalogue = Catalogue::new();
+    let entries = vec![
+        entry(Kind::Organisation, &organisation),
+        entry(Kind::Pool, &pool),
+    ];
+    catalogue.replace(Offset(1), &scope, entries);
+    let id = u32::try_from(derived_id(Kind::Pool, &pool).0).expect("31 bits");
+    let found = catalogue.organisation(OrganisationId(id));
+    assert_eq!(found.map(|entry| &entry.name), Some(&organisation));
+    let found = catalogue.pool(PoolId(id));
+    assert_eq!(found.map(|entry| &entry.name), Some(&pool));
+}
+
+/// Guards against a token that nobody holds any more, because one of two organisations that held it has dropped it.
+#[test]
+fn a_token_that_two_organisations_held_stays_with_the_one_that_keeps_it() {
+    let scope = Scope::All(vec![Kind::Organisation]);
+    let shared = token_of("shared");
+    for (keeps, drops) in [("a", "b"), ("b", "a")] {
+        let mut catalogue = Catalogue::new();
+        let both = ["a", "b"].map(|name| organisation_with(name, &[shared]));
+        catalogue.replace(Offset(1), &scope, both.to_vec());
+        let entries = vec![
+            organisation_with(keeps, &[shared]),
+            organisation_with(drops, &[]),
+        ];
+        catalogue.replace(Offset(2), &scope, entries);
+        let id = catalogue.organisation_by_token(&shared);
+        let found = id.and_then(|id| catalogue.organisation(id));
+        assert_eq!(found.map(|entry| entry.name.as_str()), Some(keeps));
+    }
+}
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 
 use crate::catalogue::Scope;
-use crate::catalogue::entry::Entry;
+use crate::catalogue::entry::{Entry, Kind};
 use crate::feed::{Record, Topic};
 use crate::key::{AppendId, AttemptId, Fingerprint, Offset, RequestId, RouterId, TargetId};
 use crate::output::MoveProgress;
@@ -166,6 +166,8 @@
 pub enum StoreEvent {
     /// Records of the store changed or were read for the first time.
     Changed(Vec<StoreChange>),
+    /// Entries of these names are about to be described. Their identities are known afterwards.
+    Named(Vec<(Kind, String)>),
     /// The records that operators write were read up to their end.
     Current {
         /// Every record below this offset has been passed to the node.
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -19,6 +19,10 @@
     pub(super) fn on_store(&mut self, event: StoreEvent) {
         match event {
             StoreEvent::Changed(changes) => self.on_changes(changes),
+            StoreEvent::Named(names) => {
+                let names = names.iter().map(|(kind, name)| (*kind, name.as_str()));
+                self.catalogue.assign_identities(names);
+            }
             StoreEvent::Current { known, asked } => self.on_current(known, asked),
             StoreEvent::TargetsRead { asked } => {
                 self.targets_read = self.targets_read.max(Some(asked));
@@ -37,6 +41,9 @@
 
     fn on_changes(&mut self, changes: Vec<StoreChange>) {
         let out_before = self.data_centres_out_of_service();
+        let entries = changes.iter().flat_map(|change| &change.entries);
+        self.catalogue
+            .assign_identities(entries.map(|entry| (entry.kind(), entry.name())));
         for change in changes {
             let Some(change) = self.defer_lapse(change) else {
                 continue;
