--- a/crates/bulrushtrestled/tests/hosted.rs
+++ b/crates/bulrushtrestled/tests/hosted.rs
@@ -777,3 +777,12 @@
         request_as_each((&store, &target, &daemon), version, names).await;
     }
 }
+
+/// Guards against organisations whose requests are refused because of their names: that of the callers without a key, and
+/// those that are not ASCII.
+#[tokio::test]
+async fn organisations_of_any_name_are_served() {
+    let (store, target, _, daemon) = start().await;
+    let names = ["anonymous", "L\u{fc}tjenburg", "a b", "t-1.2"];
+    request_as_each((&store, &target, &daemon), 2, &names).await;
+}
