End an answer as complete only when it was finished

What callers saw: an answer without a length, or a stream, of which the caller left a part unread for longer than `callers.unread_timeout_ms`, ended as a complete answer when the caller read on. The rest of it was missing.

Cause: the end of the channel that carries an answer was its normal end. A `Reply` that was dropped looked like one that was finished: after the unread timeout, after a panic of the task that serves the request, on any early return. The marker of an aborted answer needed room in the same channel, and was given up after the unread timeout as well.

Now the body is complete only after `Reply::finish`, which takes the reply; whatever else drops it aborts the answer. Neither needs room in the channel. The product's own listener ends its answers in the same way. The case has a line `unread` on a hosting platform, and counts as `caller_unread` there too.

Evidence: `ends::an_answer_that_was_left_unread_ends_as_broken_off` starts a daemon, a target that sends 25 MB and a caller that reads after 2 s, the timeout being 300 ms.

The unit test covers the other ways in which a reply is dropped; `Reply::finish` is new.

The targets of `streams` that are scripted byte by byte move to `support/scripted.rs`, so that both programs use them.

--- a/crates/bulrushtrestled/src/traffic/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/drive.rs
@@ -92,15 +92,18 @@
     };
     // The outcome is final here; the rest of the answer is written as long as the caller reads it.
     match end {
-        End::Answered => guard.disarm(),
+        End::Answered => {
+            guard.disarm();
+            driver.reply.finish();
+        }
         End::Refused(refusal) => {
             guard.disarm();
             drop(guard);
             let is_streaming = driver.chat.is_streaming();
             driver.reply.refuse(&refusal, is_streaming).await;
         }
-        End::Truncated => driver.reply.abort().await,
-        End::Undeliverable => {}
+        // The answer is aborted.
+        End::Truncated | End::Undeliverable => {}
     }
 }
 
--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -14,14 +14,14 @@
 use tokio::time::sleep;
 
 use crate::control::{Decision, ForwardingPlan};
-use crate::metrics::{ANSWERED, Stage};
+use crate::metrics::{ANSWERED, Edge, Stage};
 use crate::traffic::admission::BodyMemory;
 use crate::traffic::attempt;
 use crate::traffic::drive::{CancelOnDrop, next_interruption};
 use crate::traffic::hosted::refusal_log::log_refusal;
 use crate::traffic::hosted::relay::{Dispatch, Ended, Relay, TargetFailure};
 use crate::traffic::hosted::{Call, Hosted, refusal_response};
-use crate::traffic::reply::Reply;
+use crate::traffic::reply::{Reply, SendError};
 
 /// How long before the operators' timeout a request receives its final answer, so that the answer
 /// is sent in time.
@@ -226,7 +226,13 @@
                     .control
                     .attempt(dispatch.attempt, AttemptEvent::Failed(failure));
             }
-            Ended::Undeliverable => return Some(End::Left),
+            Ended::Undeliverable(error) => {
+                if error == SendError::Timeout {
+                    log::info!(target: "unread", "attempt={attempt} target={target} delivered={}", self.relay.delivered());
+                    traffic.metrics.edge(Edge::CallerUnread);
+                }
+                return Some(End::Left);
+            }
         }
         None
     }
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -26,7 +26,7 @@
 use crate::traffic::hosted::connections::Sender;
 use crate::traffic::hosted::sequence::{OutOfOrder, Sequence};
 use crate::traffic::hosted::{Call, Hosted};
-use crate::traffic::reply::Reply;
+use crate::traffic::reply::{Reply, SendError};
 use crate::traffic::sse::Splitter;
 
 /// The largest body of a failed request that is kept for the caller.
@@ -81,8 +81,8 @@
         /// The failure that the target answered, if the answer may be sent to the caller.
         answer: Option<Box<TargetFailure>>,
     },
-    /// The caller disconnected or stopped reading.
-    Undeliverable,
+    /// The answer could not be delivered to the caller.
+    Undeliverable(SendError),
 }
 
 impl Ended {
@@ -183,44 +183,44 @@
     ) -> Ended {
         dispatch.target.clone_into(&mut self.target);
         match self.attempt(hosted, call, dispatch).await {
-            Ok(()) => Ended::Complete {
-                tokens: self.delivered(),
-            },
+            Ok(()) => {
+                self.finish();
+                Ended::Complete {
+                    tokens: self.delivered(),
+                }
+            }
             Err(ended) => ended,
         }
     }
 
     /// Sends a response of the router itself, or aborts an answer that has begun.
     pub(super) async fn send_response(&mut self, response: Response) {
-        let Some(mut reply) = self.take_reply_or_abort().await else {
-            return;
-        };
-        let (head, body) = response.into_parts();
-        let body = collect(body).await;
-        reply.begin(head);
-        // A caller that has disconnected needs no answer.
-        let _ = reply.send(body).await;
+        if let Some(reply) = self.take_reply_or_abort() {
+            let (head, body) = response.into_parts();
+            reply.send_whole(head, collect(body).await).await;
+        }
     }
 
     /// Sends the failure that a target answered, or aborts an answer that has begun.
     pub(super) async fn send_failure(&mut self, failure: Box<TargetFailure>) {
-        let Some(mut reply) = self.take_reply_or_abort().await else {
-            return;
-        };
-        reply.begin(with_length(failure.head, failure.body.len()));
-        // A caller that has disconnected needs no answer.
-        let _ = reply.send(failure.body).await;
+        if let Some(reply) = self.take_reply_or_abort() {
+            let head = with_length(failure.head, failure.body.len());
+            reply.send_whole(head, failure.body).await;
+        }
     }
 
     /// Returns the channel to the caller for a final answer. If an answer has begun, aborts it and
     /// returns `None`.
-    async fn take_reply_or_abort(&mut self) -> Option<Reply> {
+    fn take_reply_or_abort(&mut self) -> Option<Reply> {
         let reply = self.reply.take()?;
-        if self.begun {
-            reply.abort().await;
-            return None;
+        (!self.begun).then_some(reply)
+    }
+
+    /// Ends the answer to the caller as complete.
+    fn finish(&mut self) {
+        if let Some(reply) = self.reply.take() {
+            reply.finish();
         }
-        Some(reply)
     }
 
     /// Dispatches the request, checks the head of the answer and forwards the answer.
@@ -412,8 +412,8 @@
 
     async fn send(&self, chunk: Bytes) -> Result<(), Ended> {
         match &self.reply {
-            Some(reply) => reply.send(chunk).await.map_err(|_| Ended::Undeliverable),
-            None => Err(Ended::Undeliverable),
+            Some(reply) => reply.send(chunk).await.map_err(Ended::Undeliverable),
+            None => Err(Ended::Undeliverable(SendError::Disconnected)),
         }
     }
 }
--- a/crates/bulrushtrestled/src/traffic/reply.rs
+++ b/crates/bulrushtrestled/src/traffic/reply.rs
@@ -1,4 +1,10 @@
 //! The channel that carries an answer from the task serving a request to the caller's connection.
+//!
+//! # Invariant
+//!
+//! A body ends as complete only after [`Reply::finish`]. If the writing end is dropped in any other
+//! way, the connection to the caller ends with an incomplete body. Neither end needs room in the
+//! channel, so that the answer to a caller that reads nothing is aborted as well.
 
 use std::time::Duration;
 
@@ -32,20 +38,26 @@
     Timeout,
 }
 
-/// The writing end, used by the task that serves a request.
+/// The writing end, used by the task that serves a request. Dropping it aborts the answer.
 #[derive(Debug)]
 pub(super) struct Reply {
     head: Option<oneshot::Sender<Response<()>>>,
-    body: mpsc::Sender<Result<Bytes, Aborted>>,
+    body: mpsc::Sender<Bytes>,
+    end: oneshot::Sender<Complete>,
     unread_timeout: Duration,
 }
 
+/// The body of an answer is complete.
+#[derive(Debug)]
+struct Complete;
+
 /// The reading end, used by the caller's connection. Dropping it signals that the caller
 /// disconnected.
 #[derive(Debug)]
 pub(super) struct Answer {
     head: oneshot::Receiver<Response<()>>,
-    body: mpsc::Receiver<Result<Bytes, Aborted>>,
+    body: mpsc::Receiver<Bytes>,
+    end: oneshot::Receiver<Complete>,
 }
 
 impl Reply {
@@ -54,14 +66,17 @@
     pub(super) fn new(unread_timeout: Duration) -> (Self, Answer) {
         let (head, head_receiver) = oneshot::channel();
         let (body, body_receiver) = mpsc::channel(BUFFERED_CHUNKS_MAX);
+        let (end, end_receiver) = oneshot::channel();
         let reply = Self {
             head: Some(head),
             body,
+            end,
             unread_timeout,
         };
         let answer = Answer {
             head: head_receiver,
             body: body_receiver,
+            end: end_receiver,
         };
         (reply, answer)
     }
@@ -81,7 +96,7 @@
 
     /// Sends a chunk of the body.
     pub(super) async fn send(&self, chunk: Bytes) -> Result<(), SendError> {
-        match timeout(self.unread_timeout, self.body.send(Ok(chunk))).await {
+        match timeout(self.unread_timeout, self.body.send(chunk)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(SendError::Disconnected),
             Err(_) => Err(SendError::Timeout),
@@ -97,29 +112,37 @@
     ///
     /// If a stream has begun, its last event carries the refusal and the end mark is missing. Any
     /// other answer that has begun is aborted.
-    pub(super) async fn refuse(mut self, refusal: &Refusal, is_stream: bool) {
+    pub(super) async fn refuse(self, refusal: &Refusal, is_stream: bool) {
+        let document = refusal::document(refusal);
         if !self.has_begun() {
             let (head, _) = refusal::response(refusal).into_parts();
-            self.begin(head);
-            let _ = self.send(refusal::document(refusal)).await;
+            self.send_whole(head, document).await;
         } else if is_stream {
-            let document = refusal::document(refusal);
             let event = [b"event: error\ndata: ".as_slice(), &document, b"\n\n"].concat();
-            let _ = self.send(event.into()).await;
-        } else {
-            self.abort().await;
+            if self.send(event.into()).await.is_ok() {
+                self.finish();
+            }
+        }
+    }
+
+    /// Sends an answer whose body is one chunk. A caller that has disconnected needs no answer.
+    pub(super) async fn send_whole(mut self, head: response::Parts, body: Bytes) {
+        self.begin(head);
+        if self.send(body).await.is_ok() {
+            self.finish();
         }
     }
 
-    /// Aborts the answer, so that the caller can detect that the body is incomplete.
-    pub(super) async fn abort(self) {
-        drop(timeout(self.unread_timeout, self.body.send(Err(Aborted))).await);
+    /// Ends the body as complete, after the chunks that were sent.
+    pub(super) fn finish(self) {
+        // If the caller has disconnected, nobody waits for the end.
+        drop(self.end.send(Complete));
     }
 }
 
 /// Detects when the caller disconnects.
 #[derive(Debug)]
-pub(super) struct DisconnectWatch(mpsc::Sender<Result<Bytes, Aborted>>);
+pub(super) struct DisconnectWatch(mpsc::Sender<Bytes>);
 
 impl DisconnectWatch {
     /// Waits until the caller disconnects.
@@ -137,8 +160,13 @@
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
             return response;
         };
-        let chunks = stream::unfold(self.body, |mut body| async move {
-            body.recv().await.map(|chunk| (chunk, body))
+        let chunks = stream::unfold(Some((self.body, self.end)), async |ends| {
+            let (mut body, end) = ends?;
+            if let Some(chunk) = body.recv().await {
+                return Some((Ok(chunk), Some((body, end))));
+            }
+            // All writers are gone, so the end is known.
+            end.await.is_err().then_some((Err(Aborted), None))
         });
         head.map(|()| Body::from_stream(chunks))
     }
--- a/crates/bulrushtrestled/src/traffic/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of request and stream parsing, scheduling lag and withdrawn targets.
+//! Tests of request and stream parsing, the ends of answers, scheduling lag and withdrawn targets.
 
 use std::time::{Duration, Instant};
 
@@ -6,11 +6,13 @@
 use bulrushtrestle_core::verdict::Reason;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http_body_util::BodyExt;
 use serde_json::Value;
 
 use crate::control::Withdrawn;
 use crate::traffic::lag::Lag;
 use crate::traffic::parse::{Chat, Options};
+use crate::traffic::reply::{Reply, SendError, stream_head};
 use crate::traffic::sse::{EVENT_BYTES_MAX, Splitter};
 
 const KEY_V7: &str = "01934f3c-5b1a-7c3e-8a4d-2f6b9e0c1d2e";
@@ -252,3 +254,75 @@
     withdrawn.resume("i-2");
     assert!(withdrawn.contains("i-2", now));
 }
+
+/// What the task that serves a request does with its answer after the last chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Serving {
+    Finishes,
+    Drops,
+    Panics,
+}
+
+/// Guards against an answer that reaches its caller as complete although the task that serves the request has abandoned it:
+/// the caller did not read, the task panicked, or it returned early.
+#[tokio::test]
+async fn an_answer_is_complete_only_if_it_was_finished() {
+    struct Case {
+        name: &'static str,
+        /// The chunks that are sent before the caller reads one.
+        chunks: usize,
+        /// How many of them are buffered.
+        buffered: usize,
+        serving: Serving,
+    }
+    const UNREAD_TIMEOUT: Duration = Duration::from_millis(20);
+    let case = |name, chunks, buffered, serving| Case {
+        name,
+        chunks,
+        buffered,
+        serving,
+    };
+    let cases = [
+        case("finished without a chunk", 0, 0, Serving::Finishes),
+        case("finished", 1, 1, Serving::Finishes),
+        case("finished, without room for more", 4, 4, Serving::Finishes),
+        case("dropped without a chunk", 0, 0, Serving::Drops),
+        case("dropped", 1, 1, Serving::Drops),
+        case("dropped, without room for more", 4, 4, Serving::Drops),
+        case("unread", 5, 4, Serving::Drops),
+        case("panicked", 1, 1, Serving::Panics),
+    ];
+    for case in cases {
+        let (mut reply, answer) = Reply::new(UNREAD_TIMEOUT);
+        let serving = tokio::spawn(async move {
+            let disconnect = reply.disconnect_watch();
+            reply.begin(stream_head());
+            let mut sent = Vec::new();
+            for _ in 0..case.chunks {
+                sent.push(reply.send(Bytes::from_static(b"x")).await);
+            }
+            let unread = sent.iter().filter(|sent| **sent == Err(SendError::Timeout));
+            assert_eq!(unread.count(), case.chunks - case.buffered, "{}", case.name);
+            match case.serving {
+                Serving::Finishes => reply.finish(),
+                Serving::Drops => {}
+                Serving::Panics => panic!("the task that serves the request panics"),
+            }
+            drop(disconnect);
+        });
+        let panicked = serving.await.is_err();
+        assert_eq!(panicked, case.serving == Serving::Panics, "{}", case.name);
+        let mut body = answer.response().await.into_body();
+        let mut read = 0;
+        let is_complete = loop {
+            match body.frame().await {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(_)) => read += 1,
+            }
+        };
+        assert_eq!(read, case.buffered, "{}", case.name);
+        let is_finished = case.serving == Serving::Finishes;
+        assert_eq!(is_complete, is_finished, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -0,0 +1,173 @@
+//! Answers of which a part has reached the caller, and what ends them.
+
+#[path = "support/address.rs"]
+mod address;
+#[path = "support/hosted.rs"]
+mod hosted;
+#[path = "support/hosting.rs"]
+mod hosting;
+#[path = "support/scripted.rs"]
+mod scripted;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use serde_json::{Value, json};
+
+use self::hosted::{Arrived, Daemon, HOST, receive, send, wait_until};
+use self::hosting::Store;
+use self::scripted::{Received, Step, chunk, start_target};
+
+/// From this size on, an answer without events is forwarded before it is complete.
+const HOLD_BYTES_MAX: usize = 1_000;
+
+fn configuration() -> Value {
+    let route = |name: &str, kind: &str, is_resumable: bool| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 8_000, "target_latency_ms": 1_000, "service": "s1", "max_attempts": 3,
+            "resumable": is_resumable
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [route("list", "idempotent", false), route("stream", "streaming", true)],
+        "services": [{"name": "s1", "max_conns": 100}],
+        "limits": {"max_body_bytes": 1024},
+        "tenants": [{"name": "t1", "api_keys": ["k1"]}]
+    })
+}
+
+/// A daemon with one target.
+struct Fixture {
+    daemon: Daemon,
+}
+
+impl Fixture {
+    /// Starts a daemon and a target, which answers as `script` says, and waits until requests reach the target. Those
+    /// of this wait have the path `/list/ready`.
+    async fn start(
+        tune: impl FnOnce(&mut Value),
+        script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let target = start_target(move |received| match received.attempt() {
+            "ready" => whole(received, "ready"),
+            _ => script(received),
+        });
+        let target = target.await;
+        let (store, store_address) = Store::start().await;
+        store.configure(configuration());
+        store.add_target("i-1", server(target));
+        let daemon = Daemon::start_with(store_address, |settings| {
+            settings["targets"] = json!({"hold_bytes_max": HOLD_BYTES_MAX});
+            tune(settings);
+        });
+        let fixture = Self { daemon };
+        wait_until("the target answers", async || {
+            let headers = headers("ready");
+            let at = fixture.daemon.callers;
+            let answer = send(at, Method::POST, "/list/ready", &headers, "body").await;
+            answer.is_some_and(|answer| answer.status() == 200)
+        })
+        .await;
+        fixture
+    }
+
+    /// Sends a request whose attempt has this id, and reads the body of the answer after a pause.
+    async fn call(&self, path: &str, attempt: &str, pause: Duration) -> Arrived {
+        let (at, headers) = (self.daemon.callers, headers(attempt));
+        let arrived = receive(at, Method::POST, path, &headers, "body", pause).await;
+        arrived.expect("an answer")
+    }
+
+    /// Returns how often an event at an edge of the daemon occurred.
+    async fn edge_events(&self, event: &str) -> f64 {
+        let at = self.daemon.operators;
+        let metrics = send(at, Method::GET, "/metrics", &[], "").await;
+        let metrics = metrics.expect("an answer");
+        let text = String::from_utf8_lossy(metrics.body()).into_owned();
+        let name = format!("bulrushtrestle_edge_events_total{{event=\"{event}\"}} ");
+        let value = text.lines().find_map(|line| line.strip_prefix(&name));
+        value.map_or(0.0, |value| value.parse().expect("a number"))
+    }
+}
+
+fn headers(attempt: &str) -> [(&str, &str); 3] {
+    [
+        ("attempt-id", attempt),
+        ("authorization", "Bearer k1"),
+        ("deadline-ms", "8000"),
+    ]
+}
+
+fn server(address: SocketAddr) -> Value {
+    json!({
+        "service": "s1", "address": address, "zone": "dc-a", "version": "v1", "slots": 8,
+        "state": "ready", "cold_left_ms": 0, "sequence": 1
+    })
+}
+
+/// Returns an answer with a length.
+fn whole(received: &Received, body: &str) -> Vec<Step> {
+    let fields = format!("content-length: {}\r\n", body.len());
+    let head = received.head("200 OK", &fields);
+    vec![Step::Send([head.as_str(), body].concat().into_bytes())]
+}
+
+/// Guards against an answer that is abandoned because its caller does not read it, and whose beginning reaches the caller as
+/// a complete answer when it reads on.
+#[tokio::test]
+async fn an_answer_that_was_left_unread_ends_as_broken_off() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        fields: &'static str,
+        encode: fn(&str) -> String,
+    }
+    let cases = [
+        Case {
+            name: "in chunks",
+            path: "/list/x",
+            fields: "transfer-encoding: chunked\r\n",
+            encode: chunk,
+        },
+        Case {
+            name: "without a length",
+            path: "/list/x",
+            fields: "",
+            encode: str::to_owned,
+        },
+        Case {
+            name: "a stream",
+            path: "/stream/x",
+            fields: "content-type: text/event-stream\r\n",
+            encode: str::to_owned,
+        },
+    ];
+    /// More than the connections and the router buffer.
+    const EVENTS: usize = 400;
+    for case in cases {
+        let (fields, encode) = (case.fields, case.encode);
+        let script = move |received: &Received| {
+            let head = received.head("200 OK", fields).into_bytes();
+            let text = "x".repeat(64 * 1024);
+            let event = |id| Step::Send(encode(&format!("id: {id}\ndata: {text}\n\n")).into());
+            std::iter::once(Step::Send(head))
+                .chain((1..=EVENTS).map(event))
+                .chain([Step::Send(match fields.contains("chunked") {
+                    true => b"0\r\n\r\n".to_vec(),
+                    false => Vec::new(),
+                })])
+                .collect()
+        };
+        let tune = |settings: &mut Value| settings["callers"]["unread_timeout_ms"] = json!(300);
+        let fixture = Fixture::start(tune, script).await;
+        let arrived = fixture.call(case.path, "a1", Duration::from_secs(2)).await;
+        let read = arrived.answer.body().len();
+        assert!(read < EVENTS * 64 * 1024, "{}: {read} bytes", case.name);
+        assert!(!arrived.is_complete, "{}: {read} bytes", case.name);
+        let unread = fixture.edge_events("caller_unread").await;
+        assert_eq!(unread, 1.0, "{}", case.name);
+    }
+}
--- a/crates/bulrushtrestled/tests/streams.rs
+++ b/crates/bulrushtrestled/tests/streams.rs
@@ -6,17 +6,18 @@
 mod hosted;
 #[path = "support/hosting.rs"]
 mod hosting;
+#[path = "support/scripted.rs"]
+mod scripted;
 
 use std::net::SocketAddr;
 
 use http::Method;
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 
 use self::Arrival::{Broken, Whole, WholeOrBroken};
 use self::hosted::{Daemon, HOST, send, wait_until};
 use self::hosting::Store;
+use self::scripted::{Received, Step, chunk, start_target};
 
 /// The pieces of a stream.
 const PIECES: u64 = 6;
@@ -63,55 +64,26 @@
     })
 }
 
-/// Starts a target. A request that is resumed receives the pieces that are due, and any other one those of the script.
-async fn start_target(script: Script) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("the listener has an address");
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(answer(stream, script));
-        }
-    });
-    address
-}
-
-async fn answer(mut stream: TcpStream, script: Script) {
-    let mut received = Vec::new();
-    while !received.ends_with(b"\r\n\r\nbody") {
-        let mut bytes = [0; 4_096];
-        match stream.read(&mut bytes).await {
-            Ok(0) | Err(_) => return,
-            Ok(read) => received.extend_from_slice(&bytes[..read]),
-        }
-    }
-    let text = String::from_utf8_lossy(&received).into_owned();
-    let header = |name: &str| {
-        let value = text.split(&format!("{name}: ")).nth(1)?;
-        value.split("\r\n").next()
-    };
-    let id = header("attempt-id").unwrap_or_default();
-    let mut sent = format!(
-        "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-stamp: proof\r\ncontent-type: text/event-stream\r\n\
-         connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
-    );
-    let from: u64 = header("last-event-id").map_or(0, |from| from.parse().expect("a number"));
+/// Returns the answer of a target. A request that is resumed receives the pieces that are due, and any other one those of the
+/// script.
+fn answer(received: &Received, script: Script) -> Vec<Step> {
+    let fields = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+    let mut sent = received.head("200 OK", fields);
+    let from = received.last_event_id().unwrap_or(0);
     let ids: Vec<&str> = script.ids.split_whitespace().collect();
     for number in from + 1..=PIECES {
         if from == 0 && number > script.breaks_after {
-            let _ = stream.write_all(sent.as_bytes()).await;
-            return;
+            return vec![Step::Send(sent.into_bytes())];
         }
         let own = number.to_string();
         let id = match from {
             0 => ids[usize::try_from(number - 1).expect("small")],
             _ => own.as_str(),
         };
-        let event = format!("id: {id}\n{}", piece(number));
-        sent.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+        sent.push_str(&chunk(&format!("id: {id}\n{}", piece(number))));
     }
     sent.push_str("0\r\n\r\n");
-    // The router may close the connection first.
-    let _ = stream.write_all(sent.as_bytes()).await;
+    vec![Step::Send(sent.into_bytes())]
 }
 
 /// Guards against a stream of which pieces are missing or come twice and that ends as complete, because the router goes by an
@@ -168,7 +140,9 @@
             let name = format!("{}, resumable: {is_resumable}", case.name);
             let (store, store_address) = Store::start().await;
             store.configure(configuration(is_resumable));
-            store.add_target("i-1", server(start_target(case.script).await));
+            let script = case.script;
+            let target = start_target(move |received| answer(received, script)).await;
+            store.add_target("i-1", server(target));
             let daemon = Daemon::start(store_address);
             wait_until("ready", async || daemon.is_ready().await).await;
             let mut number = 0;
--- a/crates/bulrushtrestled/tests/support/hosted.rs
+++ b/crates/bulrushtrestled/tests/support/hosted.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
@@ -116,6 +116,14 @@
     }
 }
 
+/// An answer as far as it arrived.
+#[derive(Debug)]
+pub(crate) struct Arrived {
+    pub(crate) answer: Response<Bytes>,
+    /// Whether the answer ended as complete.
+    pub(crate) is_complete: bool,
+}
+
 /// Sends a request on a new connection. Returns `None` on an error or after `WAIT_TIMEOUT`.
 pub(crate) async fn send(
     at: SocketAddr,
@@ -124,6 +132,20 @@
     headers: &[(&str, &str)],
     body: &'static str,
 ) -> Option<Response<Bytes>> {
+    let arrived = receive(at, method, path, headers, body, Duration::ZERO).await?;
+    arrived.is_complete.then_some(arrived.answer)
+}
+
+/// Sends a request on a new connection, and reads the body of the answer after a pause. Returns
+/// `None` if no head arrives or after `WAIT_TIMEOUT`.
+pub(crate) async fn receive(
+    at: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &'static str,
+    pause: Duration,
+) -> Option<Arrived> {
     let exchange = async {
         let stream = TcpStream::connect(at).await.ok()?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -138,9 +160,20 @@
         let req = req
             .body(Full::new(Bytes::from_static(body.as_bytes())))
             .ok()?;
-        let (head, body) = sender.send_request(req).await.ok()?.into_parts();
-        let body = body.collect().await.ok()?.to_bytes();
-        Some(Response::from_parts(head, body))
+        let (head, mut body) = sender.send_request(req).await.ok()?.into_parts();
+        sleep(pause).await;
+        let mut bytes = BytesMut::new();
+        let is_complete = loop {
+            match body.frame().await {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(frame)) => bytes.extend(frame.into_data()),
+            }
+        };
+        Some(Arrived {
+            answer: Response::from_parts(head, bytes.freeze()),
+            is_complete,
+        })
     };
     timeout(WAIT_TIMEOUT, exchange).await.ok()?
 }
