Never continue an answer without events with another's body

Cause: from that size on the router forwards what arrives, and a failure after that was retried like one of which the caller has nothing. The second attempt appended its whole body. Only streams, which have positions, can be continued.

Now the relay knows what the caller has: nothing, a stream, or a body. A failure after a part of a body is final (`Unresumable`): the answer ends as broken off, with the line `failed ... kind=Unresumable`, and counts as `target_unresumable`. It no longer counts as a crash of the target that makes its request a suspect; there is no further attempt that this could protect.

--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -1,7 +1,8 @@
 //! Sends a request to a target and forwards the answer.
 //!
 //! Answers that do not stream are buffered until they are complete, up to a limit, so that nothing
-//! of an answer that breaks off reaches the caller. Streams are forwarded event by event. An
+//! of an answer that breaks off reaches the caller. Beyond the limit they are forwarded as they
+//! arrive, and no other attempt can continue them. Streams are forwarded event by event. An
 //! incomplete event is never forwarded, so that a stream can be resumed after the last complete
 //! event. [`Sequence`] checks their order.
 
@@ -105,13 +106,23 @@
     }
 }
 
+/// What the caller has received of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Forwarded {
+    /// Nothing, so that any attempt may answer the request.
+    Nothing,
+    /// The head and perhaps events of a stream, which another attempt may resume.
+    Stream,
+    /// The head and perhaps a part of a body without positions, which no other attempt can continue.
+    Body,
+}
+
 /// The state of an answer to a caller, across all dispatches of the request.
 #[derive(Debug)]
 pub(super) struct Relay {
-    /// The channel to the caller, until the final answer of a refused request is sent.
+    /// The channel to the caller, until the final answer is sent.
     reply: Option<Reply>,
-    /// Whether the head of an answer was sent to the caller.
-    begun: bool,
+    forwarded: Forwarded,
     /// The events of a stream that were sent to the caller.
     sequence: Sequence,
     /// When the request was handed over to the control thread.
@@ -130,7 +141,7 @@
     pub(super) fn new(reply: Reply) -> Self {
         Self {
             reply: Some(reply),
-            begun: false,
+            forwarded: Forwarded::Nothing,
             sequence: Sequence::default(),
             started: Instant::now(),
             first_byte_after: None,
@@ -189,7 +200,7 @@
                     tokens: self.delivered(),
                 }
             }
-            Err(ended) => ended,
+            Err(ended) => self.unless_resumable(ended),
         }
     }
 
@@ -213,7 +224,7 @@
     /// returns `None`.
     fn take_reply_or_abort(&mut self) -> Option<Reply> {
         let reply = self.reply.take()?;
-        (!self.begun).then_some(reply)
+        (self.forwarded == Forwarded::Nothing).then_some(reply)
     }
 
     /// Ends the answer to the caller as complete.
@@ -283,10 +294,8 @@
             });
         }
         if dispatch.plan.streams && head.status.is_success() {
-            let forwarded = self.forward_stream(hosted, call, dispatch, &head, body);
-            forwarded
-                .await
-                .map_err(|ended| self.unless_resumable(ended))?;
+            self.forward_stream(hosted, call, dispatch, &head, body)
+                .await?;
         } else {
             self.forward_buffered(hosted, dispatch, &head, body).await?;
         }
@@ -307,14 +316,15 @@
         let length = content_length(head);
         while let Some(chunk) = next_chunk(&mut body).await? {
             held.extend_from_slice(&chunk);
-            if self.begun || held.len() > hold_max {
-                self.begin(hosted, dispatch, for_caller_of_length(head, length.clone()));
+            if self.forwarded != Forwarded::Nothing || held.len() > hold_max {
+                let head = for_caller_of_length(head, length.clone());
+                self.begin(hosted, dispatch, head, Forwarded::Body);
                 self.send(held.split().freeze()).await?;
             }
         }
-        if !self.begun {
+        if self.forwarded == Forwarded::Nothing {
             let head = with_length(for_caller(head), held.len());
-            self.begin(hosted, dispatch, head);
+            self.begin(hosted, dispatch, head, Forwarded::Body);
         }
         if !held.is_empty() {
             self.send(held.freeze()).await?;
@@ -356,7 +366,7 @@
         self.sequence.finish(&mut batch);
         self.send_events(hosted, dispatch, head, batch).await?;
         // A stream without events is a complete answer too.
-        self.begin(hosted, dispatch, for_caller(head));
+        self.begin(hosted, dispatch, for_caller(head), Forwarded::Stream);
         Ok(())
     }
 
@@ -371,18 +381,23 @@
         if batch.is_empty() {
             return Ok(());
         }
-        self.begin(hosted, dispatch, for_caller(head));
+        self.begin(hosted, dispatch, for_caller(head), Forwarded::Stream);
         self.send(batch.freeze()).await?;
         let delivered = self.delivered();
         hosted.traffic.progress.record(dispatch.attempt, delivered);
         Ok(())
     }
 
-    /// Returns how a stream ended. A failure becomes final if the stream has no position from which
-    /// it could be resumed.
+    /// Returns how a dispatch ended. A failure becomes final if no other attempt can continue what the
+    /// caller has received.
     fn unless_resumable(&self, ended: Ended) -> Ended {
+        let is_resumable = match self.forwarded {
+            Forwarded::Nothing => true,
+            Forwarded::Stream => self.sequence.is_resumable(),
+            Forwarded::Body => false,
+        };
         match ended {
-            Ended::Failed { sent: true, .. } if !self.sequence.is_resumable() => {
+            Ended::Failed { sent: true, .. } if !is_resumable => {
                 Ended::failed(FailureKind::Unresumable)
             }
             ended => ended,
@@ -391,12 +406,18 @@
 
     /// Sends the head to the caller, unless one was sent, and reports the start of the attempt to
     /// the node, unless it was reported.
-    fn begin(&mut self, hosted: &Hosted, dispatch: &Dispatch<'_>, head: response::Parts) {
+    fn begin(
+        &mut self,
+        hosted: &Hosted,
+        dispatch: &Dispatch<'_>,
+        head: response::Parts,
+        forwarded: Forwarded,
+    ) {
         if self.first_byte_after.is_none() {
             self.first_byte_after = Some(self.started.elapsed());
         }
-        if !self.begun {
-            self.begun = true;
+        if self.forwarded == Forwarded::Nothing {
+            self.forwarded = forwarded;
             if let Some(reply) = &mut self.reply {
                 reply.begin(head);
             }
--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -10,6 +10,7 @@
 mod scripted;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::Method;
@@ -115,6 +116,80 @@
     vec![Step::Send([head.as_str(), body].concat().into_bytes())]
 }
 
+/// Guards against an answer without events that breaks off after a part of it was forwarded, and is then completed with the
+/// body of a second attempt.
+#[tokio::test]
+async fn an_answer_without_events_is_not_continued_with_another() {
+    struct Case {
+        name: &'static str,
+        /// Returns the lines of the head that say how the body of this length ends.
+        fields: fn(usize) -> String,
+        /// Encodes a part of the body.
+        encode: fn(&str) -> String,
+        /// How the connection breaks off.
+        end: Step,
+    }
+    let cases = [
+        Case {
+            name: "with a length",
+            fields: |length| format!("content-length: {length}\r\n"),
+            encode: str::to_owned,
+            end: Step::Wait(Duration::ZERO),
+        },
+        Case {
+            name: "in chunks",
+            fields: |_| "transfer-encoding: chunked\r\n".to_owned(),
+            encode: chunk,
+            end: Step::Wait(Duration::ZERO),
+        },
+        Case {
+            name: "without a length",
+            fields: |_| String::new(),
+            encode: str::to_owned,
+            end: Step::Reset,
+        },
+    ];
+    let body: String = (0..200).map(|line| format!("line {line:04}\n")).collect();
+    let part = body[..2 * HOLD_BYTES_MAX - 500].to_owned();
+    for Case {
+        name,
+        fields,
+        encode,
+        end,
+    } in cases
+    {
+        let (sent_whole, sent_part) = (body.clone(), part.clone());
+        let has_broken = AtomicBool::new(false);
+        let script = move |received: &Received| {
+            let is_first = !has_broken.load(Ordering::Relaxed);
+            if received.attempt() == "broken" && is_first {
+                has_broken.store(true, Ordering::Relaxed);
+                let head = received.head("200 OK", &fields(sent_whole.len()));
+                let sent = [head, encode(&sent_part)].concat().into_bytes();
+                return vec![
+                    Step::Send(sent),
+                    Step::Wait(Duration::from_millis(100)),
+                    end.clone(),
+                ];
+            }
+            // The router sends the request again once an equal one has shown that it crashes no target.
+            let mut steps = vec![Step::Wait(Duration::from_millis(500))];
+            steps.extend(whole(received, &sent_whole));
+            steps
+        };
+        let fixture = Fixture::start(|_| {}, script).await;
+        let call = |attempt| fixture.call("/list/x", attempt, Duration::ZERO);
+        let (sound, broken) = tokio::join!(call("sound"), call("broken"));
+        assert!(sound.is_complete, "{name}");
+        assert_eq!(sound.answer.body(), body.as_bytes(), "{name}");
+        let text = String::from_utf8_lossy(broken.answer.body()).into_owned();
+        assert!(!broken.is_complete, "{name}: complete: {text}");
+        assert!(part.starts_with(&text), "{name}: {text}");
+        let broken_off = fixture.edge_events("target_unresumable").await;
+        assert_eq!(broken_off, 1.0, "{name}");
+    }
+}
+
 /// Guards against an answer that is abandoned because its caller does not read it, and whose beginning reaches the caller as
 /// a complete answer when it reads on.
 #[tokio::test]
