Continue a stream only with a success that has its events

What callers saw: when a stream broke off and was resumed at a target that answered with a 4xx or a redirect, the text of that answer followed the pieces, and the stream ended as complete. With 204, with a success without events or with another content type it ended as complete as well, without the pieces that were due.

Cause: an answer to a resumed request was taken like a first one. Whatever did not look like a stream was forwarded as a body behind the events.

Now nothing of such an answer is forwarded unless it is a success with the media type and the content encoding of the stream that has begun, and it completes the stream only if it has an event with an id. The platform names no end mark, so an answer without an event cannot show that the caller has the last one; a caller may resume the stream itself. The attempt fails like any other, so that another target may resume the stream within `max_attempts` and the budget; if none does, it ends as broken off. Line `not_resumed`, event `target_not_resumed`.

A 500 was not forwarded before either.

--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -62,6 +62,8 @@
     TargetCrossed = "target_crossed";
     /// An answer failed after a part of it had been sent, and could not be resumed.
     TargetUnresumable = "target_unresumable";
+    /// The answer to a resumed request did not continue the stream, and was not forwarded.
+    TargetNotResumed = "target_not_resumed";
     /// The id of an event in a stream was not above the one before it.
     EventOutOfOrder = "event_out_of_order";
     /// A token that the caller had already received was dropped.
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -4,7 +4,8 @@
 //! of an answer that breaks off reaches the caller. Beyond the limit they are forwarded as they
 //! arrive, and no other attempt can continue them. Streams are forwarded event by event. An
 //! incomplete event is never forwarded, so that a stream can be resumed after the last complete
-//! event. [`Sequence`] checks their order.
+//! event. [`Sequence`] checks their order. Nothing of an answer to a resumed request is forwarded
+//! unless it is a success with the stream's format, and it completes the stream only with an event.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use bulrushtrestle_platform::answer::{self, Outcome};
 use bulrushtrestle_platform::request::{self, AddedHeaders};
 use bytes::{Bytes, BytesMut};
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderValue, Request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -117,12 +118,34 @@
     Body,
 }
 
+/// How the events of a stream are encoded, which is the same in each answer that continues it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+struct Format {
+    /// The media type without its parameters, in lower case.
+    media_type: String,
+    content_encoding: Option<HeaderValue>,
+}
+
+impl Format {
+    fn of(head: &response::Parts) -> Self {
+        let media_type = head.headers.get(CONTENT_TYPE);
+        let media_type = media_type.and_then(|value| value.to_str().ok());
+        let media_type = media_type.and_then(|value| value.split(';').next());
+        Self {
+            media_type: media_type.unwrap_or_default().trim().to_ascii_lowercase(),
+            content_encoding: head.headers.get(CONTENT_ENCODING).cloned(),
+        }
+    }
+}
+
 /// The state of an answer to a caller, across all dispatches of the request.
 #[derive(Debug)]
 pub(super) struct Relay {
     /// The channel to the caller, until the final answer is sent.
     reply: Option<Reply>,
     forwarded: Forwarded,
+    /// The format of the stream that has begun.
+    format: Format,
     /// The events of a stream that were sent to the caller.
     sequence: Sequence,
     /// When the request was handed over to the control thread.
@@ -142,6 +165,7 @@
         Self {
             reply: Some(reply),
             forwarded: Forwarded::Nothing,
+            format: Format::default(),
             sequence: Sequence::default(),
             started: Instant::now(),
             first_byte_after: None,
@@ -293,6 +317,9 @@
                 answer: Some(Box::new(TargetFailure { head, body })),
             });
         }
+        if self.forwarded == Forwarded::Stream && !self.is_continued_by(&head) {
+            return Err(report_not_resumed(hosted, call, dispatch, &head));
+        }
         if dispatch.plan.streams && head.status.is_success() {
             self.forward_stream(hosted, call, dispatch, &head, body)
                 .await?;
@@ -365,8 +392,12 @@
         let mut batch = BytesMut::new();
         self.sequence.finish(&mut batch);
         self.send_events(hosted, dispatch, head, batch).await?;
+        if !self.sequence.has_continued() {
+            // Without an end mark, nothing shows that the caller has the last event.
+            return Err(report_not_resumed(hosted, call, dispatch, head));
+        }
         // A stream without events is a complete answer too.
-        self.begin(hosted, dispatch, for_caller(head), Forwarded::Stream);
+        self.begin_stream(hosted, dispatch, head);
         Ok(())
     }
 
@@ -381,13 +412,26 @@
         if batch.is_empty() {
             return Ok(());
         }
-        self.begin(hosted, dispatch, for_caller(head), Forwarded::Stream);
+        self.begin_stream(hosted, dispatch, head);
         self.send(batch.freeze()).await?;
         let delivered = self.delivered();
         hosted.traffic.progress.record(dispatch.attempt, delivered);
         Ok(())
     }
 
+    /// Returns whether an answer with this head may continue the stream that has begun.
+    fn is_continued_by(&self, head: &response::Parts) -> bool {
+        head.status.is_success() && Format::of(head) == self.format
+    }
+
+    /// Begins a stream, unless it has begun.
+    fn begin_stream(&mut self, hosted: &Hosted, dispatch: &Dispatch<'_>, head: &response::Parts) {
+        if self.forwarded == Forwarded::Nothing {
+            self.format = Format::of(head);
+        }
+        self.begin(hosted, dispatch, for_caller(head), Forwarded::Stream);
+    }
+
     /// Returns how a dispatch ended. A failure becomes final if no other attempt can continue what the
     /// caller has received.
     fn unless_resumable(&self, ended: Ended) -> Ended {
@@ -460,6 +504,21 @@
     })
 }
 
+/// Logs and counts an answer that does not continue the stream for which the request was sent again,
+/// and returns how the dispatch ended.
+fn report_not_resumed(
+    hosted: &Hosted,
+    call: &Call,
+    dispatch: &Dispatch<'_>,
+    head: &response::Parts,
+) -> Ended {
+    let (attempt, target) = (&call.info.attempt, dispatch.target);
+    let (status, media_type) = (head.status.as_u16(), Format::of(head).media_type);
+    log::info!(target: "not_resumed", "attempt={attempt} target={target} status={status} media_type={media_type:?}");
+    hosted.traffic.metrics.edge(Edge::TargetNotResumed);
+    Ended::failed(FailureKind::Error)
+}
+
 /// Returns whether a request may still be sent to the target of its dispatch. Since the decision,
 /// the target may have been withdrawn and the caller's deadline may have passed.
 fn may_send(hosted: &Hosted, dispatch: &Dispatch<'_>) -> bool {
--- a/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
@@ -71,6 +71,12 @@
         self.unnumbered == 0
     }
 
+    /// Returns whether an event with an id of the present attempt was forwarded or held, if the attempt
+    /// resumes an answer. An attempt without one has not shown that it continues the answer.
+    pub(super) const fn has_continued(&self) -> bool {
+        self.resumed_from.is_none() || self.has_new
+    }
+
     /// Adds an event to `batch`, or holds it. Skips it if the caller has received it in an earlier
     /// attempt.
     ///
--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -246,3 +246,102 @@
         assert_eq!(unread, 1.0, "{}", case.name);
     }
 }
+
+/// Returns events with these ids, in chunks, without the end of the body.
+fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    let event = |id| chunk(&format!("id: {id}\ndata: piece {id}\n\n"));
+    ids.into_iter().map(event).collect()
+}
+
+/// The head lines of a stream in chunks.
+const STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+
+/// Guards against an answer to a resumed request that is appended to the stream, or ends it as complete, although it is an
+/// error, has another format or has no event.
+#[tokio::test]
+async fn a_resumed_stream_is_continued_only_by_a_success_with_events() {
+    struct Case {
+        name: &'static str,
+        status: &'static str,
+        fields: &'static str,
+        body: &'static str,
+        /// Whether the stream is continued.
+        is_whole: bool,
+    }
+    const REST: &str = "id: 4\ndata: piece 4\n\n";
+    let case = |name, status, fields, body, is_whole| Case {
+        name,
+        status,
+        fields,
+        body,
+        is_whole,
+    };
+    let stream = "content-type: text/event-stream\r\n";
+    let text = "content-type: text/plain\r\n";
+    let cases = [
+        case("continued", "200 OK", stream, REST, true),
+        case(
+            "continued, with a parameter",
+            "200 OK",
+            "content-type: Text/Event-Stream; charset=utf-8\r\n",
+            REST,
+            true,
+        ),
+        case("no such run", "404 Not Found", text, "no such run", false),
+        case("a bad request", "400 Bad Request", stream, REST, false),
+        case(
+            "an error",
+            "500 Internal Server Error",
+            text,
+            "it failed",
+            false,
+        ),
+        case("no content", "204 No Content", stream, "", false),
+        case(
+            "sent elsewhere",
+            "307 Temporary Redirect",
+            "location: /y\r\n",
+            "see /y",
+            false,
+        ),
+        case("another type", "200 OK", text, REST, false),
+        case(
+            "encoded",
+            "200 OK",
+            "content-type: text/event-stream\r\ncontent-encoding: gzip\r\n",
+            REST,
+            false,
+        ),
+        case("no event", "200 OK", stream, "", false),
+        case("a comment", "200 OK", stream, ": nothing\n\n", false),
+    ];
+    for case in cases {
+        let (status, fields, rest) = (case.status, case.fields, case.body);
+        let script = move |received: &Received| {
+            let sent = match received.last_event_id() {
+                // An id that falls ends an attempt without the looks of a crash.
+                None => received.head("200 OK", STREAM) + &events([1, 2, 3, 1]),
+                Some(from) => {
+                    assert_eq!(from, 3, "{status}");
+                    let length = format!("{fields}content-length: {}\r\n", rest.len());
+                    received.head(status, &length) + rest
+                }
+            };
+            vec![Step::Send(sent.into_bytes())]
+        };
+        let fixture = Fixture::start(|_| {}, script).await;
+        let arrived = fixture.call("/stream/x", "a1", Duration::ZERO).await;
+        let body = String::from_utf8_lossy(arrived.answer.body()).into_owned();
+        let pieces: Vec<usize> = (1..=4)
+            .map(|id| body.matches(&format!("piece {id}\n")).count())
+            .collect();
+        assert_eq!(arrived.is_complete, case.is_whole, "{}: {body}", case.name);
+        let due = usize::from(case.is_whole);
+        assert_eq!(pieces, [1, 1, 1, due], "{}: {body}", case.name);
+        assert!(
+            !body.contains("no such run") && !body.contains("see /y"),
+            "{}",
+            case.name
+        );
+    }
+}
