Resume a stream only at the event that is due

What callers saw: a stream could be joined from two runs of its request. A second target that ran the request from the beginning, or repeated the last event, had its repeated events dropped without a line in the log and the others appended. Events without an id at the start of the second answer were appended as well. After a single event, an answer that left events out was taken as one whose steps are larger.

Cause: events up to the last id were skipped by number at the start of a resumed attempt, and events without an id always forwarded.

Now the first event of an attempt that resumes an answer has to be the one that is due: above the last id, within the steps seen so far, and with an id. Anything else ends the attempt as failed; another target may resume the stream. Comments pass, as they have no content.

The table of `a_stream_is_resumed_after_the_last_event_...` asked that an answer which starts again be joined by its numbers. That is the fault: the case now asks that nothing of it be forwarded, which is stricter.

Costs: a target that repeats events with the same text cannot resume a stream, and neither can one whose second step is larger than its first id.

--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -64,7 +64,7 @@
     TargetUnresumable = "target_unresumable";
     /// The answer to a resumed request did not continue the stream, and was not forwarded.
     TargetNotResumed = "target_not_resumed";
-    /// The id of an event in a stream was not above the one before it.
+    /// An event of a stream did not follow the one before it.
     EventOutOfOrder = "event_out_of_order";
     /// A token that the caller had already received was dropped.
     TokenRepeated = "token_repeated";
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -496,6 +496,7 @@
         is_resumable,
     } = error;
     let (attempt, target) = (&call.info.attempt, dispatch.target);
+    let id = id.map_or_else(|| "-".to_owned(), |id| id.to_string());
     log::info!(target: "disordered", "attempt={attempt} target={target} id={id} after={after} resumable={is_resumable}");
     hosted.traffic.metrics.edge(Edge::EventOutOfOrder);
     Ended::failed(match is_resumable {
--- a/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
@@ -5,7 +5,8 @@
 //! The caller receives the events of a target in the order in which the target sent them, each once
 //! and none left out, with increasing ids. An attempt that breaks this order ends as failed, so that
 //! its answer never looks complete. An answer is resumed only after an id that the order of the
-//! events confirms.
+//! events confirms, and only by an attempt whose first event is the one that is due: one that
+//! repeats events is another run of the request, whose events may differ.
 //!
 //! # Ids that jump
 //!
@@ -22,11 +23,12 @@
 /// as it arrives.
 const HELD_EVENTS_MAX: usize = 8;
 
-/// An event whose id is not above the id of an event before it.
+/// An event that does not follow the event before it: its id is not above the one before, or it is the
+/// first of an attempt that resumes an answer and is not the event that is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct OutOfOrder {
-    /// The id of the event.
-    pub(super) id: u64,
+    /// The id of the event, if it has one.
+    pub(super) id: Option<u64>,
     /// The id of the event before it.
     pub(super) after: u64,
     /// Whether the answer may be resumed after [`Sequence::delivered`].
@@ -77,34 +79,27 @@
         self.resumed_from.is_none() || self.has_new
     }
 
-    /// Adds an event to `batch`, or holds it. Skips it if the caller has received it in an earlier
-    /// attempt.
+    /// Adds an event to `batch`, or holds it.
     ///
     /// # Errors
     ///
-    /// Fails if the id of the event shows that events are missing, repeated or spoilt. The event is
-    /// not added.
+    /// Fails if the event shows that events are missing, repeated or spoilt. The event is not added.
     pub(super) fn push(&mut self, event: Event, batch: &mut BytesMut) -> Result<(), OutOfOrder> {
         let Some(id) = event.id else {
-            self.push_unnumbered(event, batch);
-            return Ok(());
+            return self.push_unnumbered(event, batch);
         };
-        if !self.has_new && self.resumed_from.is_some_and(|from| id <= from) {
-            return Ok(());
-        }
         if let Some(jumped) = self.held.first().and_then(|held| held.id) {
             if id <= jumped {
-                return Err(self.out_of_order(id, jumped));
+                return Err(self.out_of_order(Some(id), jumped));
             }
             self.release(batch);
         }
         if let Some(last) = self.last.filter(|&last| id <= last) {
-            return Err(self.out_of_order(id, last));
+            return Err(self.out_of_order(Some(id), last));
         }
         if self.is_jump(id) {
-            if self.resumed_from.is_some() && !self.has_new && self.numbered > 1 {
-                // The target did not resume the answer at the event that is due.
-                return Err(self.out_of_order(id, self.delivered()));
+            if !self.has_continued() {
+                return Err(self.out_of_order(Some(id), self.delivered()));
             }
             self.has_new = true;
             self.held.push(event);
@@ -119,15 +114,19 @@
         self.release(batch);
     }
 
-    fn push_unnumbered(&mut self, event: Event, batch: &mut BytesMut) {
+    fn push_unnumbered(&mut self, event: Event, batch: &mut BytesMut) -> Result<(), OutOfOrder> {
+        if !self.has_continued() && !event.is_comment {
+            return Err(self.out_of_order(None, self.delivered()));
+        }
         if self.held.is_empty() {
             self.forward(&event, batch);
-            return;
+            return Ok(());
         }
         self.held.push(event);
         if self.held.len() > HELD_EVENTS_MAX {
             self.release(batch);
         }
+        Ok(())
     }
 
     /// Returns whether an id is further ahead than any step before allows.
@@ -164,7 +163,7 @@
 
     /// Returns the error for an event. Its own id or the one before may be wrong; the latter was
     /// confirmed by the steps before, unless it is the only one.
-    fn out_of_order(&self, id: u64, after: u64) -> OutOfOrder {
+    fn out_of_order(&self, id: Option<u64>, after: u64) -> OutOfOrder {
         let is_confirmed = self.numbered > 1 || !self.held.is_empty();
         OutOfOrder {
             id,
--- a/crates/bulrushtrestled/src/traffic/hosted/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/tests.rs
@@ -73,6 +73,8 @@
     Resumable(u64),
     /// An event is out of order, and the answer cannot be resumed.
     Final,
+    /// The attempt resumes an answer and has no event with an id.
+    NotContinued,
 }
 
 /// Pushes the events of an attempt that are named by their ids: `-` has none, `:` is a comment and `D` the end mark.
@@ -102,6 +104,9 @@
     }
     if outcome == Outcome::Complete {
         sequence.finish(&mut batch);
+        if !sequence.has_continued() {
+            outcome = Outcome::NotContinued;
+        }
     }
     let text = String::from_utf8(batch.to_vec()).expect("text");
     let events = text.split_terminator("\n\n").map(|event| match event {
@@ -194,7 +199,7 @@
     }
 }
 
-/// Guards against a resumed answer that repeats events, leaves some out, or continues at a spoilt id.
+/// Guards against a resumed answer that repeats events, leaves some out, joins those of another run, or continues at a spoilt id.
 #[test]
 fn a_stream_is_resumed_after_the_last_event_whose_id_is_confirmed() {
     struct Case {
@@ -219,9 +224,135 @@
     };
     let cases = [
         RESUMED,
+        Case {
+            name: "goes on after a comment",
+            second: ": 4 5 6",
+            forwarded: ": 4 5 6",
+            ..RESUMED
+        },
+        // Whether the events that it repeats are those that the caller has is not known.
         Case {
             name: "starts again from the beginning",
             second: "1 2 3 4 5 6",
+            forwarded: "",
+            outcome: Outcome::Resumable(3),
+            ..RESUMED
+        },
+        Case {
+            name: "repeats the last event",
+            second: "3 4 5 6",
+            forwarded: "",
+            outcome: Outcome::Resumable(3),
+            ..RESUMED
+        },
+        Case {
+            name: "has an id twice",
+            second: "4 4 5 6",
+            forwarded: "4",
+            outcome: Outcome::Resumable(4),
+            ..RESUMED
+        },
+        Case {
+            name: "begins with an event without an id",
+            second: "- 4 5 6",
+            forwarded: "",
+            outcome: Outcome::Resumable(3),
+            ..RESUMED
+        },
+        Case {
+            name: "has events without an id only",
+            second: "- - D",
+            forwarded: "",
+            outcome: Outcome::Resumable(3),
+            ..RESUMED
+        },
+        Case {
+            name: "has an event without an id later on",
+            second: "4 - 6",
+            forwarded: "4 - 6",
+            ..RESUMED
+        },
+        Case {
+            name: "has no event",
+            second: "",
+            forwarded: "",
+            outcome: Outcome::NotContinued,
+            ..RESUMED
+        },
+        Case {
+            name: "has a comment only",
+            second: ":",
+            forwarded: ":",
+            outcome: Outcome::NotContinued,
+            ..RESUMED
+        },
+        Case {
+            name: "steps of six",
+            first: "6 12 18",
+            from: 18,
+            second: "24 30 31",
+            forwarded: "24 30 31",
+            ..RESUMED
+        },
+        Case {
+            name: "steps of six, the last event is due",
+            first: "6 12 18",
+            from: 18,
+            second: "20",
+            forwarded: "20",
+            ..RESUMED
+        },
+        Case {
+            name: "steps of six, not resumed at the event that is due",
+            first: "6 12 18",
+            from: 18,
+            second: "30 36",
+            forwarded: "",
+            outcome: Outcome::Resumable(18),
+            ..RESUMED
+        },
+        Case {
+            name: "goes on after the first event",
+            first: "1",
+            from: 1,
+            second: "2 3",
+            forwarded: "2 3",
+            ..RESUMED
+        },
+        Case {
+            name: "goes on after an event with the id 0",
+            first: "0",
+            from: 0,
+            second: "1 2",
+            forwarded: "1 2",
+            ..RESUMED
+        },
+        // The only id may be spoilt itself.
+        Case {
+            name: "is not resumed at the event that is due after the first",
+            first: "1",
+            from: 1,
+            second: "5 6 7",
+            forwarded: "",
+            outcome: Outcome::Final,
+            ..RESUMED
+        },
+        Case {
+            name: "starts again after the first event",
+            first: "1",
+            from: 1,
+            second: "1 2 3",
+            forwarded: "",
+            outcome: Outcome::Final,
+            ..RESUMED
+        },
+        Case {
+            name: "begins with another opening event",
+            first: "- 1 2",
+            from: 2,
+            second: "- 3 4",
+            forwarded: "",
+            outcome: Outcome::Resumable(2),
             ..RESUMED
         },
         Case {
--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -345,3 +345,58 @@
         );
     }
 }
+
+/// Guards against a stream that is joined from two runs of a request, because the second attempt does not resume it but
+/// starts again, leaves events out or has other events.
+#[tokio::test]
+async fn a_stream_is_never_joined_from_two_runs() {
+    struct Case {
+        name: &'static str,
+        /// The events of a resumed request.
+        second: &'static str,
+        is_whole: bool,
+    }
+    let case = |name, second, is_whole| Case {
+        name,
+        second,
+        is_whole,
+    };
+    let cases = [
+        case("goes on", "4 5", true),
+        case("starts again", "1 2 3 4 5", false),
+        case("repeats the last event", "3 4 5", false),
+        case("leaves an event out", "5", false),
+        case("begins without an id", "- 4 5", false),
+        case("has no id", "- -", false),
+    ];
+    for case in cases {
+        let second = case.second;
+        let script = move |received: &Received| {
+            let mut sent = received.head("200 OK", STREAM);
+            match received.last_event_id() {
+                None => sent.push_str(&events([1, 2, 3, 1])),
+                Some(_) => {
+                    for event in second.split_whitespace() {
+                        sent.push_str(&match event {
+                            "-" => chunk("data: without an id\n\n"),
+                            id => chunk(&format!("id: {id}\ndata: second run, piece {id}\n\n")),
+                        });
+                    }
+                    sent.push_str("0\r\n\r\n");
+                }
+            }
+            vec![Step::Send(sent.into_bytes())]
+        };
+        let fixture = Fixture::start(|_| {}, script).await;
+        let arrived = fixture.call("/stream/x", "a1", Duration::ZERO).await;
+        let body = String::from_utf8_lossy(arrived.answer.body()).into_owned();
+        assert_eq!(arrived.is_complete, case.is_whole, "{}: {body}", case.name);
+        let first = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n";
+        let rest = "id: 4\ndata: second run, piece 4\n\nid: 5\ndata: second run, piece 5\n\n";
+        let expected = match case.is_whole {
+            true => [first, rest].concat(),
+            false => first.to_owned(),
+        };
+        assert_eq!(body, expected, "{}", case.name);
+    }
+}
