Resume a stream after an event with the id 0

What callers saw: a stream whose ids begin at 0, and that broke off after its first event, was joined with a new run of its request.

Cause: the position 0 meant that nothing was received, so `Last-Event-Id` was not sent. The target ran the request from the beginning, and its events from 1 on were appended.

Now the relay sends the id of the last event that it has forwarded, if there is one, instead of the number of tokens that the node counts.

Evidence: `ends::a_stream_is_resumed_after_an_event_with_the_id_0`, on:

assertion `left == right` failed left: "id: 0\ndata: piece 0\n\nid: 1\ndata: another run\n\n" right: "id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\n..."

--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -214,8 +214,6 @@
         address: SocketAddr,
         /// The name of the target.
         target: String,
-        /// The tokens of the answer that the caller has already received.
-        resume_from: u64,
         /// The information on which the decision was based.
         basis: Basis,
     },
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -89,7 +89,6 @@
             attempt: dispatch.attempt,
             address,
             target: name,
-            resume_from: dispatch.resume_from,
             basis: dispatch.basis,
         };
         if !self.send_decision(dispatch.request, decision) {
--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -135,8 +135,8 @@
                     attempt,
                     address,
                     target,
-                    resume_from,
                     basis,
+                    ..
                 }) => {
                     let Some(plan) = self.plan.clone() else {
                         continue;
@@ -147,7 +147,6 @@
                         attempt,
                         address,
                         target: &target,
-                        resume_from,
                         plan: &plan,
                     };
                     let left = self.time_left(&plan);
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -41,8 +41,6 @@
     pub(super) address: SocketAddr,
     /// The name of the target, sent along so that any other target refuses the request.
     pub(super) target: &'a str,
-    /// The id of the last event that the caller has received, or 0.
-    pub(super) resume_from: u64,
     /// How the request is sent to targets.
     pub(super) plan: &'a ForwardingPlan,
 }
@@ -276,7 +274,8 @@
             hosted.connections.put(dispatch.address, sender, None);
             return Err(Ended::Withheld);
         }
-        let req = build_request(hosted, call, dispatch)?;
+        let resume_after = self.sequence.resume_after();
+        let req = build_request(hosted, call, dispatch, resume_after)?;
         let answer = sender.send_request(req).await.map_err(|error| {
             match error.is_canceled() {
                 // The request was never written to the connection.
@@ -531,11 +530,13 @@
     !has_passed && !hosted.traffic.control.is_withdrawn(dispatch.target)
 }
 
-/// Returns the request to send to the target.
+/// Returns the request to send to the target. `resume_after` is the last event that the caller has
+/// received of a stream.
 fn build_request(
     hosted: &Hosted,
     call: &Call,
     dispatch: &Dispatch<'_>,
+    resume_after: Option<u64>,
 ) -> Result<Request<Full<Bytes>>, Ended> {
     let now = hosted.traffic.clock.now();
     let plan = dispatch.plan;
@@ -544,7 +545,7 @@
         target: dispatch.target,
         organisation: plan.organisation.as_deref(),
         left: Some(deadline.since(now)),
-        resume_after: (dispatch.resume_from > 0).then_some(dispatch.resume_from),
+        resume_after,
     };
     let headers = request::forwarded(&call.headers, &call.host, add);
     let mut req = Request::builder()
--- a/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
@@ -79,6 +79,11 @@
         self.resumed_from.is_none() || self.has_new
     }
 
+    /// Returns the id after which the answer is resumed, if the caller has received an event with one.
+    pub(super) const fn resume_after(&self) -> Option<u64> {
+        self.last
+    }
+
     /// Adds an event to `batch`, or holds it.
     ///
     /// # Errors
--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -400,3 +400,38 @@
         assert_eq!(body, expected, "{}", case.name);
     }
 }
+
+/// Guards against a stream of which only an event with the id 0 has arrived, and that is joined with a new run of the request
+/// because the second target was not told the event.
+#[tokio::test]
+async fn a_stream_is_resumed_after_an_event_with_the_id_0() {
+    let has_broken = AtomicBool::new(false);
+    let script = move |received: &Received| {
+        let mut steps = Vec::new();
+        let mut sent = received.head("200 OK", STREAM);
+        let is_first = received.attempt() == "broken" && !has_broken.load(Ordering::Relaxed);
+        match received.last_event_id() {
+            None if is_first => {
+                has_broken.store(true, Ordering::Relaxed);
+                sent.push_str(&events([0]));
+            }
+            None => {
+                // The router resumes a stream once an equal one has shown that the request crashes no target.
+                steps.push(Step::Wait(Duration::from_millis(500)));
+                sent.push_str(&chunk("id: 0\ndata: another run\n\n"));
+                sent.push_str(&chunk("id: 1\ndata: another run\n\n"));
+                sent.push_str("0\r\n\r\n");
+            }
+            Some(from) => sent.push_str(&(events(from + 1..=2) + "0\r\n\r\n")),
+        }
+        steps.push(Step::Send(sent.into_bytes()));
+        steps
+    };
+    let fixture = Fixture::start(|_| {}, script).await;
+    let call = |attempt| fixture.call("/stream/x", attempt, Duration::ZERO);
+    let (_, broken) = tokio::join!(call("sound"), call("broken"));
+    let body = String::from_utf8_lossy(broken.answer.body()).into_owned();
+    let pieces = "id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+    assert_eq!(body, pieces);
+    assert!(broken.is_complete);
+}
