Continue an engine's answer only with tokens that it resumes

What callers saw, on the product's own listener: when an engine rejected a request to resume an answer, its rejection followed the tokens and the answer ended without its end mark or error event; a caller that asked for no stream got the rejection as the answer to its request. An engine that ran the request from the beginning had the tokens up to the last one dropped and the others appended, so that the answer came from two runs. An event without a number at the end of a resumed answer was dropped.

An answer that resumes another was taken like a first one, and repeated tokens were skipped by number.

Now a rejection of a request to resume, and a first token that the caller already has, end the attempt as failed, and count as `target_not_resumed` (`token_repeated` counted the dropped tokens and is gone). Only what comes before the first new token is taken for the opening of the answer.

That an event without a number is no longer dropped at the end has no test, as the stand-in sends none.

--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -66,8 +66,6 @@
     TargetNotResumed = "target_not_resumed";
     /// An event of a stream did not follow the one before it.
     EventOutOfOrder = "event_out_of_order";
-    /// A token that the caller had already received was dropped.
-    TokenRepeated = "token_repeated";
     /// A target's report could not be read.
     ReportFailed = "report_failed";
     /// A peer passed on records of the store that this router did not have.
--- a/crates/bulrushtrestled/src/traffic/chat.rs
+++ b/crates/bulrushtrestled/src/traffic/chat.rs
@@ -140,6 +140,9 @@
         let answer = attempt.send(self.delivered).await?;
         let (head, mut body) = answer.into_parts();
         if !head.status.is_success() {
+            if self.delivered > 0 {
+                return Err(not_resumed(attempt));
+            }
             // The engine rejected the request. Its response is the complete answer.
             return plain::forward(attempt, head, body, reply).await;
         }
@@ -211,9 +214,10 @@
         if event.is_end {
             result.flow = Flow::End;
         } else if let Some(id) = event.id {
-            // An earlier attempt delivered these, if this one starts again from the beginning.
-            if id <= resumed_from && result.delivered == resumed_from {
-                attempt.traffic.metrics.edge(Edge::TokenRepeated);
+            let has_continued = result.delivered > resumed_from;
+            if id <= resumed_from && !has_continued {
+                // The engine runs the request from the beginning, so its tokens may be others.
+                result.outcome = Err(not_resumed(attempt));
                 return;
             }
             if id != result.delivered + 1 {
@@ -221,7 +225,7 @@
                 return;
             }
             result.delivered = id;
-        } else if resumed_from > 0 {
+        } else if resumed_from > 0 && result.delivered == resumed_from {
             // The caller received the opening event, which has no number, in an earlier attempt.
             return;
         }
@@ -297,6 +301,13 @@
     }
 }
 
+/// Counts an answer that does not continue the answer for which the request was sent again, and
+/// returns how the attempt ended.
+fn not_resumed(attempt: &Attempt<'_>) -> Ended {
+    attempt.traffic.metrics.edge(Edge::TargetNotResumed);
+    Ended::failed(FailureKind::Error)
+}
+
 fn json_head() -> response::Parts {
     let mut response = Response::new(());
     *response.status_mut() = StatusCode::OK;
--- a/crates/bulrushtrestled/tests/answers.rs
+++ b/crates/bulrushtrestled/tests/answers.rs
@@ -61,6 +61,54 @@
     }
 }
 
+/// Guards against an answer that is continued with an engine's rejection or with the tokens of another run, because the engine
+/// does not resume it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_is_continued_only_by_an_engine_that_resumes_it() {
+    struct Case {
+        name: &'static str,
+        rejected_resumes: u32,
+        restarted_resumes: u32,
+    }
+    let cases = [
+        Case {
+            name: "rejected",
+            rejected_resumes: 1,
+            restarted_resumes: 0,
+        },
+        Case {
+            name: "restarted",
+            rejected_resumes: 0,
+            restarted_resumes: 1,
+        },
+    ];
+    let fleet = Fleet::start(Plan::default()).await;
+    let router = &fleet.routers[0];
+    for case in cases {
+        for stream in [true, false] {
+            let before = fleet.edge_events(router, "target_not_resumed").await;
+            fleet.engine.set_faults(engine::Faults {
+                stream: Some(engine::StreamFault {
+                    how: engine::StreamEnd::Truncated,
+                    after_tokens: 10,
+                    times: 1,
+                }),
+                rejected_resumes: case.rejected_resumes,
+                restarted_resumes: case.restarted_resumes,
+                ..engine::Faults::default()
+            });
+            let answer = fleet.chat(router, &chat_body(TOKENS, stream), &[]).await;
+            let name = format!("{}, stream: {stream}", case.name);
+            assert_complete(&answer, stream, TOKENS, &name);
+            let text = answer.text();
+            let is_joined = text.contains("no such answer") || text.contains("another-");
+            assert!(!is_joined, "{name}: {text}");
+            let not_resumed = fleet.edge_events(router, "target_not_resumed").await;
+            assert_eq!(not_resumed, before + 1.0, "{name}");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_that_must_not_be_retried_ends_with_an_incomplete_error() {
     const DELIVERED: u64 = 10;
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -18,7 +18,7 @@
 
 use super::batch::{Sequence, Stats};
 use super::cache::Events;
-use super::{Engine, Orders, StreamEnd};
+use super::{Engine, Faults, Orders, StreamEnd};
 use crate::fault::take;
 use crate::server::{Connection, hang};
 use crate::target::{self, How, Report, Seen};
@@ -185,6 +185,7 @@
     Malformed(serde_json::Error),
     NotTaken,
     BadVersion,
+    NotResumed,
 }
 
 impl IntoResponse for Refused {
@@ -192,6 +193,7 @@
         match self {
             Self::Malformed(err) => target::error(StatusCode::BAD_REQUEST, &err.to_string()),
             Self::NotTaken => target::not_started("not taking requests for this model"),
+            Self::NotResumed => target::error(StatusCode::NOT_FOUND, "no such answer"),
             Self::BadVersion => target::error(StatusCode::INTERNAL_SERVER_ERROR, "bad version"),
         }
     }
@@ -239,7 +241,15 @@
             Some(How::Slow(factor)) => u64::from(factor.max(1)),
             None => 1,
         };
-        let made = number(headers, "x-resume-from").unwrap_or(0);
+        let resumes = number(headers, "x-resume-from").filter(|&from| from > 0);
+        let strikes = |left: fn(&mut Faults) -> &mut u32| {
+            resumes.is_some() && self.faults.update(|faults| take(left(faults)))
+        };
+        if strikes(|faults| &mut faults.rejected_resumes) {
+            return Err(Refused::NotResumed);
+        }
+        let restarts = strikes(|faults| &mut faults.restarted_resumes);
+        let made = resumes.filter(|_| !restarts).unwrap_or(0);
         let last = answer_tokens(&text)
             .unwrap_or(self.cfg.tokens)
             .min(chat.max_tokens.unwrap_or(u64::MAX))
@@ -262,7 +272,10 @@
         Ok(Started {
             model: chat.model,
             stream: chat.stream,
-            label: label(&text),
+            label: match restarts {
+                true => "another".to_owned(),
+                false => label(&text),
+            },
             tokens: rx,
             made,
             last,
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -98,6 +98,10 @@
     pub late_ms: u64,
     /// How streams go wrong.
     pub stream: Option<StreamFault>,
+    /// How many requests to resume an answer it rejects.
+    pub rejected_resumes: u32,
+    /// How many requests to resume an answer it runs from the beginning, with other text.
+    pub restarted_resumes: u32,
     /// How its version is bad.
     pub bad: Option<Bad>,
     /// How many orders take effect and are never answered.
