Tell callers the length that a bodiless answer states

What callers saw: an answer to HEAD, and one with status 304, said `content-length: 0` on a hosting platform, whatever length the target had stated; 204 carried a length.

Cause: the length was that of the bytes received, also where an answer has no body by its method or status.

Now such an answer keeps the length that the target states, as on the product's own listener.

Evidence: `ends::an_answer_has_the_length_of_its_body`, on:

assertion `left == right` failed: of a head left: Some("0") right: Some("4000")

The same table shows, before and after, that a `content-length` beside chunks is not passed on: the HTTP client drops it.

--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -28,6 +28,7 @@
 use crate::traffic::hosted::connections::Sender;
 use crate::traffic::hosted::sequence::{OutOfOrder, Sequence};
 use crate::traffic::hosted::{Call, Hosted};
+use crate::traffic::plain::has_body;
 use crate::traffic::reply::{Reply, SendError};
 use crate::traffic::sse::Splitter;
 
@@ -323,7 +324,8 @@
             self.forward_stream(hosted, call, dispatch, &head, body)
                 .await?;
         } else {
-            self.forward_buffered(hosted, dispatch, &head, body).await?;
+            self.forward_buffered(hosted, call, dispatch, &head, body)
+                .await?;
         }
         keep(sender);
         Ok(())
@@ -333,6 +335,7 @@
     async fn forward_buffered(
         &mut self,
         hosted: &Hosted,
+        call: &Call,
         dispatch: &Dispatch<'_>,
         head: &response::Parts,
         mut body: Incoming,
@@ -349,7 +352,12 @@
             }
         }
         if self.forwarded == Forwarded::Nothing {
-            let head = with_length(for_caller(head), held.len());
+            let length = match has_body(&call.method, head.status) {
+                true => Some(HeaderValue::from(held.len())),
+                // The length that the body would have.
+                false => length,
+            };
+            let head = for_caller_of_length(head, length);
             self.begin(hosted, dispatch, head, Forwarded::Body);
         }
         if !held.is_empty() {
--- a/crates/bulrushtrestled/src/traffic/plain.rs
+++ b/crates/bulrushtrestled/src/traffic/plain.rs
@@ -60,14 +60,16 @@
 
 /// Returns whether the end of an answer can be distinguished from a broken connection.
 fn has_detectable_end(method: &Method, head: &response::Parts) -> bool {
-    let has_no_body = *method == Method::HEAD
-        || head.status == StatusCode::NO_CONTENT
-        || head.status == StatusCode::NOT_MODIFIED;
     let is_chunked = head
         .headers
         .get(TRANSFER_ENCODING)
         .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    has_no_body || is_chunked || head.headers.contains_key(CONTENT_LENGTH)
+    !has_body(method, head.status) || is_chunked || head.headers.contains_key(CONTENT_LENGTH)
+}
+
+/// Returns whether an answer has a body, which may be empty.
+pub(super) fn has_body(method: &Method, status: StatusCode) -> bool {
+    *method != Method::HEAD && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
 /// Returns the head to send to the caller, with the content length if the target sent one.
--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -435,3 +435,99 @@
     assert_eq!(body, pieces);
     assert!(broken.is_complete);
 }
+
+/// Guards against an answer that ends as complete at a length that its body does not have.
+#[tokio::test]
+async fn an_answer_has_the_length_of_its_body() {
+    struct Case {
+        name: &'static str,
+        method: Method,
+        status: &'static str,
+        fields: &'static str,
+        is_chunked: bool,
+        bytes: usize,
+        /// The length that the caller is told, if it is told one.
+        length: Option<&'static str>,
+    }
+    const LONG: usize = 4 * HOLD_BYTES_MAX;
+    let case = |name, fields, is_chunked, bytes, length| Case {
+        name,
+        method: Method::POST,
+        status: "200 OK",
+        fields,
+        is_chunked,
+        bytes,
+        length,
+    };
+    let cases = [
+        case(
+            "long",
+            "content-length: 4000\r\n",
+            false,
+            LONG,
+            Some("4000"),
+        ),
+        case("without a length", "", false, LONG, None),
+        case("short, without a length", "", false, 10, Some("10")),
+        case(
+            "chunks beside a length",
+            "content-length: 2500\r\ntransfer-encoding: chunked\r\n",
+            true,
+            LONG,
+            None,
+        ),
+        case(
+            "short chunks beside a length",
+            "content-length: 5\r\ntransfer-encoding: chunked\r\n",
+            true,
+            10,
+            Some("10"),
+        ),
+        Case {
+            method: Method::HEAD,
+            ..case(
+                "of a head",
+                "content-length: 4000\r\n",
+                false,
+                0,
+                Some("4000"),
+            )
+        },
+        Case {
+            status: "304 Not Modified",
+            ..case(
+                "not modified",
+                "content-length: 4000\r\n",
+                false,
+                0,
+                Some("4000"),
+            )
+        },
+        Case {
+            status: "204 No Content",
+            ..case("no content", "", false, 0, None)
+        },
+    ];
+    for case in cases {
+        let text = "x".repeat(case.bytes);
+        let body = match case.is_chunked {
+            true => chunk(&text) + "0\r\n\r\n",
+            false => text.clone(),
+        };
+        let (status, fields) = (case.status, case.fields);
+        let script = move |received: &Received| {
+            let head = received.head(status, fields);
+            vec![Step::Send([head.as_str(), &body].concat().into_bytes())]
+        };
+        let fixture = Fixture::start(|_| {}, script).await;
+        let (at, headers) = (fixture.daemon.callers, headers("a1"));
+        let pause = Duration::ZERO;
+        let arrived = receive(at, case.method, "/list/x", &headers, "body", pause).await;
+        let arrived = arrived.expect("an answer");
+        assert!(arrived.is_complete, "{}", case.name);
+        assert_eq!(arrived.answer.body().len(), case.bytes, "{}", case.name);
+        let length = arrived.answer.headers().get("content-length");
+        let length = length.and_then(|length| length.to_str().ok());
+        assert_eq!(length, case.length, "{}", case.name);
+    }
+}
