Fail an attempt that a target answers with 101

What callers saw: on a hosting platform, a target's 101 was forwarded, after which the caller's connection spoke no protocol that either side had asked for.

Cause: a status below 200 was taken like any other that is no server error. The headers with which a caller asks for another protocol concern one connection and are not forwarded, so no target may switch.

Now the attempt fails like one that is answered with an error. The product's own listener refused such answers already, as their end cannot be detected.

Evidence: `ends::a_switch_of_protocols_does_not_reach_the_caller`, before:

assertion `left == right` failed: /list/x left: 101 right: 502

--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -300,6 +300,10 @@
             Outcome::Unclear => return Err(Ended::failed(FailureKind::Error)),
             Outcome::Ran => {}
         }
+        if head.status.is_informational() {
+            // Headers that ask for another protocol are not forwarded, so none was asked for.
+            return Err(Ended::failed(FailureKind::Error));
+        }
         let keep = |sender: Sender| {
             if !info.closes {
                 hosted
--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -531,3 +531,17 @@
         assert_eq!(length, case.length, "{}", case.name);
     }
 }
+
+/// Guards against a caller whose connection changes its protocol in the middle, because a target says so.
+#[tokio::test]
+async fn a_switch_of_protocols_does_not_reach_the_caller() {
+    let script = |received: &Received| {
+        let head = received.head("101 Switching Protocols", "upgrade: other\r\n");
+        vec![Step::Send(head.into_bytes())]
+    };
+    let fixture = Fixture::start(|_| {}, script).await;
+    for path in ["/list/x", "/stream/x"] {
+        let arrived = fixture.call(path, "a1", Duration::ZERO).await;
+        assert_eq!(arrived.answer.status(), 502, "{path}");
+    }
+}
