--- a/crates/bulrushtrestled/src/metrics/edge.rs
+++ b/crates/bulrushtrestled/src/metrics/edge.rs
@@ -62,10 +62,10 @@
     TargetCrossed = "target_crossed";
     /// An answer failed after a part of it had been sent, and could not be resumed.
     TargetUnresumable = "target_unresumable";
-    /// The id of an event in a stream was not above the one before it.
+    /// The answer to a resumed request did not continue the stream, and was not forwarded.
+    TargetNotResumed = "target_not_resumed";
+    /// An event of a stream did not follow the one before it.
     EventOutOfOrder = "event_out_of_order";
-    /// A token that the caller had already received was dropped.
-    TokenRepeated = "token_repeated";
     /// A target's report could not be read.
     ReportFailed = "report_failed";
     /// A peer passed on records of the store that this router did not have.
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -1,9 +1,11 @@
 //! Sends a request to a target and forwards the answer.
 //!
 //! Answers that do not stream are buffered until they are complete, up to a limit, so that nothing
-//! of an answer that breaks off reaches the caller. Streams are forwarded event by event. An
+//! of an answer that breaks off reaches the caller. Beyond the limit they are forwarded as they
+//! arrive, and no other attempt can continue them. Streams are forwarded event by event. An
 //! incomplete event is never forwarded, so that a stream can be resumed after the last complete
-//! event. [`Sequence`] checks their order.
+//! event. [`Sequence`] checks their order. Nothing of an answer to a resumed request is forwarded
+//! unless it is a success with the stream's format, and it completes the stream only with an event.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,7 +17,7 @@
 use bulrushtrestle_platform::answer::{self, Outcome};
 use bulrushtrestle_platform::request::{self, AddedHeaders};
 use bytes::{Bytes, BytesMut};
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderValue, Request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -26,7 +28,8 @@
 use crate::traffic::hosted::connections::Sender;
 use crate::traffic::hosted::sequence::{OutOfOrder, Sequence};
 use crate::traffic::hosted::{Call, Hosted};
-use crate::traffic::reply::Reply;
+use crate::traffic::plain::has_body;
+use crate::traffic::reply::{Reply, SendError};
 use crate::traffic::sse::Splitter;
 
 /// The largest body of a failed request that is kept for the caller.
@@ -39,8 +42,6 @@
     pub(super) address: SocketAddr,
     /// The name of the target, sent along so that any other target refuses the request.
     pub(super) target: &'a str,
-    /// The id of the last event that the caller has received, or 0.
-    pub(super) resume_from: u64,
     /// How the request is sent to targets.
     pub(super) plan: &'a ForwardingPlan,
 }
@@ -81,8 +82,8 @@
         /// The failure that the target answered, if the answer may be sent to the caller.
         answer: Option<Box<TargetFailure>>,
     },
-    /// The caller disconnected or stopped reading.
-    Undeliverable,
+    /// The answer could not be delivered to the caller.
+    Undeliverable(SendError),
 }
 
 impl Ended {
@@ -105,13 +106,45 @@
     }
 }
 
+/// What the caller has received of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Forwarded {
+    /// Nothing, so that any attempt may answer the request.
+    Nothing,
+    /// The head and perhaps events of a stream, which another attempt may resume.
+    Stream,
+    /// The head and perhaps a part of a body without positions, which no other attempt can continue.
+    Body,
+}
+
+/// How the events of a stream are encoded, which is the same in each answer that continues it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+struct Format {
+    /// The media type without its parameters, in lower case.
+    media_type: String,
+    content_encoding: Option<HeaderValue>,
+}
+
+impl Format {
+    fn of(head: &response::Parts) -> Self {
+        let media_type = head.headers.get(CONTENT_TYPE);
+        let media_type = media_type.and_then(|value| value.to_str().ok());
+        let media_type = media_type.and_then(|value| value.split(';').next());
+        Self {
+            media_type: media_type.unwrap_or_default().trim().to_ascii_lowercase(),
+            content_encoding: head.headers.get(CONTENT_ENCODING).cloned(),
+        }
+    }
+}
+
 /// The state of an answer to a caller, across all dispatches of the request.
 #[derive(Debug)]
 pub(super) struct Relay {
-    /// The channel to the caller, until the final answer of a refused request is sent.
+    /// The channel to the caller, until the final answer is sent.
     reply: Option<Reply>,
-    /// Whether the head of an answer was sent to the caller.
-    begun: bool,
+    forwarded: Forwarded,
+    /// The format of the stream that has begun.
+    format: Format,
     /// The events of a stream that were sent to the caller.
     sequence: Sequence,
     /// When the request was handed over to the control thread.
@@ -130,7 +163,8 @@
     pub(super) fn new(reply: Reply) -> Self {
         Self {
             reply: Some(reply),
-            begun: false,
+            forwarded: Forwarded::Nothing,
+            format: Format::default(),
             sequence: Sequence::default(),
             started: Instant::now(),
             first_byte_after: None,
@@ -183,44 +217,44 @@
     ) -> Ended {
         dispatch.target.clone_into(&mut self.target);
         match self.attempt(hosted, call, dispatch).await {
-            Ok(()) => Ended::Complete {
-                tokens: self.delivered(),
-            },
-            Err(ended) => ended,
+            Ok(()) => {
+                self.finish();
+                Ended::Complete {
+                    tokens: self.delivered(),
+                }
+            }
+            Err(ended) => self.unless_resumable(ended),
         }
     }
 
     /// Sends a response of the router itself, or aborts an answer that has begun.
     pub(super) async fn send_response(&mut self, response: Response) {
-        let Some(mut reply) = self.take_reply_or_abort().await else {
-            return;
-        };
-        let (head, body) = response.into_parts();
-        let body = collect(body).await;
-        reply.begin(head);
-        // A caller that has disconnected needs no answer.
-        let _ = reply.send(body).await;
+        if let Some(reply) = self.take_reply_or_abort() {
+            let (head, body) = response.into_parts();
+            reply.send_whole(head, collect(body).await).await;
+        }
     }
 
     /// Sends the failure that a target answered, or aborts an answer that has begun.
     pub(super) async fn send_failure(&mut self, failure: Box<TargetFailure>) {
-        let Some(mut reply) = self.take_reply_or_abort().await else {
-            return;
-        };
-        reply.begin(with_length(failure.head, failure.body.len()));
-        // A caller that has disconnected needs no answer.
-        let _ = reply.send(failure.body).await;
+        if let Some(reply) = self.take_reply_or_abort() {
+            let head = with_length(failure.head, failure.body.len());
+            reply.send_whole(head, failure.body).await;
+        }
     }
 
     /// Returns the channel to the caller for a final answer. If an answer has begun, aborts it and
     /// returns `None`.
-    async fn take_reply_or_abort(&mut self) -> Option<Reply> {
+    fn take_reply_or_abort(&mut self) -> Option<Reply> {
         let reply = self.reply.take()?;
-        if self.begun {
-            reply.abort().await;
-            return None;
+        (self.forwarded == Forwarded::Nothing).then_some(reply)
+    }
+
+    /// Ends the answer to the caller as complete.
+    fn finish(&mut self) {
+        if let Some(reply) = self.reply.take() {
+            reply.finish();
         }
-        Some(reply)
     }
 
     /// Dispatches the request, checks the head of the answer and forwards the answer.
@@ -241,7 +275,8 @@
             hosted.connections.put(dispatch.address, sender, None);
             return Err(Ended::Withheld);
         }
-        let req = build_request(hosted, call, dispatch)?;
+        let resume_after = self.sequence.resume_after();
+        let req = build_request(hosted, call, dispatch, resume_after)?;
         let answer = sender.send_request(req).await.map_err(|error| {
             match error.is_canceled() {
                 // The request was never written to the connection.
@@ -265,6 +300,10 @@
             Outcome::Unclear => return Err(Ended::failed(FailureKind::Error)),
             Outcome::Ran => {}
         }
+        if head.status.is_informational() {
+            // Headers that ask for another protocol are not forwarded, so none was asked for.
+            return Err(Ended::failed(FailureKind::Error));
+        }
         let keep = |sender: Sender| {
             if !info.closes {
                 hosted
@@ -282,13 +321,15 @@
                 answer: Some(Box::new(TargetFailure { head, body })),
             });
         }
+        if self.forwarded == Forwarded::Stream && !self.is_continued_by(&head) {
+            return Err(report_not_resumed(hosted, call, dispatch, &head));
+        }
         if dispatch.plan.streams && head.status.is_success() {
-            let forwarded = self.forward_stream(hosted, call, dispatch, &head, body);
-            forwarded
-                .await
-                .map_err(|ended| self.unless_resumable(ended))?;
+            self.forward_stream(hosted, call, dispatch, &head, body)
+                .await?;
         } else {
-            self.forward_buffered(hosted, dispatch, &head, body).await?;
+            self.forward_buffered(hosted, call, dispatch, &head, body)
+                .await?;
         }
         keep(sender);
         Ok(())
@@ -298,6 +339,7 @@
     async fn forward_buffered(
         &mut self,
         hosted: &Hosted,
+        call: &Call,
         dispatch: &Dispatch<'_>,
         head: &response::Parts,
         mut body: Incoming,
@@ -307,14 +349,20 @@
         let length = content_length(head);
         while let Some(chunk) = next_chunk(&mut body).await? {
             held.extend_from_slice(&chunk);
-            if self.begun || held.len() > hold_max {
-                self.begin(hosted, dispatch, for_caller_of_length(head, length.clone()));
+            if self.forwarded != Forwarded::Nothing || held.len() > hold_max {
+                let head = for_caller_of_length(head, length.clone());
+                self.begin(hosted, dispatch, head, Forwarded::Body);
                 self.send(held.split().freeze()).await?;
             }
         }
-        if !self.begun {
-            let head = with_length(for_caller(head), held.len());
-            self.begin(hosted, dispatch, head);
+        if self.forwarded == Forwarded::Nothing {
+            let length = match has_body(&call.method, head.status) {
+                true => Some(HeaderValue::from(held.len())),
+                // The length that the body would have.
+                false => length,
+            };
+            let head = for_caller_of_length(head, length);
+            self.begin(hosted, dispatch, head, Forwarded::Body);
         }
         if !held.is_empty() {
             self.send(held.freeze()).await?;
@@ -355,8 +403,12 @@
         let mut batch = BytesMut::new();
         self.sequence.finish(&mut batch);
         self.send_events(hosted, dispatch, head, batch).await?;
+        if !self.sequence.has_continued() {
+            // Without an end mark, nothing shows that the caller has the last event.
+            return Err(report_not_resumed(hosted, call, dispatch, head));
+        }
         // A stream without events is a complete answer too.
-        self.begin(hosted, dispatch, for_caller(head));
+        self.begin_stream(hosted, dispatch, head);
         Ok(())
     }
 
@@ -371,18 +423,36 @@
         if batch.is_empty() {
             return Ok(());
         }
-        self.begin(hosted, dispatch, for_caller(head));
+        self.begin_stream(hosted, dispatch, head);
         self.send(batch.freeze()).await?;
         let delivered = self.delivered();
         hosted.traffic.progress.record(dispatch.attempt, delivered);
         Ok(())
     }
 
-    /// Returns how a stream ended. A failure becomes final if the stream has no position from which
-    /// it could be resumed.
+    /// Returns whether an answer with this head may continue the stream that has begun.
+    fn is_continued_by(&self, head: &response::Parts) -> bool {
+        head.status.is_success() && Format::of(head) == self.format
+    }
+
+    /// Begins a stream, unless it has begun.
+    fn begin_stream(&mut self, hosted: &Hosted, dispatch: &Dispatch<'_>, head: &response::Parts) {
+        if self.forwarded == Forwarded::Nothing {
+            self.format = Format::of(head);
+        }
+        self.begin(hosted, dispatch, for_caller(head), Forwarded::Stream);
+    }
+
+    /// Returns how a dispatch ended. A failure becomes final if no other attempt can continue what the
+    /// caller has received.
     fn unless_resumable(&self, ended: Ended) -> Ended {
+        let is_resumable = match self.forwarded {
+            Forwarded::Nothing => true,
+            Forwarded::Stream => self.sequence.is_resumable(),
+            Forwarded::Body => false,
+        };
         match ended {
-            Ended::Failed { sent: true, .. } if !self.sequence.is_resumable() => {
+            Ended::Failed { sent: true, .. } if !is_resumable => {
                 Ended::failed(FailureKind::Unresumable)
             }
             ended => ended,
@@ -391,12 +461,18 @@
 
     /// Sends the head to the caller, unless one was sent, and reports the start of the attempt to
     /// the node, unless it was reported.
-    fn begin(&mut self, hosted: &Hosted, dispatch: &Dispatch<'_>, head: response::Parts) {
+    fn begin(
+        &mut self,
+        hosted: &Hosted,
+        dispatch: &Dispatch<'_>,
+        head: response::Parts,
+        forwarded: Forwarded,
+    ) {
         if self.first_byte_after.is_none() {
             self.first_byte_after = Some(self.started.elapsed());
         }
-        if !self.begun {
-            self.begun = true;
+        if self.forwarded == Forwarded::Nothing {
+            self.forwarded = forwarded;
             if let Some(reply) = &mut self.reply {
                 reply.begin(head);
             }
@@ -412,8 +488,8 @@
 
     async fn send(&self, chunk: Bytes) -> Result<(), Ended> {
         match &self.reply {
-            Some(reply) => reply.send(chunk).await.map_err(|_| Ended::Undeliverable),
-            None => Err(Ended::Undeliverable),
+            Some(reply) => reply.send(chunk).await.map_err(Ended::Undeliverable),
+            None => Err(Ended::Undeliverable(SendError::Disconnected)),
         }
     }
 }
@@ -431,6 +507,7 @@
         is_resumable,
     } = error;
     let (attempt, target) = (&call.info.attempt, dispatch.target);
+    let id = id.map_or_else(|| "-".to_owned(), |id| id.to_string());
     log::info!(target: "disordered", "attempt={attempt} target={target} id={id} after={after} resumable={is_resumable}");
     hosted.traffic.metrics.edge(Edge::EventOutOfOrder);
     Ended::failed(match is_resumable {
@@ -439,6 +516,21 @@
     })
 }
 
+/// Logs and counts an answer that does not continue the stream for which the request was sent again,
+/// and returns how the dispatch ended.
+fn report_not_resumed(
+    hosted: &Hosted,
+    call: &Call,
+    dispatch: &Dispatch<'_>,
+    head: &response::Parts,
+) -> Ended {
+    let (attempt, target) = (&call.info.attempt, dispatch.target);
+    let (status, media_type) = (head.status.as_u16(), Format::of(head).media_type);
+    log::info!(target: "not_resumed", "attempt={attempt} target={target} status={status} media_type={media_type:?}");
+    hosted.traffic.metrics.edge(Edge::TargetNotResumed);
+    Ended::failed(FailureKind::Error)
+}
+
 /// Returns whether a request may still be sent to the target of its dispatch. Since the decision,
 /// the target may have been withdrawn and the caller's deadline may have passed.
 fn may_send(hosted: &Hosted, dispatch: &Dispatch<'_>) -> bool {
@@ -450,11 +542,13 @@
     !has_passed && !hosted.traffic.control.is_withdrawn(dispatch.target)
 }
 
-/// Returns the request to send to the target.
+/// Returns the request to send to the target. `resume_after` is the last event that the caller has
+/// received of a stream.
 fn build_request(
     hosted: &Hosted,
     call: &Call,
     dispatch: &Dispatch<'_>,
+    resume_after: Option<u64>,
 ) -> Result<Request<Full<Bytes>>, Ended> {
     let now = hosted.traffic.clock.now();
     let plan = dispatch.plan;
@@ -463,7 +557,7 @@
         target: dispatch.target,
         organisation: plan.organisation.as_deref(),
         left: Some(deadline.since(now)),
-        resume_after: (dispatch.resume_from > 0).then_some(dispatch.resume_from),
+        resume_after,
     };
     let headers = request::forwarded(&call.headers, &call.host, add);
     let mut req = Request::builder()
