Measure for how long answers that break off pause

The histogram bulrushtrestle_resume_pause_seconds has the time from the break until the answer goes on at a target (outcome resumed) or its caller is told that it does not (refused).

It is observed by the driver of a request, which knows when an attempt broke off and when the next one began to answer.

--- a/crates/bulrushtrestled/src/metrics/mod.rs
+++ b/crates/bulrushtrestled/src/metrics/mod.rs
@@ -50,6 +50,7 @@
     timer_lag: Histogram,
     first_answer: Histogram,
     request_time: HistogramVec,
+    resume_pause: HistogramVec,
     waited: HistogramVec,
     targets_age: Histogram,
     reporting_peers: Histogram,
@@ -136,6 +137,12 @@
                 "From the arrival of a request to its end, by outcome.",
                 "outcome",
             ),
+            resume_pause: histograms(
+                &registry,
+                "bulrushtrestle_resume_pause_seconds",
+                "From the break of an answer until it went on at a target or its caller was told, by outcome.",
+                "outcome",
+            ),
             waited: histograms(
                 &registry,
                 "bulrushtrestle_dispatch_waited_seconds",
@@ -253,6 +260,17 @@
         }
     }
 
+    /// Records the time from the break of an answer until it went on, or until its caller was told
+    /// that it does not.
+    pub(crate) fn resume_pause(&self, pause: Duration, has_resumed: bool) {
+        let outcome = match has_resumed {
+            true => "resumed",
+            false => "refused",
+        };
+        let histogram = self.resume_pause.with_label_values(&[outcome]);
+        histogram.observe(pause.as_secs_f64());
+    }
+
     /// Records the data on which a dispatch was based.
     pub(crate) fn dispatched(&self, basis: &Basis) {
         let waited = self.waited.with_label_values(&[basis.turn.as_str()]);
--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -11,7 +11,7 @@
 use bulrushtrestle_core::time::Time;
 use bulrushtrestle_core::verdict::{Reason, Refusal};
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::control::{Decision, ForwardingPlan};
 use crate::metrics::{ANSWERED, Stage};
@@ -47,6 +47,7 @@
         plan: None,
         attempts: 0,
         basis: Basis::default(),
+        broken_at: None,
     };
     let end = tokio::select! {
         biased;
@@ -115,6 +116,8 @@
     attempts: u32,
     /// The basis of the last dispatch decision, for the log.
     basis: Basis,
+    /// When the answer broke off, until it has gone on at another attempt.
+    broken_at: Option<Instant>,
 }
 
 impl Driver<'_> {
@@ -180,6 +183,11 @@
     fn report_end(&mut self, dispatch: &Dispatch<'_>, ended: Ended) -> Option<End> {
         let traffic = &self.hosted.traffic;
         traffic.progress.remove(dispatch.attempt);
+        if let Some(began) = self.relay.began(dispatch.attempt)
+            && let Some(broken_at) = self.broken_at.take()
+        {
+            traffic.metrics.resume_pause(began - broken_at, true);
+        }
         let (attempt, target) = (&self.call.info.attempt, dispatch.target);
         match ended {
             Ended::Complete { tokens } => {
@@ -217,6 +225,18 @@
                     self.hosted.connections.discard_idle(dispatch.address);
                 }
                 self.target_failure = answer;
+                let has_broken_off = match kind {
+                    FailureKind::Broken | FailureKind::Truncated | FailureKind::Unresumable => {
+                        was_sent
+                    }
+                    FailureKind::Connect
+                    | FailureKind::Silent
+                    | FailureKind::Error
+                    | FailureKind::Crossed => false,
+                };
+                if has_broken_off {
+                    self.broken_at.get_or_insert_with(Instant::now);
+                }
                 let failure = Failure {
                     kind,
                     sent: was_sent,
@@ -234,6 +254,10 @@
     /// Sends the final answer of a refused request: the failure that a target answered, or else the
     /// refusal.
     async fn refuse(&mut self, refusal: &Refusal) {
+        if let Some(broken_at) = self.broken_at.take() {
+            let metrics = &self.hosted.traffic.metrics;
+            metrics.resume_pause(broken_at.elapsed(), false);
+        }
         match self.target_failure.take() {
             Some(failure) => self.relay.send_failure(failure).await,
             None => self.relay.send_response(refusal_response(refusal)).await,
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -162,7 +162,7 @@
     }
 
     /// Returns when the answer of an attempt began; `None` if none of it was forwarded.
-    fn began(&self, attempt: AttemptId) -> Option<Instant> {
+    pub(super) fn began(&self, attempt: AttemptId) -> Option<Instant> {
         let (_, at) = self.reported.filter(|(reported, _)| *reported == attempt)?;
         Some(at)
     }
