Send a request that broke off once on at once where targets send no reports

Cause: one break made a request a suspect in the whole fleet for 600 s. A suspect is cleared by a target's report of its uptime, or tried alone on a target that reports its load. On a hosting platform there are no reports, so that nothing cleared it and no trial began. The class: a decision that waits for evidence that its deployment does not have.

Now a break is decided there by what there is: data that the target goes on sending on other connections, or a later record of the same run, shows that it stayed up; a record of a new run shows that it crashed. A request is a suspect after two crashes that are not cleared, counted by the fleet together and at one target as well. After the first break it is sent again at once, to another target, within the retry budget and the route's attempts. A suspect waits for 500 ms after its last crash at most and is then refused with its true verdict (content_barred), and so is each like it on arrival. Targets that report are treated as before.

Ruled out: refusing after the first break (a stream is never resumed); holding until the next record (2 to 4 s for each break); a probe by the health path and a trial alone, see docs/design/0021-quarantine.md. Entries that are cleared are forgotten first, so that many broken streams do not displace a request that crashes targets.

Conclusion: broken streams go on, and callers are told. A request that crashes targets and may be repeated crashes two instead of one.

--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -11,7 +11,7 @@
 use bulrushtrestle_core::cost::Cost;
 use bulrushtrestle_core::key::{Incarnation, RouterId};
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
-use bulrushtrestle_core::slots;
+use bulrushtrestle_core::{quarantine, slots};
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::runtime;
@@ -254,6 +254,7 @@
     config.log.targets_stale_after = hosting.leave_within * TARGETS_STALE_PERCENT / 100;
     config.feed.targets = hosting.leave_within * FED_TARGETS_PERCENT / 100;
     config.slots.policy = slots::Policy::Local;
+    config.quarantine.evidence = quarantine::Evidence::Answers;
     config.membership.mesh_max = HOSTED_MESH_MAX;
     config.membership.capacity = hosting.capacity;
     config.attempt.paid_by = PaidBy::Pool;
--- a/crates/bulrushtrestled/tests/streams.rs
+++ b/crates/bulrushtrestled/tests/streams.rs
@@ -1,4 +1,4 @@
-//! Streams of targets that spoil a byte, as callers of the daemon receive them.
+//! Streams of targets that spoil a byte or break off, as callers of the daemon receive them.
 
 #[path = "support/address.rs"]
 mod address;
@@ -8,11 +8,14 @@
 mod hosting;
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
-use http::Method;
+use bytes::Bytes;
+use http::{Method, Response};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 use self::Arrival::{Broken, Whole, WholeOrBroken};
 use self::hosted::{Daemon, HOST, send, wait_until};
@@ -28,6 +31,20 @@
     ids: &'static str,
     /// After how many pieces the connection breaks off; beyond [`PIECES`] it does not.
     breaks_after: u64,
+    /// After which piece the connection breaks off if the stream was resumed before it.
+    resumed_breaks_after: u64,
+    /// Whether a part of the next piece is sent before the connection breaks off.
+    inside_piece: bool,
+}
+
+impl Script {
+    /// A sound stream.
+    const SOUND: Self = Self {
+        ids: "1 2 3 4 5 6",
+        breaks_after: u64::MAX,
+        resumed_breaks_after: u64::MAX,
+        inside_piece: false,
+    };
 }
 
 /// How a stream reaches its caller. It is never complete unless each piece comes once.
@@ -38,17 +55,36 @@
     WholeOrBroken,
 }
 
+/// The time between two pieces.
+const PIECE_PAUSE: Duration = Duration::from_millis(5);
+/// The path of the requests for which targets send sound streams.
+const SOUND_PATH: &str = "/sound";
+/// The offered streams, one of which in [`BROKEN_EVERY`] breaks off, those that follow and are all sound, and the time between
+/// two.
+const OFFERED: usize = 600;
+const FOLLOWING: usize = 100;
+const BROKEN_EVERY: usize = 6;
+const OFFER_PAUSE: Duration = Duration::from_millis(7);
+/// How many of 100 streams that break off and may be resumed have to reach the caller whole.
+const WHOLE_MIN: usize = 95;
+/// The longest time until the caller of a stream that breaks off and is not resumed is told so.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+
 /// Returns what a caller recognises a piece by.
 fn piece(number: u64) -> String {
     format!("data: piece {number} of {PIECES}\n\n")
 }
 
 fn configuration(is_resumable: bool) -> Value {
+    configuration_with(is_resumable, 3)
+}
+
+fn configuration_with(is_resumable: bool, max_attempts: u32) -> Value {
     json!({
         "version": 1,
         "routes": [{
             "name": "stream", "host": HOST, "path_prefix": "/", "kind": "streaming", "timeout_ms": 5_000,
-            "target_latency_ms": 1_000, "service": "s1", "max_attempts": 3, "resumable": is_resumable
+            "target_latency_ms": 1_000, "service": "s1", "max_attempts": max_attempts, "resumable": is_resumable
         }],
         "services": [{"name": "s1", "max_conns": 100}],
         "limits": {"max_body_bytes": 1024},
@@ -63,7 +99,8 @@
     })
 }
 
-/// Starts a target. A request that is resumed receives the pieces that are due, and any other one those of the script.
+/// Starts a target. A request that is resumed receives the pieces that are due, and any other one those of the script. A request
+/// for [`SOUND_PATH`] receives a sound stream.
 async fn start_target(script: Script) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("the listener has an address");
@@ -96,8 +133,25 @@
     );
     let from: u64 = header("last-event-id").map_or(0, |from| from.parse().expect("a number"));
     let ids: Vec<&str> = script.ids.split_whitespace().collect();
+    let script = match text.contains(SOUND_PATH) {
+        true => Script::SOUND,
+        false => script,
+    };
+    let breaks_after = match from {
+        0 => script.breaks_after,
+        from if from < script.resumed_breaks_after => script.resumed_breaks_after,
+        _ => u64::MAX,
+    };
     for number in from + 1..=PIECES {
-        if from == 0 && number > script.breaks_after {
+        if number > breaks_after {
+            if script.inside_piece {
+                let event = format!("id: {number}\n{}", piece(number));
+                sent.push_str(&format!(
+                    "{:x}\r\n{}",
+                    event.len(),
+                    &event[..event.len() / 2]
+                ));
+            }
             let _ = stream.write_all(sent.as_bytes()).await;
             return;
         }
@@ -108,6 +162,9 @@
         };
         let event = format!("id: {id}\n{}", piece(number));
         sent.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+        let _ = stream.write_all(sent.as_bytes()).await;
+        sent.clear();
+        sleep(PIECE_PAUSE).await;
     }
     sent.push_str("0\r\n\r\n");
     // The router may close the connection first.
@@ -130,7 +187,7 @@
         name,
         script: Script {
             ids,
-            breaks_after: u64::MAX,
+            ..Script::SOUND
         },
         resumable,
         other,
@@ -148,6 +205,7 @@
             script: Script {
                 ids: "1 2 93 4 5 6",
                 breaks_after: 3,
+                ..Script::SOUND
             },
             // Whether a request whose answer broke off is sent again depends on more than its events.
             resumable: WholeOrBroken,
@@ -158,6 +216,7 @@
             script: Script {
                 ids: "1 2 x 4 5 6",
                 breaks_after: 3,
+                ..Script::SOUND
             },
             resumable: Broken,
             other: Broken,
@@ -201,3 +260,202 @@
         }
     }
 }
+
+/// Streams that break off, and the route and settings under which they are offered among sound ones.
+struct Offer {
+    name: &'static str,
+    script: Script,
+    is_resumable: bool,
+    max_attempts: u32,
+    /// The retries of the fleet beyond a part of the requests.
+    retry_burst: u32,
+}
+
+impl Offer {
+    const fn new(name: &'static str, script: Script) -> Self {
+        Self {
+            name,
+            script,
+            is_resumable: true,
+            max_attempts: 3,
+            retry_burst: 500,
+        }
+    }
+}
+
+/// What callers received of the streams that break off.
+#[derive(Debug, Default)]
+struct Received {
+    whole: usize,
+    broken: usize,
+    /// The longest time from a request to its end.
+    longest: Duration,
+    /// The metrics of the router afterwards.
+    metrics: String,
+}
+
+/// Sends a request, and returns the answer and how long it took.
+async fn call(
+    callers: SocketAddr,
+    path: String,
+    id: String,
+) -> (Option<Response<Bytes>>, Duration) {
+    let headers = [("attempt-id", id.as_str()), ("authorization", "Bearer k1")];
+    let began = Instant::now();
+    let answer = send(callers, Method::POST, &path, &headers, "body").await;
+    (answer, began.elapsed())
+}
+
+/// Offers streams at three targets, and returns what callers received of those that break off.
+async fn offer(case: &Offer) -> Received {
+    let (store, store_address) = Store::start().await;
+    store.configure(configuration_with(case.is_resumable, case.max_attempts));
+    for name in ["i-1", "i-2", "i-3"] {
+        store.add_target(name, server(start_target(case.script).await));
+    }
+    let retry_burst = case.retry_burst;
+    let daemon = Daemon::start_with(store_address, |settings| {
+        settings["hosting"]["retry_burst"] = json!(retry_burst);
+        settings["hosting"]["retry_ratio"] = json!(0.0);
+    });
+    wait_until("served", async || {
+        let (answer, _) = call(daemon.callers, SOUND_PATH.to_owned(), "first".to_owned()).await;
+        answer.is_some_and(|answer| answer.status() == 200)
+    })
+    .await;
+    let mut running = Vec::new();
+    for number in 0..OFFERED + FOLLOWING {
+        let is_broken = number < OFFERED && number % BROKEN_EVERY == 0;
+        let path = match is_broken {
+            true => format!("/broken/{number}"),
+            false => format!("{SOUND_PATH}/{number}"),
+        };
+        let offered = tokio::spawn(call(daemon.callers, path, format!("a-{number}")));
+        running.push((is_broken, offered));
+        sleep(OFFER_PAUSE).await;
+    }
+    let mut received = Received::default();
+    for (is_broken, offered) in running {
+        let (answer, took) = offered.await.expect("the caller does not panic");
+        let answer = answer.filter(|answer| answer.status() == 200);
+        let name = case.name;
+        if let Some(answer) = &answer {
+            let body = String::from_utf8_lossy(answer.body()).into_owned();
+            let places: Vec<Vec<usize>> = (1..=PIECES)
+                .map(|number| {
+                    body.match_indices(&piece(number))
+                        .map(|(at, _)| at)
+                        .collect()
+                })
+                .collect();
+            assert!(
+                places.iter().all(|places| places.len() == 1),
+                "{name}: {body}"
+            );
+            assert!(places.is_sorted(), "{name}: {body}");
+        }
+        if is_broken {
+            received.longest = received.longest.max(took);
+            match answer {
+                Some(_) => received.whole += 1,
+                None => received.broken += 1,
+            }
+        } else {
+            assert!(answer.is_some(), "{name}: a sound stream");
+        }
+    }
+    let metrics = send(daemon.operators, Method::GET, "/metrics", &[], "").await;
+    let metrics = metrics.expect("metrics are open");
+    received.metrics = String::from_utf8_lossy(metrics.body()).into_owned();
+    received
+}
+
+/// Guards against streams that may be resumed and are held until their deadline instead.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_that_break_off_and_may_be_resumed_reach_the_caller_whole() {
+    let breaks_after = |breaks_after| Script {
+        breaks_after,
+        ..Script::SOUND
+    };
+    let cases = [
+        Offer::new("after the first piece", breaks_after(1)),
+        Offer::new("after a piece", breaks_after(4)),
+        Offer::new(
+            "within a piece",
+            Script {
+                inside_piece: true,
+                ..breaks_after(3)
+            },
+        ),
+        Offer::new(
+            "at two targets one after the other",
+            Script {
+                resumed_breaks_after: 4,
+                ..breaks_after(2)
+            },
+        ),
+    ];
+    for case in cases {
+        let received = offer(&case).await;
+        let (name, all) = (case.name, OFFERED / BROKEN_EVERY);
+        println!(
+            "{name}: {} of {all} whole, longest {:?}",
+            received.whole, received.longest
+        );
+        assert!(received.whole >= WHOLE_MIN * all / 100, "{name}");
+        let count = |end: &str| {
+            let start = format!("bulrushtrestle_resume_pause_seconds_{end}");
+            let mut lines = received.metrics.lines();
+            let value = lines.find_map(|line| line.strip_prefix(&start));
+            value.map_or(0, |value| value.trim().parse().expect("a number"))
+        };
+        let resumed = count("count{outcome=\"resumed\"}");
+        let within = |bound: &str| count(&format!("bucket{{outcome=\"resumed\",le=\"{bound}\"}}"));
+        assert!(resumed >= WHOLE_MIN * all / 100, "{name}: {resumed}");
+        assert!(2 * within("0.1") >= resumed, "{name}: the median");
+        assert!(
+            100 * within("0.8") >= 99 * resumed,
+            "{name}: the 99th percentile"
+        );
+    }
+}
+
+/// Guards against callers who wait for the rest of a stream that is known not to come.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_streams_that_are_not_resumed_are_told_at_once() {
+    let script = Script {
+        breaks_after: 2,
+        ..Script::SOUND
+    };
+    let cases = [
+        Offer {
+            is_resumable: false,
+            ..Offer::new("the route does not allow it", script)
+        },
+        Offer {
+            retry_burst: 0,
+            ..Offer::new("no retries are left", script)
+        },
+        Offer {
+            max_attempts: 2,
+            ..Offer::new(
+                "it broke off at as many targets as the route allows",
+                Script {
+                    resumed_breaks_after: 4,
+                    ..script
+                },
+            )
+        },
+    ];
+    for case in cases {
+        let received = offer(&case).await;
+        let (name, all) = (case.name, OFFERED / BROKEN_EVERY);
+        println!("{name}: longest {:?}", received.longest);
+        assert_eq!((received.whole, received.broken), (0, all), "{name}");
+        assert!(
+            received.longest < TOLD_WITHIN,
+            "{name}: {:?}",
+            received.longest
+        );
+    }
+}
--- a/crates/core/src/attempt/retry.rs
+++ b/crates/core/src/attempt/retry.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Makes the next attempt avoid `target`, which may have crashed.
+    pub fn avoid(&mut self, target: TargetId) {
+        self.prefer = None;
+        if !self.failed.contains(&target) {
+            self.failed.push(target);
+        }
+    }
+
     /// Allows the failed targets again. Used when no other target is left.
     pub fn clear_failed_targets(&mut self) {
         self.failed.clear();
@@ -202,8 +210,8 @@
         if connection_at_fault && self.resumed_at != Some(target) {
             self.resumed_at = Some(target);
             self.prefer = Some(target);
-        } else if !self.failed.contains(&target) {
-            self.failed.push(target);
+        } else {
+            self.avoid(target);
         }
     }
 
--- a/crates/core/src/cold_start/state.rs
+++ b/crates/core/src/cold_start/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::input::TargetState;
+use crate::input::{RunRecord, TargetState};
 use crate::membership::ranking;
 use crate::prelude::*;
 
@@ -67,6 +67,16 @@
         restarted
     }
 
+    /// Returns the last record of a target, if it named its run.
+    pub fn last_record(&self, target: TargetId) -> Option<RunRecord> {
+        let &(run, sequence) = self.last_states.get(&target)?;
+        let started_ms = run?;
+        Some(RunRecord {
+            started_ms,
+            sequence,
+        })
+    }
+
     /// Records that a target may have restarted without reporting so, and counts it as cold.
     pub fn suspect_restart(&mut self, now: Time, target: TargetId) {
         self.mark_cold(target, now + UNCONFIRMED_TERM, Some(now));
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -223,6 +223,26 @@
     pub sequence: u64,
 }
 
+/// A record that a target wrote: the start of its run, and the record's number within the run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunRecord {
+    /// When the run began, by the target's clock in milliseconds.
+    pub started_ms: u64,
+    /// The number of the record within the run.
+    pub sequence: u64,
+}
+
+impl TargetState {
+    /// Returns the run and the number of the record that held this state, if it names the run.
+    pub fn run_record(&self) -> Option<RunRecord> {
+        let started_ms = self.started_ms?;
+        Some(RunRecord {
+            started_ms,
+            sequence: self.sequence,
+        })
+    }
+}
+
 /// The load that a target reports together with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLoad {
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -6,6 +6,7 @@
 use crate::catalogue::TargetView;
 use crate::input::{AttemptEvent, Failure, FailureKind};
 use crate::node::Node;
+use crate::node::quarantine::looks_like_crash;
 use crate::node::request::Stage;
 use crate::node::version::VersionSample;
 use crate::output::Output;
@@ -94,6 +95,7 @@
         }
         // A request that was not sent shows nothing about the target.
         if event != AttemptEvent::Withheld {
+            self.note_data(attempt, event);
             self.update_health(attempt, event);
             self.compare_versions(attempt, event);
             self.judge_parts(attempt, event);
@@ -252,6 +254,9 @@
         match active.retry_state.end(ending, limits) {
             Next::Refuse(refusal) => self.refuse(ended.request, refusal),
             Next::Retry(counter) => {
+                if self.slots.cfg.policy == Policy::Local && looks_like_crash(ending) {
+                    active.retry_state.avoid(ended.target);
+                }
                 self.cx.count(counter);
                 self.retry(ended.request);
             }
--- a/crates/core/src/node/quarantine.rs
+++ b/crates/core/src/node/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine: the path of requests that may crash targets through the node.
 
 use crate::attempt::Ending;
-use crate::input::{FailureKind, Report};
+use crate::input::{AttemptEvent, FailureKind, Report, TargetState};
 use crate::node::Node;
 use crate::node::attempt::Attempt;
 use crate::node::request::Stage;
@@ -24,6 +24,7 @@
                 began: ended.sent,
                 at: self.cx.now,
                 alone,
+                record: self.cold_targets.last_record(ended.target),
             });
             self.cx.count(Counter::Suspected);
             self.carry_out(task.into_iter().collect());
@@ -63,7 +64,7 @@
             return false;
         };
         let standing = self.quarantine.status(self.cx.now, active.req.fingerprint);
-        if standing == SuspectStatus::Clear {
+        if standing != SuspectStatus::Suspect {
             return false;
         }
         active.stage = Stage::Waiting;
@@ -73,24 +74,45 @@
         true
     }
 
-    /// Refuses a request that is in no queue if it is quarantined. Returns `true` if it did.
+    /// Refuses a request that is in no queue if it is quarantined or barred. Returns `true` if it
+    /// did.
     pub(super) fn refuse_if_quarantined(&mut self, request: RequestId) -> bool {
         let Some(active) = self.requests.get(&request) else {
             return false;
         };
         let standing = self.quarantine.status(self.cx.now, active.req.fingerprint);
-        if standing != SuspectStatus::Quarantined {
-            return false;
-        }
+        let (reason, retry_after) = match standing {
+            SuspectStatus::Clear | SuspectStatus::Suspect => return false,
+            SuspectStatus::Quarantined => (Reason::Quarantined, None),
+            SuspectStatus::Barred(left) => (Reason::ContentBarred, Some(left)),
+        };
         let refusal = Refusal {
             verdict: active.retry_state.verdict(),
-            reason: Reason::Quarantined,
-            retry_after: None,
+            reason,
+            retry_after,
         };
         self.refuse(request, refusal);
         true
     }
 
+    /// Processes an event of an attempt that shows that data arrived from its target.
+    pub(super) fn note_data(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        let Some(state) = self.attempts.get(&attempt).filter(|_| shows_data(event)) else {
+            return;
+        };
+        let (target, sent) = (state.target, state.sent);
+        let tasks = self.quarantine.on_data(self.cx.now, target, sent);
+        self.carry_out(tasks);
+    }
+
+    /// Processes a record that a target wrote of itself, if it names the target's run.
+    pub(super) fn on_record_after_break(&mut self, state: &TargetState) {
+        if let Some(record) = state.run_record() {
+            let tasks = self.quarantine.on_record(self.cx.now, state.target, record);
+            self.carry_out(tasks);
+        }
+    }
+
     pub(super) fn on_report_after_break(&mut self, target: TargetId, report: Report) {
         let load = report.running.saturating_add(report.waiting);
         let now = self.cx.now;
@@ -176,6 +198,20 @@
     }
 }
 
+/// Says whether an event shows that data arrived from the target.
+const fn shows_data(event: AttemptEvent) -> bool {
+    match event {
+        AttemptEvent::Started
+        | AttemptEvent::Progress { .. }
+        | AttemptEvent::Finished { .. }
+        | AttemptEvent::Declined => true,
+        AttemptEvent::Withheld => false,
+        AttemptEvent::Failed(failure) => {
+            matches!(failure.kind, FailureKind::Error | FailureKind::Crossed)
+        }
+    }
+}
+
 /// Says whether an attempt ended in the way that it does when the target's process ends.
 pub(super) const fn looks_like_crash(ending: Ending) -> bool {
     match ending {
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -120,6 +120,7 @@
 
     fn on_target_states(&mut self, states: &[TargetState]) {
         for state in states {
+            self.on_record_after_break(state);
             if self.targets.on_state(self.cx.now, state) {
                 let subject = format!("{} may be used again: it began a new run", state.target);
                 self.cx.notice(NoticeKind::Target, subject);
--- a/crates/core/src/quarantine/breaks.rs
+++ b/crates/core/src/quarantine/breaks.rs
@@ -1,5 +1,6 @@
 //! Broken connections for which it is not known yet whether the target crashed.
 
+use crate::input::RunRecord;
 use crate::prelude::*;
 use crate::quarantine::Config;
 
@@ -19,6 +20,8 @@
     pub at: Time,
     /// Whether the request ran alone at the target.
     pub alone: bool,
+    /// The target's last record when the connection broke, if it named its run.
+    pub record: Option<RunRecord>,
 }
 
 /// The cause of a broken connection, once it is known.
@@ -75,6 +78,46 @@
         })
     }
 
+    /// Processes data of an answer that arrived from a target, and returns the broken connections
+    /// whose cause is known now. `sent` is when the answer's request was dispatched.
+    ///
+    /// A crash breaks all connections to a target at once. A connection that carries data after the
+    /// break shows that the target stayed up if it is older than the break, or if a target that
+    /// crashed could not be back yet.
+    pub fn on_data(&mut self, now: Time, target: TargetId, sent: Time) -> Vec<Finding> {
+        let Config {
+            answer_lag,
+            downtime_min,
+            ..
+        } = self.cfg;
+        self.take_determined(|broken| {
+            let is_after = now >= broken.at + answer_lag;
+            let is_same_run = sent < broken.at || now < broken.at + downtime_min;
+            (broken.target == target && is_after && is_same_run)
+                .then_some(Finding::StayedUp(*broken))
+        })
+    }
+
+    /// Processes a record that a target wrote, and returns the broken connections whose cause is
+    /// known now. A record only proves that the target stayed up if it was certainly written after
+    /// the connection broke.
+    pub fn on_record(&mut self, now: Time, target: TargetId, record: RunRecord) -> Vec<Finding> {
+        let Config {
+            downtime_min,
+            record_lag,
+            ..
+        } = self.cfg;
+        self.take_determined(|broken| {
+            let before = broken.record.filter(|_| broken.target == target)?;
+            if record.started_ms != before.started_ms {
+                (now >= broken.at + downtime_min).then_some(Finding::Crashed(*broken))
+            } else {
+                let is_after = now >= broken.at + record_lag && record.sequence > before.sequence;
+                is_after.then_some(Finding::StayedUp(*broken))
+            }
+        })
+    }
+
     /// Treats every target as crashed that has not reported within the report timeout after a
     /// connection broke, and returns these broken connections.
     pub fn on_timeout(&mut self, now: Time) -> Vec<Finding> {
@@ -95,7 +138,10 @@
     /// Removes the broken connections for which `determine` returns a finding, and returns the
     /// findings.
     fn take_determined(&mut self, determine: impl Fn(&Break) -> Option<Finding>) -> Vec<Finding> {
-        let findings = self.undetermined.iter().filter_map(&determine).collect();
+        let findings: Vec<Finding> = self.undetermined.iter().filter_map(&determine).collect();
+        if findings.is_empty() {
+            return findings;
+        }
         self.undetermined
             .retain(|broken| determine(broken).is_none());
         findings
--- a/crates/core/src/quarantine/message.rs
+++ b/crates/core/src/quarantine/message.rs
@@ -30,7 +30,8 @@
 pub struct Entry {
     /// The fingerprint of the requests' content.
     pub fingerprint: Fingerprint,
-    /// The targets that crashed while they ran such a request.
+    /// The targets that crashed while they ran such a request, in ascending order; a target that
+    /// crashed again occurs again.
     pub crashed: Vec<TargetId>,
     /// The targets in `crashed` that no longer count, because such a request has completed since or
     /// the target had not crashed after all.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -19,8 +19,15 @@
 //! suspect.
 //!
 //! When several targets crash at about the same time, their data centre or rack is a likelier cause
-//! than a request. Requests that ran at only one of these targets are not suspected then. See
-//! `docs/design/0021-quarantine.md`.
+//! than a request. Requests that ran at only one of these targets are not suspected then.
+//!
+//! # Without reports
+//!
+//! On a hosting platform targets send no reports ([`Evidence::Answers`]). There a request is a
+//! suspect after its second crash, so that one that broke off once is sent again at once. Data that
+//! a target goes on sending after a break, or a later record of the same run, shows that the target
+//! stayed up. A suspect is not tried: if it is not cleared shortly after its last crash, it is
+//! refused. See `docs/design/0021-quarantine.md`.
 
 mod breaks;
 mod config;
@@ -32,7 +39,7 @@
 mod trial;
 
 pub use self::breaks::{Break, Breaks, Finding};
-pub use self::config::Config;
+pub use self::config::{Config, Evidence};
 pub use self::state::{Fleet, Quarantine, Task};
 pub use self::suspects::{SuspectStatus, Suspects};
 pub use self::trial::{Phase, Trial};
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::catalogue::Catalogue;
+use crate::input::RunRecord;
 use crate::membership::{Members, owner as rendezvous_owner};
 use crate::prelude::*;
 use crate::quarantine::message::{Entry, QuarantinePart};
-use crate::quarantine::{Break, Breaks, Config, Finding, Phase, SuspectStatus, Suspects, Trial};
+use crate::quarantine::{
+    Break, Breaks, Config, Evidence, Finding, Phase, SuspectStatus, Suspects, Trial,
+};
 use crate::target::Targets;
 
 /// The suspects, trials, permits and reservations that one router knows.
@@ -51,7 +54,7 @@
     Dispatch(RequestId, TargetId),
     /// Requeue a request that is no longer a suspect.
     Requeue(RequestId),
-    /// Refuse a request that is quarantined.
+    /// Refuse a request that is quarantined or barred.
     RefuseQuarantined(RequestId),
     /// Refuse a suspect whose deadline has passed.
     RefuseExpired(RequestId),
@@ -143,17 +146,43 @@
         trial.map_or_else(Vec::new, |trial| self.end(fleet, trial))
     }
 
-    /// Records that a connection broke while a request was running. Peers are only informed if the
-    /// request is a suspect, so that the loss of a data centre does not cause a flood of messages.
+    /// Records that a connection broke while a request was running. Peers are only informed if that
+    /// counts against the request, so that the loss of a data centre does not cause a flood of
+    /// messages.
     pub fn on_break(&mut self, new: Break) -> Option<Task> {
         self.breaks.push(new);
         let entry = self
             .suspects
             .record_crash(new.at, new.fingerprint, new.target);
-        self.is_suspect(new.at, new.fingerprint)
+        self.suspects
+            .has_open_crash(new.at, new.fingerprint)
             .then(|| broadcast(entry))
     }
 
+    /// Processes data of an answer that arrived from a target, and returns messages about the
+    /// requests that it clears. `sent` is when the answer's request was dispatched.
+    pub fn on_data(&mut self, now: Time, target: TargetId, sent: Time) -> Vec<Task> {
+        match self.cfg.evidence {
+            Evidence::Reports => Vec::new(),
+            Evidence::Answers => {
+                let findings = self.breaks.on_data(now, target, sent);
+                self.apply_findings(now, findings)
+            }
+        }
+    }
+
+    /// Processes a record that a target wrote, and returns messages about the requests that it
+    /// clears.
+    pub fn on_record(&mut self, now: Time, target: TargetId, record: RunRecord) -> Vec<Task> {
+        match self.cfg.evidence {
+            Evidence::Reports => Vec::new(),
+            Evidence::Answers => {
+                let findings = self.breaks.on_record(now, target, record);
+                self.apply_findings(now, findings)
+            }
+        }
+    }
+
     /// Records that a request completed.
     pub fn on_finished(&mut self, now: Time, fingerprint: Fingerprint) -> Option<Task> {
         self.suspects
@@ -228,7 +257,10 @@
         self.permits.retain(|_, (_, until)| *until > now);
         self.reserved.retain(|_, (_, until)| *until > now);
         self.release_decided(now, &mut tasks);
-        self.advance_trial(now, fleet, &mut tasks);
+        match self.cfg.evidence {
+            Evidence::Reports => self.advance_trial(now, fleet, &mut tasks),
+            Evidence::Answers => {}
+        }
         tasks
     }
 
@@ -239,27 +271,28 @@
                 Some(self.suspects.quarantine(now, broken.fingerprint))
             }
             Finding::Crashed(_) => None,
-            Finding::StayedUp(broken) => self.is_suspect(now, broken.fingerprint).then(|| {
-                self.suspects
-                    .clear_crash(now, broken.fingerprint, broken.target)
-            }),
+            Finding::StayedUp(broken) => self
+                .suspects
+                .has_open_crash(now, broken.fingerprint)
+                .then(|| {
+                    self.suspects
+                        .clear_crash(now, broken.fingerprint, broken.target)
+                }),
         });
         entries.map(broadcast).collect()
     }
 
-    fn is_suspect(&self, now: Time, fingerprint: Fingerprint) -> bool {
-        self.suspects.status(now, fingerprint) == SuspectStatus::Suspect
-    }
-
-    /// Adds tasks for the waiting requests that need no trial: those that are quarantined, cleared
-    /// or past their deadline.
+    /// Adds tasks for the waiting requests that need no trial: those that are quarantined, barred,
+    /// cleared or past their deadline.
     fn release_decided(&mut self, now: Time, tasks: &mut Vec<Task>) {
         let in_trial = self.trial.map(|trial| trial.request);
         for suspect in &self.lane {
             let request = suspect.request;
             let task = match self.suspects.status(now, suspect.fingerprint) {
                 _ if in_trial == Some(request) => continue,
-                SuspectStatus::Quarantined => Task::RefuseQuarantined(request),
+                SuspectStatus::Quarantined | SuspectStatus::Barred(_) => {
+                    Task::RefuseQuarantined(request)
+                }
                 _ if suspect.deadline <= now => Task::RefuseExpired(request),
                 SuspectStatus::Clear => Task::Requeue(request),
                 SuspectStatus::Suspect => continue,
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -6,6 +6,7 @@
 use self::Step::{ClearCrash, Complete, Crash, Pass, Quarantined};
 use super::message::{Entry, QuarantinePart};
 use super::*;
+use crate::input::RunRecord;
 use crate::prelude::*;
 
 const NOW: Time = Time::from_millis(1_800_000_000_000);
@@ -249,6 +250,7 @@
             began: NOW - Duration::from_secs(10),
             at: NOW,
             alone: true,
+            record: None,
         };
         breaks.push(one);
         let finding = case.report.and_then(|(after, uptime)| {
@@ -318,6 +320,7 @@
             began: NOW - Duration::from_secs(1),
             at: NOW,
             alone,
+            record: None,
         });
         assert_eq!(quarantine.status(NOW, F), SuspectStatus::Suspect);
         let later = NOW + Config::default().report_lag;
@@ -336,6 +339,7 @@
             began: NOW,
             at: NOW,
             alone: false,
+            record: None,
         });
         usize::from(task.is_some())
     });
@@ -414,3 +418,254 @@
     quarantine.on_part(NOW + term / 2, RouterId(2), QuarantinePart::Reserve(A));
     assert!(quarantine.is_reserved(NOW + term, A));
 }
+
+/// Guards against requests that wait for reports that no target sends, and against a crash that data of the target's next run
+/// clears.
+#[test]
+fn without_reports_answers_and_records_tell_a_crash_from_a_broken_connection() {
+    use Seen::{Data, Nothing, Record};
+    #[derive(Debug, Clone, Copy)]
+    enum Seen {
+        Nothing,
+        /// Data of a request that was dispatched this long after the break; negative for before it.
+        Data(i64),
+        /// A record of the run that began at this time, with this number.
+        Record(u64, u64),
+    }
+    struct Case {
+        name: &'static str,
+        /// What is seen of the target, and how many milliseconds after the break.
+        seen: (u64, Seen),
+        crashed: Option<bool>,
+    }
+    let case = |name, after, seen, crashed| Case {
+        name,
+        seen: (after, seen),
+        crashed,
+    };
+    let cases = [
+        case("an older connection goes on", 200, Data(-900), Some(false)),
+        case("the data may be from before", 199, Data(-900), None),
+        case("it goes on much later", 4_000, Data(-900), Some(false)),
+        case("a new connection is served", 300, Data(100), Some(false)),
+        case("by a new run perhaps", 1_000, Data(100), None),
+        case(
+            "a later record of the run",
+            2_000,
+            Record(7, 4),
+            Some(false),
+        ),
+        case("a record perhaps from before", 1_999, Record(7, 4), None),
+        case("the same record again", 3_000, Record(7, 3), None),
+        case("a record of a new run", 1_500, Record(8, 1), Some(true)),
+        case("a run from before the break", 900, Record(8, 1), None),
+        case("nothing", 4_000, Nothing, None),
+    ];
+    for case in cases {
+        let cfg = Config {
+            evidence: Evidence::Answers,
+            ..Config::default()
+        };
+        let mut breaks = Breaks::new(cfg.clone());
+        let one = Break {
+            target: A,
+            fingerprint: F,
+            began: NOW - Duration::from_secs(10),
+            at: NOW,
+            alone: false,
+            record: Some(RunRecord {
+                started_ms: 7,
+                sequence: 3,
+            }),
+        };
+        breaks.push(one);
+        let (after, seen) = case.seen;
+        let now = NOW + Duration::from_millis(after);
+        let mut findings = |target| match seen {
+            Nothing => Vec::new(),
+            Data(sent @ 0..) => {
+                let sent = NOW + Duration::from_millis(sent.unsigned_abs());
+                breaks.on_data(now, target, sent)
+            }
+            Data(sent) => {
+                let sent = NOW - Duration::from_millis(sent.unsigned_abs());
+                breaks.on_data(now, target, sent)
+            }
+            Record(started_ms, sequence) => {
+                let record = RunRecord {
+                    started_ms,
+                    sequence,
+                };
+                breaks.on_record(now, target, record)
+            }
+        };
+        assert_eq!(findings(B), [], "{}: another target", case.name);
+        let expected = case.crashed.map(|crashed| match crashed {
+            true => Finding::Crashed(one),
+            false => Finding::StayedUp(one),
+        });
+        assert_eq!(findings(A).pop(), expected, "{}", case.name);
+        let late = breaks.on_timeout(NOW + cfg.report_timeout);
+        assert_eq!(late.is_empty(), expected.is_some(), "{}", case.name);
+    }
+}
+
+/// Guards against a request that is held or refused because it broke off once, and against one that crashes the only target
+/// again and again.
+#[test]
+fn without_reports_a_request_is_barred_after_its_second_crash() {
+    use Event::{Break, Complete, Peer, StayedUp};
+    use SuspectStatus::{Barred, Clear, Suspect};
+    #[derive(Debug, Clone, Copy)]
+    enum Event {
+        Break(u32),
+        StayedUp(u32),
+        Complete,
+        /// The entry of a peer that saw a break at this target, whose clock is this much ahead.
+        Peer(u32, u64),
+    }
+    struct Case {
+        name: &'static str,
+        /// The events, and when they happen in milliseconds.
+        events: &'static [(u64, Event)],
+        /// The status at the end, and when that is in milliseconds.
+        status: (u64, SuspectStatus),
+    }
+    let case = |name, events, after, status| Case {
+        name,
+        events,
+        status: (after, status),
+    };
+    let left = |millis| Barred(Duration::from_millis(millis));
+    let cases = [
+        case("one break", &[(0, Break(1))], 0, Clear),
+        case("two breaks", &[(0, Break(1)), (10, Break(2))], 509, Suspect),
+        case(
+            "no evidence",
+            &[(0, Break(1)), (10, Break(2))],
+            510,
+            left(4_500),
+        ),
+        case(
+            "both crashed",
+            &[(0, Break(1)), (10, Break(2))],
+            5_010,
+            left(595_000),
+        ),
+        case(
+            "forgotten",
+            &[(0, Break(1)), (10, Break(2))],
+            600_010,
+            Clear,
+        ),
+        case(
+            "the first stayed up",
+            &[(0, Break(1)), (10, Break(2)), (200, StayedUp(1))],
+            200,
+            Clear,
+        ),
+        case(
+            "it stayed up before the second",
+            &[(0, Break(1)), (200, StayedUp(1)), (300, Break(2))],
+            300,
+            Clear,
+        ),
+        case(
+            "an equal one ran to its end",
+            &[(0, Break(1)), (10, Break(2)), (20, Complete)],
+            20,
+            Clear,
+        ),
+        case(
+            "copies at one crash",
+            &[(0, Break(1)), (0, Break(1)), (999, Break(1))],
+            999,
+            Clear,
+        ),
+        case(
+            "the same target twice",
+            &[(0, Break(1)), (4_000, Break(1))],
+            4_500,
+            left(4_500),
+        ),
+        case(
+            "lost answers of one target",
+            &[
+                (0, Break(1)),
+                (200, StayedUp(1)),
+                (4_000, Break(1)),
+                (8_000, Break(1)),
+            ],
+            8_000,
+            Clear,
+        ),
+        case(
+            "a peer saw the first",
+            &[(0, Peer(1, 0)), (10, Break(2))],
+            510,
+            left(4_500),
+        ),
+        case(
+            "a peer saw the same crash",
+            &[(0, Peer(1, 0)), (10, Break(1))],
+            510,
+            Clear,
+        ),
+        case(
+            "peers saw both",
+            &[(0, Peer(1, 0)), (10, Peer(2, 0))],
+            510,
+            left(4_500),
+        ),
+        case(
+            "a peer's clock is ahead",
+            &[(0, Peer(1, 9_000)), (10, Peer(2, 9_000))],
+            510,
+            left(4_500),
+        ),
+    ];
+    for case in cases {
+        let cfg = Config {
+            evidence: Evidence::Answers,
+            ..Config::default()
+        };
+        let mut suspects = Suspects::new(cfg.clone());
+        for &(at, event) in case.events {
+            let now = NOW + Duration::from_millis(at);
+            match event {
+                Break(target) => drop(suspects.record_crash(now, F, TargetId(target))),
+                StayedUp(target) => drop(suspects.clear_crash(now, F, TargetId(target))),
+                Complete => drop(suspects.record_completion(now, F)),
+                Peer(target, ahead) => {
+                    let mut peer = Suspects::new(cfg.clone());
+                    let now_there = now + Duration::from_millis(ahead);
+                    let entry = peer.record_crash(now_there, F, TargetId(target));
+                    suspects.merge(now, &entry);
+                }
+            }
+        }
+        let (after, status) = case.status;
+        let now = NOW + Duration::from_millis(after);
+        assert_eq!(suspects.status(now, F), status, "{}", case.name);
+    }
+}
+
+/// Guards against a crashing request that is forgotten because many sound ones broke off.
+#[test]
+fn entries_that_are_cleared_are_forgotten_first() {
+    let cfg = Config {
+        evidence: Evidence::Answers,
+        ..Config::default()
+    };
+    let mut suspects = Suspects::new(cfg.clone());
+    suspects.record_crash(NOW, F, A);
+    suspects.record_crash(NOW, F, B);
+    for n in 0..2 * cfg.entries_max as u64 {
+        let now = NOW + Duration::from_millis(3_000 + n);
+        let other = Fingerprint(1_000 + n);
+        suspects.record_crash(now, other, A);
+        suspects.record_completion(now, other);
+    }
+    let now = NOW + Duration::from_secs(10);
+    assert_ne!(suspects.status(now, F), SuspectStatus::Clear);
+}
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -90,6 +90,9 @@
     Stopping = "stopping", 503;
     /// A request with the same content crashed targets before, so this one is not run.
     Quarantined = "quarantined", 422;
+    /// Requests with the same content broke off at targets that may have crashed, so this one is not
+    /// run for now.
+    ContentBarred = "content_barred", 503;
     /// A part of the prompt crashed targets, so that no request with it is run for now.
     PartBarred = "part_barred", 503;
     /// A request with the same idempotency key has run or is running.
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -19,11 +19,12 @@
     Route, RouteRepeat, Service, Target,
 };
 use bulrushtrestle_core::input::{
-    AttemptEvent, Failure, FailureKind, Input, StoreChange, StoreEvent, Vm, VmRole,
+    AttemptEvent, Failure, FailureKind, Input, StoreChange, StoreEvent, TargetState, Vm, VmRole,
 };
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
 use bulrushtrestle_core::output::{MovePhase, MoveProgress, Output};
 use bulrushtrestle_core::prelude::*;
+use bulrushtrestle_core::quarantine::Evidence;
 use bulrushtrestle_core::slots::Policy;
 use bulrushtrestle_core::version::Exposure;
 
@@ -43,6 +44,8 @@
 pub(crate) const TOKENS_PER_STEP: u64 = 80;
 /// How long a target is down after a crash.
 const DOWN_FOR: Duration = Duration::from_secs(3);
+/// The time between two records of a target, in milliseconds.
+const RECORD_INTERVAL_MS: u64 = 1_200;
 /// The objective for the time to the first token of each request.
 pub(crate) const OBJECTIVE: Duration = Duration::from_millis(800);
 
@@ -231,6 +234,18 @@
     generating: Vec<Generating>,
     /// The parts of prompts that crash each target that begins to answer on them.
     pub(crate) crashing_parts: BTreeSet<Fingerprint>,
+    /// The contents of whole requests that crash each target that begins to answer them.
+    pub(crate) crashing_contents: BTreeSet<Fingerprint>,
+    /// The contents of requests whose answers are lost at a target, which goes on.
+    pub(crate) lost_answers: BTreeSet<(TargetId, Fingerprint)>,
+    /// Whether targets write records, each with the start of its run.
+    pub(crate) writes_records: bool,
+    /// When the present run of each target that crashed began.
+    runs: BTreeMap<TargetId, Time>,
+    /// The contents of the requests that share theirs with others.
+    contents: BTreeMap<RequestId, Fingerprint>,
+    /// When each request was refused.
+    pub(crate) refused_at: BTreeMap<RequestId, Time>,
     /// The prompts of the requests that name their parts.
     prompts: BTreeMap<RequestId, Vec<PromptPart>>,
     /// The crashes of targets.
@@ -351,6 +366,12 @@
             generation_time: Duration::ZERO,
             generating: Vec::new(),
             crashing_parts: BTreeSet::new(),
+            crashing_contents: BTreeSet::new(),
+            lost_answers: BTreeSet::new(),
+            writes_records: false,
+            runs: BTreeMap::new(),
+            contents: BTreeMap::new(),
+            refused_at: BTreeMap::new(),
             prompts: BTreeMap::new(),
             crashes: Vec::new(),
             down: BTreeMap::new(),
@@ -484,6 +505,7 @@
                 }
                 Output::Refuse(request, refusal) => {
                     self.refused.insert((at, request), refusal);
+                    self.refused_at.insert(request, self.now);
                 }
                 Output::Peer { to, bytes } => {
                     let from = RouterId(u32::try_from(at + 1).expect("few routers"));
@@ -551,6 +573,11 @@
                 self.crash(target, (at, attempt));
                 continue;
             }
+            let content = self.content_of(at, attempt);
+            if content.is_some_and(|content| self.lost_answers.contains(&(target, content))) {
+                self.fail(at, attempt, FailureKind::Broken);
+                continue;
+            }
             let hash = (attempt.0 * 16 + at as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
             if hash % 10 < self.failures_per_ten.get(&target).copied().unwrap_or(0) {
                 self.failed.push((self.now, target));
@@ -589,6 +616,9 @@
             self.wakes.retain(|&(wake, of)| of != at || wake > self.now);
             self.input(at, Input::Timer);
         }
+        if self.writes_records && self.now.as_millis().is_multiple_of(RECORD_INTERVAL_MS) {
+            self.write_records();
+        }
         if self.now.as_millis().is_multiple_of(10) {
             self.answer_status_reads();
             let asked = self.now;
@@ -615,6 +645,41 @@
         }
     }
 
+    /// Delivers the records of all targets that are up to all routers.
+    fn write_records(&mut self) {
+        let up: Vec<TargetId> = self
+            .targets_listed()
+            .into_iter()
+            .filter(|&it| !self.is_down(it))
+            .collect();
+        let state = |target| TargetState {
+            target,
+            leaving: false,
+            cold_for: Duration::ZERO,
+            started_ms: Some(self.runs.get(&target).map_or(0, |at| at.as_millis())),
+            sequence: self.now.as_millis() / RECORD_INTERVAL_MS,
+        };
+        let states: Vec<TargetState> = up.into_iter().map(state).collect();
+        for at in 0..self.nodes.len() {
+            self.input(at, Input::Store(StoreEvent::Targets(states.clone())));
+        }
+    }
+
+    /// Returns the targets that the store lists.
+    pub(crate) fn targets_listed(&self) -> Vec<TargetId> {
+        let names = self.store.iter().filter_map(|change| match &change.scope {
+            Scope::One(Kind::Target, name) if !change.entries.is_empty() => Some(name),
+            _ => None,
+        });
+        names.map(|name| TargetId(id(Kind::Target, name))).collect()
+    }
+
+    /// Returns the content of the request of an attempt, if it shares that with others.
+    fn content_of(&self, at: usize, attempt: AttemptId) -> Option<Fingerprint> {
+        let request = self.attempts.get(&(at, attempt))?;
+        self.contents.get(request).copied()
+    }
+
     fn is_down(&self, target: TargetId) -> bool {
         self.down
             .get(&target)
@@ -626,7 +691,9 @@
         let request = self.attempts.get(&(at, attempt));
         let parts = request.and_then(|request| self.prompts.get(request));
         let crashes = |part: &PromptPart| self.crashing_parts.contains(&part.content);
+        let content = self.content_of(at, attempt);
         parts.is_some_and(|parts| parts.iter().any(crashes))
+            || content.is_some_and(|content| self.crashing_contents.contains(&content))
     }
 
     /// Crashes a target for [`DOWN_FOR`], as it begins to answer the attempt `first` or by itself. Everything that
@@ -634,6 +701,7 @@
     pub(crate) fn crash(&mut self, target: TargetId, first: impl Into<Option<(usize, AttemptId)>>) {
         self.crashes.push((self.now, target));
         self.down.insert(target, self.now + DOWN_FOR);
+        self.runs.insert(target, self.now + DOWN_FOR);
         let unread = self.targets.remove(&target).unwrap_or_default();
         let unread = unread.into_iter().map(|(at, attempt, _)| (at, attempt));
         let broken: Vec<(usize, AttemptId)> = first.into().into_iter().chain(unread).collect();
@@ -731,6 +799,32 @@
         request
     }
 
+    /// Submits a request whose content others share, with this limit of targets that may run it.
+    pub(crate) fn submit_content(
+        &mut self,
+        at: usize,
+        content: Fingerprint,
+        repeat: Repeat,
+        attempts_max: u32,
+    ) -> RequestId {
+        self.next += 1;
+        let request = RequestId(self.next);
+        let own = PromptPart {
+            content,
+            tokens: 100,
+        };
+        self.contents.insert(request, content);
+        self.prompts.insert(request, vec![own]);
+        let mut req = Request {
+            repeat,
+            fingerprint: content,
+            ..self.request(request, "one", vec![own], Duration::ZERO)
+        };
+        req.details.attempts_max = Some(attempts_max);
+        self.input(at, Input::Request(req));
+        request
+    }
+
     fn request(
         &self,
         request: RequestId,
@@ -768,6 +862,7 @@
     cfg.membership.capacity = capacity;
     cfg.log.source = CatalogueSource::Store;
     cfg.slots.policy = Policy::Local;
+    cfg.quarantine.evidence = Evidence::Answers;
     cfg.membership.mesh_max = MESH_MAX;
     cfg.share.full_replication_max = MESH_MAX + 1;
     cfg.version.share_max = SHARE_MAX_MILLIS;
