--- a/crates/bulrushtrestled/tests/support/scripted.rs
+++ b/crates/bulrushtrestled/tests/support/scripted.rs
@@ -32,6 +32,11 @@
         value.split("\r\n").next()
     }
 
+    /// Returns the path and the query.
+    pub(crate) fn path(&self) -> &str {
+        self.0.split(' ').nth(1).unwrap_or_default()
+    }
+
     /// Returns the id of the caller's attempt.
     pub(crate) fn attempt(&self) -> &str {
         self.header("attempt-id").unwrap_or_default()
