Resume a stream after one event only if streams begin with its id

Cause: one id, which nothing confirms, decided where the stream goes on.

The first id counts now if it is the one with which the last complete stream of the route began; otherwise the answer ends as broken. A stream that breaks off after its second event was never concerned.

Before: streams::a_stream_is_resumed_after_its_first_piece_only_... fails at "the id is the next one's": id 2 with piece 1, then piece 3. After: passes; ends (7) and streams (4) pass. The test of a stream that begins with the id 0 passes a sound one on first.

--- a/crates/bulrushtrestled/src/traffic/hosted/mod.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/mod.rs
@@ -13,6 +13,7 @@
 mod connections;
 mod directory;
 mod drive;
+mod first_ids;
 mod refusal_log;
 mod relay;
 mod sequence;
@@ -38,6 +39,7 @@
 
 use self::connections::Connections;
 use self::drive::drive;
+use self::first_ids::FirstIds;
 use self::refusal_log::{RefusalLog, log_refusal};
 use crate::control::{HostedCall, spread_retry_after};
 use crate::listener::{self, Gate, Protocols};
@@ -64,6 +66,7 @@
             traffic.metrics.busy.clone(),
         ),
         refusal_log: Arc::default(),
+        first_ids: FirstIds::default(),
         traffic: Arc::clone(&traffic),
     });
     tokio::spawn(crate::traffic::progress::flush(Arc::clone(&traffic)));
@@ -95,6 +98,7 @@
     traffic: Arc<Traffic>,
     connections: Connections,
     refusal_log: Arc<RefusalLog>,
+    first_ids: FirstIds,
 }
 
 /// A request as received, without the headers that the router adds for a target.
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -223,7 +223,7 @@
                     tokens: self.delivered(),
                 }
             }
-            Err(ended) => self.unless_resumable(ended),
+            Err(ended) => self.unless_resumable(hosted, call, dispatch, ended),
         }
     }
 
@@ -407,6 +407,11 @@
             // Without an end mark, nothing shows that the caller has the last event.
             return Err(report_not_resumed(hosted, call, dispatch, head));
         }
+        if let Some(first) = self.sequence.confirmed_first()
+            && call.info.resume_after.is_none()
+        {
+            hosted.first_ids.record(&dispatch.plan.route, first);
+        }
         // A stream without events is a complete answer too.
         self.begin_stream(hosted, dispatch, head);
         Ok(())
@@ -445,10 +450,23 @@
 
     /// Returns how a dispatch ended. A failure becomes final if no other attempt can continue what the
     /// caller has received.
-    fn unless_resumable(&self, ended: Ended) -> Ended {
+    fn unless_resumable(
+        &self,
+        hosted: &Hosted,
+        call: &Call,
+        dispatch: &Dispatch<'_>,
+        ended: Ended,
+    ) -> Ended {
         let is_resumable = match self.forwarded {
             Forwarded::Nothing => true,
-            Forwarded::Stream => self.sequence.is_resumable(),
+            Forwarded::Stream => {
+                let is_usual = |first| {
+                    let begins = call.info.resume_after.is_none();
+                    begins && hosted.first_ids.is_usual(&dispatch.plan.route, first)
+                };
+                let first = self.sequence.unconfirmed_first();
+                self.sequence.is_resumable() && first.is_none_or(is_usual)
+            }
             Forwarded::Body => false,
         };
         match ended {
--- a/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
@@ -38,6 +38,8 @@
 /// The position of an answer in its events, across all attempts of the request.
 #[derive(Debug, Default)]
 pub(super) struct Sequence {
+    /// The id of the first event that was forwarded and has one.
+    first: Option<u64>,
     /// The id of the last event that was forwarded and has one.
     last: Option<u64>,
     /// How many events with an id were forwarded.
@@ -73,6 +75,16 @@
         self.unnumbered == 0
     }
 
+    /// Returns the first id that was forwarded if no other event has confirmed it.
+    pub(super) fn unconfirmed_first(&self) -> Option<u64> {
+        self.first.filter(|_| self.numbered == 1)
+    }
+
+    /// Returns the first id that was forwarded if other events have confirmed it.
+    pub(super) fn confirmed_first(&self) -> Option<u64> {
+        self.first.filter(|_| self.numbered > 1)
+    }
+
     /// Returns whether an event with an id of the present attempt was forwarded or held, if the attempt
     /// resumes an answer. An attempt without one has not shown that it continues the answer.
     pub(super) const fn has_continued(&self) -> bool {
@@ -160,6 +172,7 @@
             0 | 1 => Some(step.max(1)),
             _ => self.step_max.max(Some(step)),
         };
+        self.first.get_or_insert(id);
         self.last = Some(id);
         self.numbered += 1;
         self.unnumbered = 0;
--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -429,6 +429,8 @@
     };
     let fixture = Fixture::start(|_| {}, script).await;
     let call = |attempt| fixture.call("/stream/x", attempt, Duration::ZERO);
+    // The router learns with which id the streams of the route begin.
+    assert!(call("first").await.is_complete);
     let (_, broken) = tokio::join!(call("sound"), call("broken"));
     let body = String::from_utf8_lossy(broken.answer.body()).into_owned();
     let pieces = "id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
--- a/crates/bulrushtrestled/tests/streams.rs
+++ b/crates/bulrushtrestled/tests/streams.rs
@@ -113,11 +113,11 @@
     let fields = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
     let mut steps = vec![Step::Send(received.head("200 OK", fields).into_bytes())];
     let from = received.last_event_id().unwrap_or(0);
-    let ids: Vec<&str> = script.ids.split_whitespace().collect();
     let script = match received.path().contains(SOUND_PATH) {
         true => Script::SOUND,
         false => script,
     };
+    let ids: Vec<&str> = script.ids.split_whitespace().collect();
     let breaks_after = match from {
         0 => script.breaks_after,
         from if from < script.resumed_breaks_after => script.resumed_breaks_after,
@@ -451,3 +451,91 @@
         );
     }
 }
+
+/// Guards against a stream that lacks pieces because its target has spoilt the first id, broke off before the second, and the
+/// stream was resumed after the wrong id.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_is_resumed_after_its_first_piece_only_if_streams_begin_with_that_id() {
+    struct Case {
+        name: &'static str,
+        ids: &'static str,
+        /// Whether the router has passed on a sound stream before.
+        has_sound: bool,
+        arrival: Arrival,
+    }
+    let cases = [
+        Case {
+            name: "sound",
+            ids: "1 2 3 4 5 6",
+            has_sound: true,
+            arrival: Whole,
+        },
+        Case {
+            name: "the id is the next one's",
+            ids: "2 2 3 4 5 6",
+            has_sound: true,
+            arrival: Broken,
+        },
+        Case {
+            name: "the id jumps",
+            ids: "81 2 3 4 5 6",
+            has_sound: true,
+            arrival: Broken,
+        },
+        Case {
+            name: "nothing is known of the route",
+            ids: "1 2 3 4 5 6",
+            has_sound: false,
+            arrival: Broken,
+        },
+    ];
+    for Case {
+        name,
+        ids,
+        has_sound,
+        arrival,
+    } in cases
+    {
+        let (store, store_address) = Store::start().await;
+        store.configure(configuration(true));
+        let script = Script {
+            ids,
+            breaks_after: 1,
+            ..Script::SOUND
+        };
+        let target = start_target(move |received| answer(received, script)).await;
+        store.add_target("i-1", server(target));
+        let daemon = Daemon::start(store_address);
+        wait_until("ready", async || daemon.is_ready().await).await;
+        if has_sound {
+            wait_until("a sound stream", async || {
+                let path = SOUND_PATH.to_owned();
+                let (answer, _) = call(daemon.callers, path, "sound".to_owned()).await;
+                answer.is_some_and(|answer| answer.status() == 200)
+            })
+            .await;
+        }
+        let mut number = 0;
+        wait_until(name, async || {
+            number += 1;
+            let id = format!("a-{number}");
+            let (answer, _) = call(daemon.callers, "/x".to_owned(), id).await;
+            let Some(answer) = answer else {
+                assert_eq!(arrival, Broken, "{name}");
+                return true;
+            };
+            if answer.status() != 200 {
+                // The router has not read the records of the store.
+                return false;
+            }
+            let body = String::from_utf8_lossy(answer.body()).into_owned();
+            let sound: String = (1..=PIECES)
+                .map(|number| format!("id: {number}\n{}", piece(number)))
+                .collect();
+            assert_eq!(body, sound, "{name}");
+            assert_eq!(arrival, Whole, "{name}");
+            true
+        })
+        .await;
+    }
+}
