Log and count the limits that targets state

A target in need states in its answers how many requests a second it takes from all routers together.

Module limit keeps what targets state, in the order in which they can have said it, and this router's part by demand; load reports carry changes and demand. No request is held back or sent elsewhere by it yet.

--- a/crates/bulrushtrestled/src/control/handle.rs
+++ b/crates/bulrushtrestled/src/control/handle.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use bulrushtrestle_core::input::{AttemptEvent, RequestedPause, TargetLoad, TargetNotice};
+use bulrushtrestle_core::input::{AnswerHead, AttemptEvent, RequestedPause, TargetNotice};
 use bulrushtrestle_core::key::{AttemptId, Fingerprint, Offset, OrganisationId, RequestId};
 use bulrushtrestle_core::verdict::Refusal;
 use bulrushtrestle_platform::operator::CallerLimits;
@@ -148,9 +148,9 @@
         self.send(LocalEvent::TimedOut(request));
     }
 
-    /// Reports the load of the target of an attempt.
-    pub(crate) fn load(&self, attempt: AttemptId, load: TargetLoad) {
-        self.send(LocalEvent::Load(attempt, load));
+    /// Reports the head of an attempt's answer.
+    pub(crate) fn head(&self, attempt: AttemptId, head: AnswerHead) {
+        self.send(LocalEvent::Head(attempt, head));
     }
 
     /// Reports what a target stated with an answer about further requests. It applies at once: no
--- a/crates/bulrushtrestled/src/control/message.rs
+++ b/crates/bulrushtrestled/src/control/message.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{Limits, Service};
-use bulrushtrestle_core::input::{AttemptEvent, TargetLoad, TargetNotice};
+use bulrushtrestle_core::input::{AnswerHead, AttemptEvent, TargetNotice};
 use bulrushtrestle_core::key::{
     AttemptId, Fingerprint, Incarnation, Offset, OrganisationId, RequestId,
 };
@@ -230,8 +230,8 @@
     Cancelled(RequestId),
     /// The time limit of a request has passed, and the caller has received its final answer.
     TimedOut(RequestId),
-    /// A target reported its load with an answer.
-    Load(AttemptId, TargetLoad),
+    /// The head of an attempt's answer arrived.
+    Head(AttemptId, AnswerHead),
     /// The target of this name stated something about further requests.
     Notice(String, TargetNotice),
     /// An event of an attempt.
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -78,7 +78,6 @@
         };
         let attempt = Attempt {
             request: dispatch.request,
-            target: dispatch.target,
             address,
             service,
             has_failed: false,
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -9,7 +9,7 @@
 use bulrushtrestle_core::catalogue::entry::Service;
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::input::{AttemptEvent, Input};
-use bulrushtrestle_core::key::{AttemptId, OrganisationId, PoolId, RequestId, TargetId};
+use bulrushtrestle_core::key::{AttemptId, OrganisationId, PoolId, RequestId};
 use bulrushtrestle_core::node::Node;
 use bulrushtrestle_core::output::Output;
 use bulrushtrestle_core::request::{Request, RequestDetails};
@@ -135,7 +135,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Attempt {
     pub(super) request: RequestId,
-    pub(super) target: TargetId,
     pub(super) address: SocketAddr,
     /// The kind of service of the target's pool.
     pub(super) service: Service,
@@ -163,7 +162,7 @@
             Self::Input(Input::Peer { .. }) => Stage::ControlPeer,
             Self::Input(_) => Stage::ControlOther,
             Self::Local(LocalEvent::Attempt(..)) => Stage::ControlAttempt,
-            Self::Local(LocalEvent::Load(..)) => Stage::ControlLoad,
+            Self::Local(LocalEvent::Head(..)) => Stage::ControlLoad,
             Self::Local(LocalEvent::Progress(_)) => Stage::ControlProgress,
             Self::Local(LocalEvent::Notice(..)) => Stage::ControlLoad,
             Self::Local(
@@ -478,11 +477,7 @@
                 self.handle(Input::TimedOut(request));
             }
             LocalEvent::Notice(name, notice) => self.on_target_notice(&name, notice),
-            LocalEvent::Load(attempt, load) => {
-                if let Some(attempt) = self.attempts.get(&attempt) {
-                    self.handle(Input::Load(attempt.target, load));
-                }
-            }
+            LocalEvent::Head(attempt, head) => self.handle(Input::Head(attempt, head)),
             LocalEvent::Attempt(attempt, event) => self.on_attempt(attempt, event),
             LocalEvent::Progress(all) => {
                 for (attempt, tokens) in all {
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -12,9 +12,9 @@
 
 use axum::body::Body;
 use axum::response::Response;
-use bulrushtrestle_core::input::{AttemptEvent, FailureKind, TargetLoad};
+use bulrushtrestle_core::input::{AnswerHead, AttemptEvent, FailureKind, StatedLimit, TargetLoad};
 use bulrushtrestle_core::key::AttemptId;
-use bulrushtrestle_platform::answer::{self, Outcome};
+use bulrushtrestle_platform::answer::{self, AnswerInfo, Outcome};
 use bulrushtrestle_platform::request::{self, AddedHeaders};
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
@@ -289,11 +289,7 @@
         if !info.notice.is_empty() {
             hosted.traffic.control.notice(dispatch.target, info.notice);
         }
-        if let Some(load) = info.load {
-            let (running, waiting) = (load.running, load.waiting);
-            let load = TargetLoad { running, waiting };
-            hosted.traffic.control.load(dispatch.attempt, load);
-        }
+        report_head(hosted, dispatch, &info);
         match info.outcome {
             Outcome::NotRun | Outcome::OtherTarget => return Err(Ended::Declined),
             Outcome::OtherRequest => return Err(Ended::failed(FailureKind::Crossed)),
@@ -534,6 +530,22 @@
     })
 }
 
+/// Reports to the node what the head of an answer says about the target.
+fn report_head(hosted: &Hosted, dispatch: &Dispatch<'_>, info: &AnswerInfo) {
+    let limit = match (info.outcome, info.limit) {
+        (Outcome::OtherTarget, _) => return,
+        // The answer may be older than the request, so the target may state a limit by now.
+        (Outcome::OtherRequest, StatedLimit::Absent) => return,
+        (_, limit) => limit,
+    };
+    let load = info.load.map(|load| TargetLoad {
+        running: load.running,
+        waiting: load.waiting,
+    });
+    let head = AnswerHead { load, limit };
+    hosted.traffic.control.head(dispatch.attempt, head);
+}
+
 /// Logs and counts an answer that does not continue the stream for which the request was sent again,
 /// and returns how the dispatch ended.
 fn report_not_resumed(
--- a/crates/core/src/balance/fleet_view.rs
+++ b/crates/core/src/balance/fleet_view.rs
@@ -9,6 +9,7 @@
 use crate::balance::Balance;
 use crate::balance::message::{ClaimRow, FleetPart};
 use crate::balance::state::Load;
+use crate::limit::message::DemandRow;
 use crate::prelude::*;
 
 /// The most reports that are kept. A relay that has not applied any of as many reports is about to
@@ -29,6 +30,8 @@
     pub(super) others: BTreeMap<TargetId, Load>,
     /// The requests that wait at other routers.
     pub(super) claims: Vec<ClaimRow>,
+    /// The requests that recently arrived at all routers, including this one.
+    pub(super) demand: Vec<DemandRow>,
 }
 
 /// A report of this router that a relay's sums may contain.
@@ -82,6 +85,7 @@
             sums,
             others,
             claims,
+            demand: figures.demand.clone(),
         });
     }
 
--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -4,6 +4,7 @@
 
 use crate::balance::prefix_index::PrefixHash;
 use crate::key::{OrganisationId, PoolId, TargetId};
+use crate::limit::message::{DemandRow, LimitRow};
 
 /// Whose figures a report covers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,6 +57,17 @@
     pub held: Vec<HeldRow>,
     /// Targets that stated, since the last report, that they are leaving.
     pub leaving: Vec<TargetId>,
+    /// Changes since the last report of the limits that targets state.
+    pub limits: Vec<LimitRow>,
+    /// The requests that recently arrived, for each pool with a limited target.
+    pub demand: Vec<DemandRow>,
+}
+
+impl Figures {
+    /// Returns whether targets stated anything that is news.
+    pub fn has_statements(&self) -> bool {
+        !self.leaving.is_empty() || !self.limits.is_empty()
+    }
 }
 
 /// A prompt prefix that a target is presumed to cache.
--- a/crates/core/src/balance/relaying.rs
+++ b/crates/core/src/balance/relaying.rs
@@ -7,6 +7,7 @@
 use crate::balance::fleet_view::SentReport;
 use crate::balance::message::{ClaimRow, Coverage, Figures, FleetPart, HeldRow, LoadPart};
 use crate::balance::state::{Load, PeerState, RELAYED_HELD_MAX, Unreported, changed_rows};
+use crate::limit::message::{DemandRow, LimitRow};
 use crate::prelude::*;
 
 /// The state of a router that passes figures between others.
@@ -16,6 +17,8 @@
     pub(super) is_relay: bool,
     /// This router's own waiting requests at its last report.
     pub(super) own_claims: Vec<ClaimRow>,
+    /// The requests that had recently arrived at this router at its last report.
+    pub(super) own_demand: Vec<DemandRow>,
     /// The last reports of this router, the oldest first.
     pub(super) sent: VecDeque<SentReport>,
     /// What is to be included in the next figures for the routers that report here.
@@ -52,6 +55,13 @@
         }
     }
 
+    /// Includes a change of a target's limit in the next figures for the routers that report here.
+    pub(super) fn add_own_limit(&mut self, row: LimitRow) {
+        if self.is_relay {
+            self.unsent.limits.push(row);
+        }
+    }
+
     /// Passes on the events in a report: to other relays if it is of a router, and to the routers
     /// that report here.
     pub(super) fn forward(&mut self, unreported: &mut Unreported, part: &LoadPart) {
@@ -97,6 +107,7 @@
             .fresh_claims(now, None)
             .chain(&self.relaying.own_claims);
         let claims = merged(waiting);
+        let demand = self.demand_sum(now, None);
         let relaying = &mut self.relaying;
         let before = match is_full {
             true => &BTreeMap::new(),
@@ -107,17 +118,18 @@
         if is_full {
             relaying.full_at = now;
         }
-        let (held, leaving) = relaying.unsent.take(RELAYED_HELD_MAX);
+        let mut figures = Figures {
+            is_full,
+            rows,
+            claims,
+            demand,
+            ..Figures::default()
+        };
+        relaying.unsent.take(RELAYED_HELD_MAX, &mut figures);
         FleetPart {
             included: 0,
             routers,
-            figures: Figures {
-                is_full,
-                rows,
-                claims,
-                held,
-                leaving,
-            },
+            figures,
         }
     }
 
@@ -128,9 +140,7 @@
             figures: Figures {
                 is_full: true,
                 rows: changed_rows(&BTreeMap::new(), &self.relaying.last_sums),
-                claims: last.figures.claims.clone(),
-                held: last.figures.held.clone(),
-                leaving: last.figures.leaving.clone(),
+                ..last.figures.clone()
             },
             ..*last
         }
@@ -150,6 +160,54 @@
         (loads, claims, routers)
     }
 
+    /// Returns the requests that recently arrived at this router and at those that report to it.
+    pub(super) fn member_demand(&self, now: Time) -> Vec<DemandRow> {
+        self.demand_sum(now, Some(Coverage::Router))
+    }
+
+    /// Returns the sums by pool of the requests that recently arrived at this router and at its
+    /// peers.
+    fn demand_sum(&self, now: Time, coverage: Option<Coverage>) -> Vec<DemandRow> {
+        let mut sums: BTreeMap<PoolId, u32> = BTreeMap::new();
+        for row in self
+            .fresh_demand(now, coverage)
+            .chain(&self.relaying.own_demand)
+        {
+            let sum = sums.entry(row.pool).or_default();
+            *sum = sum.saturating_add(row.requests);
+        }
+        let row = |(pool, requests)| DemandRow { pool, requests };
+        sums.into_iter().map(row).collect()
+    }
+
+    /// Returns the requests that recently arrived at peers whose reports are fresh.
+    fn fresh_demand(
+        &self,
+        now: Time,
+        coverage: Option<Coverage>,
+    ) -> impl Iterator<Item = &DemandRow> {
+        let stale_after = self.cfg.stale_after;
+        let fresh = self.peers.values().filter(move |peer| {
+            let is_covered = coverage.is_none_or(|coverage| coverage == peer.coverage);
+            is_covered && now.since(peer.received_at) < stale_after
+        });
+        fresh.flat_map(|peer| &peer.demand)
+    }
+
+    /// Returns how many requests recently arrived for a pool at the other routers, as far as they are
+    /// heard of, and how many of them arrived at this router by its last report.
+    pub fn demand(&self, now: Time, pool: PoolId) -> (u64, u64) {
+        let sum = |rows: &mut dyn Iterator<Item = &DemandRow>| {
+            let rows = rows.filter(|row| row.pool == pool);
+            rows.map(|row| u64::from(row.requests)).sum::<u64>()
+        };
+        let own = sum(&mut self.relaying.own_demand.iter());
+        match self.fresh_fleet(now) {
+            Some(fleet) => (sum(&mut fleet.demand.iter()).saturating_sub(own), own),
+            None => (sum(&mut self.fresh_demand(now, None)), own),
+        }
+    }
+
     fn fresh_peers(&self, now: Time, coverage: Coverage) -> impl Iterator<Item = &PeerState> {
         let stale_after = self.cfg.stale_after;
         self.peers.values().filter(move |peer| {
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -9,6 +9,7 @@
 use crate::balance::relaying::Relaying;
 use crate::balance::turns::Turns;
 use crate::balance::{Config, PrefixIndex};
+use crate::limit::message::{DemandRow, LimitRow};
 use crate::prelude::*;
 
 /// The most prompt prefixes in one report: twice what a router typically sends to targets in that
@@ -59,6 +60,8 @@
     pub(super) loads: BTreeMap<TargetId, Load>,
     /// The requests that wait at the peer.
     pub(super) claims: Vec<ClaimRow>,
+    /// The requests that recently arrived at the peer.
+    pub(super) demand: Vec<DemandRow>,
     /// When the peer last reported work.
     pub(super) last_work: Option<Time>,
 }
@@ -98,6 +101,8 @@
     held: VecDeque<HeldRow>,
     /// Targets that stated that they are leaving.
     pub(super) leaving: Vec<TargetId>,
+    /// Changes of the limits that targets state.
+    pub(super) limits: Vec<LimitRow>,
 }
 
 impl Unreported {
@@ -113,17 +118,19 @@
             self.add_held(row);
         }
         self.leaving.extend(&figures.leaving);
+        self.limits.extend(&figures.limits);
     }
 
     fn is_empty(&self) -> bool {
-        self.held.is_empty() && self.leaving.is_empty()
+        self.held.is_empty() && self.leaving.is_empty() && self.limits.is_empty()
     }
 
-    /// Removes what goes into one report: all targets, and at most `held_max` prefixes.
-    pub(super) fn take(&mut self, held_max: usize) -> (Vec<HeldRow>, Vec<TargetId>) {
+    /// Moves into a report what goes into one: all about targets, and at most `held_max` prefixes.
+    pub(super) fn take(&mut self, held_max: usize, figures: &mut Figures) {
         let held = self.held.len().min(held_max);
-        let held = self.held.drain(..held).collect();
-        (held, core::mem::take(&mut self.leaving))
+        figures.held = self.held.drain(..held).collect();
+        figures.leaving = core::mem::take(&mut self.leaving);
+        figures.limits = core::mem::take(&mut self.limits);
     }
 }
 
@@ -138,6 +145,7 @@
     full_at: Time,
     pub(super) loads: BTreeMap<TargetId, Load>,
     pub(super) claims: Vec<ClaimRow>,
+    pub(super) demand: Vec<DemandRow>,
 }
 
 impl Balance {
@@ -279,6 +287,17 @@
         self.relaying.add_own_leaving(target);
     }
 
+    /// Sets the requests that recently arrived at this router, for the next report to peers.
+    pub fn set_demand(&mut self, rows: Vec<DemandRow>) {
+        self.relaying.own_demand = rows;
+    }
+
+    /// Includes in the next report to peers what limit a target states now.
+    pub fn report_limit(&mut self, row: LimitRow) {
+        self.unreported.limits.push(row);
+        self.relaying.add_own_limit(row);
+    }
+
     /// Applies a peer's report.
     pub fn on_part(&mut self, now: Time, from: RouterId, part: &LoadPart) {
         let figures = &part.figures;
@@ -307,6 +326,7 @@
             sum.add(load);
         }
         peer.claims.clone_from(&figures.claims);
+        peer.demand.clone_from(&figures.demand);
         if peer.has_work() {
             peer.last_work = Some(now);
         }
@@ -352,6 +372,7 @@
                 is_full: true,
                 rows: changed_rows(&BTreeMap::new(), &last.loads),
                 claims: last.claims.clone(),
+                demand: last.demand.clone(),
                 ..Figures::default()
             },
         }
@@ -371,9 +392,15 @@
         self.expire_unresponsive(now);
         self.relaying.own_claims.clone_from(&claims);
         self.relaying.is_relay = coverage == Coverage::Members;
-        let (loads, claims, routers) = match coverage {
-            Coverage::Router => (self.own.clone(), claims, 1),
-            Coverage::Members => self.member_sums(now),
+        let (loads, claims, demand, routers) = match coverage {
+            Coverage::Router => {
+                let demand = self.relaying.own_demand.clone();
+                (self.own.clone(), claims, demand, 1)
+            }
+            Coverage::Members => {
+                let (loads, claims, routers) = self.member_sums(now);
+                (loads, claims, self.member_demand(now), routers)
+            }
         };
         let last = &mut self.last_report;
         let is_full =
@@ -383,7 +410,10 @@
             false => &last.loads,
         };
         let rows = changed_rows(before, &loads);
-        let is_unchanged = rows.is_empty() && claims == last.claims && self.unreported.is_empty();
+        let is_unchanged = rows.is_empty()
+            && claims == last.claims
+            && demand == last.demand
+            && self.unreported.is_empty();
         let is_fresh = now.since(last.at) < self.cfg.stale_after / 4;
         if is_unchanged && is_fresh && !is_full {
             return None;
@@ -394,6 +424,7 @@
         last.routers = routers;
         last.loads = loads;
         last.claims.clone_from(&claims);
+        last.demand.clone_from(&demand);
         if is_full {
             last.full_at = now;
         }
@@ -402,19 +433,20 @@
             Coverage::Router => HELD_MAX,
             Coverage::Members => RELAYED_HELD_MAX,
         };
-        let (held, leaving) = self.unreported.take(held_max);
+        let mut figures = Figures {
+            is_full,
+            rows,
+            claims,
+            demand,
+            ..Figures::default()
+        };
+        self.unreported.take(held_max, &mut figures);
         self.remember_report();
         Some(LoadPart {
             number,
             coverage,
             routers,
-            figures: Figures {
-                is_full,
-                rows,
-                claims,
-                held,
-                leaving,
-            },
+            figures,
         })
     }
 
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -71,6 +71,12 @@
     TargetStatedLeaving = "target_stated_leaving";
     /// A target stated in an answer that it wants no requests for a while.
     TargetPaused = "target_paused";
+    /// A target stated a limit on the requests per second, or changed it.
+    TargetLimited = "target_limited";
+    /// A target no longer stated a limit.
+    TargetUnlimited = "target_unlimited";
+    /// A target stated a limit that cannot be read.
+    TargetLimitUnreadable = "target_limit_unreadable";
     /// A target was classified as cold.
     TargetCold = "target_cold";
     /// A version move was found to be finished.
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -6,6 +6,7 @@
 use crate::catalogue::entry::{Entry, Kind};
 use crate::feed::{Record, Topic};
 use crate::key::{AppendId, AttemptId, Fingerprint, Offset, RequestId, RouterId, TargetId};
+use crate::limit::Rate;
 use crate::output::MoveProgress;
 use crate::request::Request;
 use crate::time::Time;
@@ -36,8 +37,8 @@
     /// A topic of the store was read. Its records come back as
     /// [`Output::Records`](crate::output::Output::Records) if they are new.
     Feed(FeedEvent),
-    /// A target reported its load together with an answer.
-    Load(TargetId, TargetLoad),
+    /// The head of an attempt's answer arrived. It comes before all other events of the answer.
+    Head(AttemptId, AnswerHead),
     /// A target stated with an answer that it is leaving, or that it wants no requests for a while.
     Notice(TargetId, TargetNotice),
     /// The platform's VM list was read.
@@ -223,6 +224,26 @@
     pub sequence: u64,
 }
 
+/// What the head of an answer says about its target, beside whether the request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The load of the target, if the answer contains it.
+    pub load: Option<TargetLoad>,
+    /// The requests per second that the target takes from the whole fleet.
+    pub limit: StatedLimit,
+}
+
+/// The limit that a target states with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StatedLimit {
+    /// The target states no limit, so that none applies any more.
+    Absent,
+    /// The target takes this many requests.
+    PerSecond(Rate),
+    /// The target states a limit that cannot be read.
+    Unreadable,
+}
+
 /// A record that a target wrote: the start of its run, and the record's number within the run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunRecord {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,9 +65,9 @@
 //!   which router may use which slots of a target.
 //! - [`target`], [`route`], [`version`]: the capacity of each target, the choice of a target, and
 //!   the moves of traffic between versions.
-//! - [`balance`], [`cold_start`], [`relay`], [`feed`]: fair order and choice of targets where routers
-//!   decide on their own and no owner grants slots, how their figures travel in a large fleet, and how
-//!   the records of a store do.
+//! - [`balance`], [`cold_start`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
+//!   where routers decide on their own and no owner grants slots, how their figures travel in a large
+//!   fleet, and how the records of a store do.
 //! - [`attempt`], [`once`], [`quarantine`]: the retries of one request, requests that run at most
 //!   once, and requests that crash targets.
 //!
@@ -94,6 +94,7 @@
 pub mod input;
 pub mod key;
 pub mod lease;
+pub mod limit;
 pub mod membership;
 pub mod message;
 pub mod node;
--- a/crates/core/src/node/load_exchange.rs
+++ b/crates/core/src/node/load_exchange.rs
@@ -24,6 +24,7 @@
         self.next_load_report = now + self.balance.cfg().report_every * percent / 100;
         self.cx.wake(self.next_load_report);
         let claims = self.own_claims();
+        self.balance.set_demand(self.own_demand());
         self.dispatched_since_report.clear();
         let has_members = self.balance.members(now).next().is_some();
         let (me, own) = (self.cx.me, &self.cfg.data_centre);
@@ -38,6 +39,7 @@
             self.balance.forget_fleet();
         }
         let part = self.balance.report(now, claims, coverage);
+        self.update_limits();
         self.send_reports(part, readers, &role);
         if matches!(role, Role::Relay(_)) {
             self.send_fleet_sums();
@@ -50,7 +52,7 @@
         for &to in &readers {
             let part = match self.load_readers.contains(&to) {
                 true => part.clone(),
-                false => Some(self.balance.full_report()),
+                false => Some(self.full_report()),
             };
             if let Some(part) = part {
                 self.cx.send(to, Part::Load(part), Urgency::Now);
@@ -72,15 +74,17 @@
         let members: Vec<Member> = self.balance.members(now).collect();
         let is_full = self.balance.is_full_sum_due(now);
         let sums = self.balance.fleet_sums(now, is_full);
+        // What targets stated is sent once, so it goes to all.
+        let is_for_all = is_full || sums.figures.has_statements();
         let mut readers = BTreeSet::new();
         for member in members {
-            if !is_full && !member.has_work {
+            if !is_for_all && !member.has_work {
                 continue;
             }
             let is_next = is_full || self.sums_readers.contains(&member.router);
             let sums = match is_next {
                 true => sums.clone(),
-                false => self.balance.full_sums(&sums),
+                false => self.full_sums(&sums),
             };
             let part = FleetPart {
                 included: member.number,
@@ -92,6 +96,20 @@
         self.sums_readers = readers;
     }
 
+    /// Returns this router's figures in full, for a router that did not get the last report.
+    fn full_report(&self) -> LoadPart {
+        let mut part = self.balance.full_report();
+        part.figures.limits = self.limits.rows().collect();
+        part
+    }
+
+    /// Returns the fleet's figures in full, for a router that did not get the last ones.
+    fn full_sums(&self, last: &FleetPart) -> FleetPart {
+        let mut part = self.balance.full_sums(last);
+        part.figures.limits = self.limits.rows().collect();
+        part
+    }
+
     /// Returns the load at a target as known to this router.
     pub fn load_at(&self, target: TargetId) -> Load {
         self.balance.load(self.cx.now, target)
@@ -101,6 +119,7 @@
     pub(super) fn on_load_part(&mut self, from: RouterId, part: &LoadPart) {
         self.avoid_leaving(&part.figures.leaving);
         self.balance.on_part(self.cx.now, from, part);
+        self.on_peer_limits(&part.figures.limits);
     }
 
     /// Applies the fleet's sums, if they are from the relay to which this router reports.
@@ -109,6 +128,7 @@
         if self.relays.on_figures(now, from) {
             self.avoid_leaving(&part.figures.leaving);
             self.balance.on_fleet_part(now, from, part);
+            self.on_peer_limits(&part.figures.limits);
         }
     }
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod feed;
 mod freshness;
+mod limit;
 mod load_exchange;
 mod local_dispatch;
 mod log;
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -141,6 +141,8 @@
             return Err(Refusal::not_run(Reason::UnknownPool, None));
         }
         let limits = organisation.limits;
+        self.demand
+            .on_arrival(self.cx.now, req.pool, req.prompt_tokens);
         let waiting = self.queues.waiting(req.organisation) + self.once.pending(req.organisation);
         if waiting >= limits.waiting as usize {
             let wait = self.queues.retry_after(self.cx.now, req.organisation);
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -12,6 +12,7 @@
 use crate::feed::Feed;
 use crate::input::{AttemptEvent, Input, StoreChange};
 use crate::lease::Leases;
+use crate::limit::{Demand, Limits};
 use crate::membership::Members;
 use crate::node::attempt::Attempt;
 use crate::node::freshness::CatchUp;
@@ -76,6 +77,8 @@
     pub(super) budgets: Budgets,
     pub(super) balance: Balance,
     pub(super) cold_targets: ColdTargets,
+    pub(super) limits: Limits,
+    pub(super) demand: Demand,
     pub(super) splits: Splits,
     /// Targets whose records lapsed while the store was unreachable, by name: the time until which
     /// they are still used, and the change that removes them.
@@ -155,6 +158,8 @@
             budgets: Budgets::new(cfg.attempt.clone()),
             balance: Balance::new(cfg.balance.clone()),
             cold_targets: ColdTargets::default(),
+            limits: Limits::default(),
+            demand: Demand::default(),
             splits: Splits::default(),
             lapsed: BTreeMap::new(),
             targets_read: None,
@@ -211,7 +216,7 @@
             }
             Input::Store(event) => self.on_store(event),
             Input::Feed(event) => self.on_feed(event),
-            Input::Load(target, load) => self.targets.on_load(target, load),
+            Input::Head(attempt, head) => self.on_answer_head(attempt, head),
             Input::Notice(target, notice) => self.on_target_notice(target, notice),
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -67,6 +67,11 @@
     pub condition: Condition,
     /// The router that enforces the limit.
     pub owner: Option<RouterId>,
+    /// The requests per second that the target takes from all routers, in thousandths, if it states
+    /// a limit.
+    pub stated_limit_millis: Option<u64>,
+    /// This router's part of that limit.
+    pub part_millis: Option<u64>,
 }
 
 impl Node {
@@ -107,12 +112,15 @@
     }
 
     fn target_status(&self, now: Time) -> Vec<TargetStatus> {
+        let stated = |target| self.limits.limit(target);
         let status = |view: TargetView<'_>| TargetStatus {
             name: view.entry.name.clone(),
             limit: self.targets.limit(view.id),
             slots: view.entry.slots,
             condition: self.targets.condition(now, &view),
             owner: self.targets.owner(view.id),
+            stated_limit_millis: stated(view.id).map(|(limit, _)| limit.as_millis()),
+            part_millis: stated(view.id).map(|(_, part)| part.as_millis()),
         };
         self.catalogue.targets().map(status).collect()
     }
