--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -19,8 +19,10 @@
     Route, RouteRepeat, Service, Target,
 };
 use bulrushtrestle_core::input::{
-    AttemptEvent, Failure, FailureKind, Input, StoreChange, StoreEvent, Vm, VmRole,
+    AnswerHead, AttemptEvent, Failure, FailureKind, Input, StatedLimit, StoreChange, StoreEvent,
+    Vm, VmRole,
 };
+use bulrushtrestle_core::limit::Rate;
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
 use bulrushtrestle_core::output::{MovePhase, MoveProgress, Output};
 use bulrushtrestle_core::prelude::*;
@@ -193,6 +195,19 @@
     target: TargetId,
 }
 
+/// The head of an answer, made when the target has read the prompt.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Head {
+    /// When the head arrives at the router.
+    pub(crate) arrives: Time,
+    /// The index of the router.
+    pub(crate) at: usize,
+    attempt: AttemptId,
+    pub(crate) target: TargetId,
+    /// The limit that the answer names, in thousandths of a request a second.
+    pub(crate) limit: Option<u64>,
+}
+
 /// The simulated fleet. A router's index in `nodes` is its identity minus one.
 pub(crate) struct Fleet {
     pub(crate) now: Time,
@@ -209,6 +224,18 @@
     pub(crate) failures_per_ten: BTreeMap<TargetId, u64>,
     /// The times and targets of failed requests.
     pub(crate) failed: Vec<(Time, TargetId)>,
+    /// The most targets on which one request may run.
+    pub(crate) runs_max: u32,
+    /// The limits that targets name in their answers, in thousandths of a request a second.
+    pub(crate) limits: BTreeMap<TargetId, u64>,
+    /// What `limits` held, each from a time on.
+    pub(crate) limit_changes: Vec<(Time, BTreeMap<TargetId, u64>)>,
+    /// The heads of answers that arrived at routers.
+    pub(crate) heads: Vec<Head>,
+    /// How much later the heads of answers arrive at a router.
+    pub(crate) head_delays: BTreeMap<usize, Duration>,
+    /// The heads of answers on their way.
+    heads_in_transit: Vec<Head>,
     /// Indices of the routers whose reads of the store fail.
     pub(crate) store_blocked: BTreeSet<usize>,
     /// Changes in the store, each with the index of a router that has not read it yet.
@@ -249,6 +276,10 @@
     pub(crate) dead: BTreeSet<usize>,
     /// Indices of the routers whose frames to others are lost.
     pub(crate) mute: BTreeSet<usize>,
+    /// Pairs of indices: the frames from the first router to the second are lost.
+    pub(crate) severed: BTreeSet<(usize, usize)>,
+    /// The inputs of routers that stand still, which they handle when they go on.
+    frozen: BTreeMap<usize, Vec<Input>>,
     /// How much later frames arrive at a router.
     pub(crate) delays: BTreeMap<usize, Duration>,
     /// The frames of each router, if they are counted.
@@ -340,6 +371,12 @@
             refused: BTreeMap::new(),
             failures_per_ten: BTreeMap::new(),
             failed: Vec::new(),
+            runs_max: 1,
+            limits: BTreeMap::new(),
+            limit_changes: Vec::new(),
+            heads: Vec::new(),
+            head_delays: BTreeMap::new(),
+            heads_in_transit: Vec::new(),
             store_blocked: BTreeSet::new(),
             unread: Vec::new(),
             store: Vec::new(),
@@ -360,6 +397,8 @@
             measured: None,
             dead: BTreeSet::new(),
             mute: BTreeSet::new(),
+            severed: BTreeSet::new(),
+            frozen: BTreeMap::new(),
             delays: BTreeMap::new(),
             traffic: Vec::new(),
             next: 0,
@@ -387,16 +426,20 @@
         }
     }
 
-    /// Delivers the list of VMs and all that the store holds to a router that has just started.
-    fn read_store(&mut self, at: usize) {
+    /// Returns the list of VMs with all routers.
+    fn vms(&self) -> Vec<Vm> {
         let (capacities, data_centres) = &self.placement;
         let routers = u32::try_from(capacities.len()).expect("few routers");
         let vms = (1..=routers).map(|id| Vm {
             data_centre: data_centre_of(id as usize - 1, *data_centres),
             ..router(id)
         });
-        let vms = vms.collect();
-        self.input(at, Input::Vms(vms));
+        vms.collect()
+    }
+
+    /// Delivers the list of VMs and all that the store holds to a router that has just started.
+    fn read_store(&mut self, at: usize) {
+        self.input(at, Input::Vms(self.vms()));
         let changes = self.store.clone();
         self.input(at, Input::Store(StoreEvent::Changed(changes)));
     }
@@ -409,6 +452,7 @@
         self.unread.retain(|(at, _)| !routers.contains(at));
         self.status_reads.retain(|(at, _)| !routers.contains(at));
         self.generating.retain(|it| !routers.contains(&it.at));
+        self.heads_in_transit.retain(|it| !routers.contains(&it.at));
         self.attempts.retain(|(at, _), _| !routers.contains(at));
         for jobs in self.targets.values_mut() {
             jobs.retain(|(at, ..)| !routers.contains(at));
@@ -422,6 +466,40 @@
         }
     }
 
+    /// Adds a router of this capacity, which all others read in the list of VMs.
+    pub(crate) fn join(&mut self, capacity: u32) {
+        let at = self.nodes.len();
+        let (capacities, data_centres) = &mut self.placement;
+        capacities.push(capacity);
+        let me = u32::try_from(at + 1).expect("few routers");
+        let run = Incarnation(self.now.as_millis());
+        let joining = node(me, run, capacity, *data_centres, self.now);
+        self.nodes.push(joining);
+        for other in 0..at {
+            self.input(other, Input::Vms(self.vms()));
+        }
+        self.read_store(at);
+    }
+
+    /// Cuts a router off from all others, both ways.
+    pub(crate) fn cut(&mut self, at: usize) {
+        for other in (0..self.nodes.len()).filter(|&other| other != at) {
+            self.severed.extend([(at, other), (other, at)]);
+        }
+    }
+
+    /// Lets a router stand still. What arrives there waits.
+    pub(crate) fn freeze(&mut self, at: usize) {
+        self.frozen.entry(at).or_default();
+    }
+
+    /// Lets a router go on that stood still, with all that has arrived.
+    pub(crate) fn wake(&mut self, at: usize) {
+        for input in self.frozen.remove(&at).unwrap_or_default() {
+            self.input(at, input);
+        }
+    }
+
     /// Records the status of a move, unless a final one of the same move is recorded.
     fn record_status(&mut self, progress: MoveProgress) {
         let last = self.statuses.last();
@@ -450,6 +528,10 @@
         if self.dead.contains(&at) {
             return;
         }
+        if let Some(waiting) = self.frozen.get_mut(&at) {
+            waiting.push(input);
+            return;
+        }
         let mut out = Vec::new();
         let kind = kind_of(&input);
         let began = Instant::now();
@@ -493,7 +575,7 @@
                         self.traffic[at].bytes_sent += bytes.len() as u64;
                         self.traffic[to].received += 1;
                     }
-                    if !self.mute.contains(&at) {
+                    if !self.mute.contains(&at) && !self.severed.contains(&(at, to)) {
                         let delay = self.delays.get(&to).copied().unwrap_or_default();
                         self.frames.push((self.now + STEP + delay, to, from, bytes));
                     }
@@ -521,6 +603,7 @@
     /// Advances the clock by [`STEP`] and processes everything that falls due.
     pub(crate) fn step(&mut self) {
         self.now = self.now + STEP;
+        self.record_limits();
         let (due, rest) = std::mem::take(&mut self.frames)
             .into_iter()
             .partition(|(at, ..)| *at <= self.now);
@@ -529,6 +612,14 @@
         for (_, to, from, bytes) in due {
             self.input(to, Input::Peer { from, bytes });
         }
+        let (due, rest) = std::mem::take(&mut self.heads_in_transit)
+            .into_iter()
+            .partition(|head: &Head| head.arrives <= self.now);
+        self.heads_in_transit = rest;
+        let due: Vec<Head> = due;
+        for head in due {
+            self.start_answer(head);
+        }
         let mut done = Vec::new();
         for (&target, jobs) in &mut self.targets {
             if let Some(first) = jobs.first_mut() {
@@ -554,6 +645,13 @@
             let hash = (attempt.0 * 16 + at as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
             if hash % 10 < self.failures_per_ten.get(&target).copied().unwrap_or(0) {
                 self.failed.push((self.now, target));
+                self.deliver_head(Head {
+                    arrives: self.now,
+                    at,
+                    attempt,
+                    target,
+                    limit: self.limits.get(&target).copied(),
+                });
                 let failure = Failure {
                     kind: FailureKind::Error,
                     sent: true,
@@ -562,13 +660,18 @@
                 self.input(at, Input::Attempt(attempt, AttemptEvent::Failed(failure)));
                 continue;
             }
-            self.input(at, Input::Attempt(attempt, AttemptEvent::Started));
-            self.generating.push(Generating {
-                until: self.now + self.generation_time,
+            let delay = self.head_delays.get(&at).copied().unwrap_or_default();
+            let head = Head {
+                arrives: self.now + delay,
                 at,
                 attempt,
                 target,
-            });
+                limit: self.limits.get(&target).copied(),
+            };
+            match delay.is_zero() {
+                true => self.start_answer(head),
+                false => self.heads_in_transit.push(head),
+            }
         }
         let (done, rest) = std::mem::take(&mut self.generating)
             .into_iter()
@@ -593,6 +696,9 @@
             self.answer_status_reads();
             let asked = self.now;
             for at in 0..self.nodes.len() {
+                if self.frozen.contains_key(&at) {
+                    continue;
+                }
                 if self.store_blocked.contains(&at) {
                     self.input(at, Input::Store(StoreEvent::Failed));
                     continue;
@@ -615,6 +721,45 @@
         }
     }
 
+    /// Records what targets name from now on, if it has changed.
+    fn record_limits(&mut self) {
+        let last = self.limit_changes.last();
+        if last.is_none_or(|(_, limits)| *limits != self.limits) {
+            self.limit_changes.push((self.now, self.limits.clone()));
+        }
+    }
+
+    /// Delivers the head of an answer, whose body follows.
+    fn start_answer(&mut self, head: Head) {
+        let Head {
+            at,
+            attempt,
+            target,
+            ..
+        } = head;
+        self.deliver_head(head);
+        self.input(at, Input::Attempt(attempt, AttemptEvent::Started));
+        self.generating.push(Generating {
+            until: self.now + self.generation_time,
+            at,
+            attempt,
+            target,
+        });
+    }
+
+    /// Delivers the head of an answer.
+    fn deliver_head(&mut self, head: Head) {
+        let limit = match head.limit {
+            Some(millis) => StatedLimit::PerSecond(Rate::from_millis(millis)),
+            None => StatedLimit::Absent,
+        };
+        if !self.dead.contains(&head.at) {
+            self.heads.push(head);
+        }
+        let answer = AnswerHead { load: None, limit };
+        self.input(head.at, Input::Head(head.attempt, answer));
+    }
+
     fn is_down(&self, target: TargetId) -> bool {
         self.down
             .get(&target)
@@ -642,6 +787,14 @@
             .partition(|answer: &Generating| answer.target == target);
         self.generating = rest;
         let flowing: Vec<Generating> = flowing;
+        let (lost, rest) = std::mem::take(&mut self.heads_in_transit)
+            .into_iter()
+            .partition(|head: &Head| head.target == target);
+        self.heads_in_transit = rest;
+        let lost: Vec<Head> = lost;
+        let broken = broken
+            .into_iter()
+            .chain(lost.iter().map(|head| (head.at, head.attempt)));
         for (at, attempt) in broken {
             self.fail(at, attempt, FailureKind::Broken);
         }
@@ -752,7 +905,7 @@
             prefix: None,
             details: RequestDetails {
                 parts,
-                attempts_max: Some(1),
+                attempts_max: Some(self.runs_max),
                 objective: Some(OBJECTIVE),
                 output_tokens: 10,
                 body_bytes: 10_000,
