Keep to the limits that targets state

Cause: nothing went by what targets state, and each router counts its own requests only. The class is an allowance of the whole fleet that is spent by routers which each see a part.

A target without a permit is no candidate, the turns of organisations share out the fleet's permits, the largest prompts go where limits count requests, and a pool whose targets all state limits refuses at once what the part leaves no room for.

--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -4,6 +4,7 @@
 
 use crate::balance::prefix_index::{PrefixHash, shared_prefixes};
 use crate::balance::state::{Balance, Load};
+use crate::limit::Permits;
 use crate::prelude::*;
 use crate::route::Distance;
 
@@ -45,6 +46,21 @@
     pub candidate: Candidate,
     /// The load of the whole fleet at the target, as known to this router.
     pub load: Load,
+    /// How many requests this router may send the target now; `None` if the target states no limit.
+    pub permits: Option<Permits>,
+}
+
+/// The size of a prompt, compared with those of other requests of its pool. Limits of targets count
+/// requests of any size, so they are left to large ones as far as these need them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Size {
+    /// The request may use permits that large ones do not need.
+    #[default]
+    Small,
+    /// The request suits targets with limits, and others as well.
+    Large,
+    /// The request is large and may still wait for a permit.
+    LargeAwaitingPermit,
 }
 
 /// The properties of a request that decide which target suits it.
@@ -60,6 +76,9 @@
     pub body_bytes: u32,
     /// Whether the request may still wait for a target that caches its prompt.
     pub may_wait: bool,
+    /// How the size of the prompt compares with those of other requests of the pool, where some of
+    /// its targets state limits.
+    pub size: Size,
 }
 
 impl<'a> RequestProfile<'a> {
@@ -72,6 +91,7 @@
             output_tokens: req.details.output_tokens,
             body_bytes: req.details.body_bytes,
             may_wait,
+            size: Size::default(),
         }
     }
 
@@ -134,7 +154,11 @@
         candidates: impl Iterator<Item = &'a CandidateLoad> + Clone,
     ) -> Option<Choice> {
         let coverage = self.coverage(now, profile, candidates.clone());
-        let choices = candidates.filter_map(|&CandidateLoad { candidate, load }| {
+        let is_divided = candidates.clone().any(|place| place.permits.is_none());
+        let choices = candidates.filter_map(|&place| {
+            let CandidateLoad {
+                candidate, load, ..
+            } = place;
             let to_read = coverage.scored_at(candidate.target);
             let reread = to_read.saturating_sub(coverage.unshared);
             let waits = profile.may_wait && reread > self.cfg.reread_min;
@@ -143,10 +167,11 @@
                 slots => slots,
             };
             let is_idle = load.unread == 0;
-            let has_capacity =
-                self.has_capacity(load, slots, to_read) && (is_idle || slots == candidate.slots);
+            let has_capacity = self.has_capacity(load, slots, to_read)
+                && (is_idle || slots == candidate.slots)
+                && (!is_divided || suits(profile.size, place.permits, is_idle));
             has_capacity.then(|| {
-                let score = self.score(profile, candidate, load, to_read);
+                let score = self.score(profile, place, to_read);
                 (
                     score,
                     tie_breaker(candidate.target, profile),
@@ -221,8 +246,11 @@
     fn score(
         &self,
         profile: RequestProfile<'_>,
-        candidate: Candidate,
-        load: Load,
+        CandidateLoad {
+            candidate,
+            load,
+            permits,
+        }: CandidateLoad,
         to_read: u32,
     ) -> u64 {
         let cfg = &self.cfg;
@@ -244,7 +272,23 @@
             true => cfg.max_unread_tokens(),
             false => 0,
         };
-        load.unread + read + running + distance + interference
+        let permit = match (permits, profile.size) {
+            (Some(_), Size::Large | Size::LargeAwaitingPermit) | (None, Size::Small) => 0,
+            (Some(_), Size::Small) | (None, Size::Large | Size::LargeAwaitingPermit) => {
+                cfg.max_unread_tokens()
+            }
+        };
+        load.unread + read + running + distance + interference + permit
+    }
+}
+
+/// Returns whether a target may take a request of this size, where other targets of the pool state no
+/// limit.
+fn suits(size: Size, permits: Option<Permits>, is_idle: bool) -> bool {
+    match (size, permits) {
+        (Size::Small, Some(permits)) => permits.has_spare,
+        (Size::LargeAwaitingPermit, None) => is_idle,
+        (Size::Small, None) | (Size::Large, _) | (Size::LargeAwaitingPermit, Some(_)) => true,
     }
 }
 
--- a/crates/core/src/balance/tests.rs
+++ b/crates/core/src/balance/tests.rs
@@ -3,7 +3,8 @@
 mod relayed;
 
 use super::message::{ClaimRow, Coverage, Figures, FleetPart, LoadPart, LoadRow};
-use super::{Balance, Candidate, CandidateLoad, Config, Load, RequestProfile, Workload};
+use super::{Balance, Candidate, CandidateLoad, Config, Load, RequestProfile, Size, Workload};
+use crate::limit::Permits;
 use crate::prelude::*;
 use crate::route::Distance;
 
@@ -53,11 +54,13 @@
         output_tokens: 100,
         body_bytes: 10_000,
         may_wait,
+        size: Size::default(),
     }
 }
 
 fn candidates(balance: &Balance, count: u32) -> Vec<CandidateLoad> {
     let candidate = |id| CandidateLoad {
+        permits: None,
         candidate: Candidate {
             target: TargetId(id),
             slots: SLOTS,
@@ -110,6 +113,7 @@
     const LIGHT_TARGETS: u32 = 3;
     let view = |shift: u32| -> Vec<CandidateLoad> {
         let candidate = |id: u32| CandidateLoad {
+            permits: None,
             candidate: Candidate {
                 target: TargetId(id),
                 slots: SLOTS,
@@ -283,6 +287,7 @@
         requests: 20,
     };
     let candidate = |id, prefers_light, load| CandidateLoad {
+        permits: None,
         candidate: Candidate {
             target: TargetId(id),
             slots: SLOTS,
@@ -553,3 +558,97 @@
         assert_eq!(takes, case.takes, "{}", case.name);
     }
 }
+
+/// Guards against small requests that use up the permits of targets with limits, so that large ones crowd the targets without
+/// one.
+///
+/// Load: a target with a limit and one without, both with prompts to read.
+#[test]
+fn limits_are_left_to_large_requests() {
+    struct Case {
+        name: &'static str,
+        size: Size,
+        /// Whether the permit at the limited target has been unused for a while.
+        has_spare: bool,
+        /// The load at the target without a limit.
+        load: Load,
+        chosen: Option<u32>,
+    }
+    const LIMITED: u32 = 1;
+    const UNLIMITED: u32 = 2;
+    let busy = Load {
+        unread: 3_000,
+        requests: 3,
+    };
+    let full = Load {
+        unread: Config::default().max_unread_tokens(),
+        requests: 30,
+    };
+    let cases = [
+        Case {
+            name: "a small one",
+            size: Size::Small,
+            has_spare: true,
+            load: busy,
+            chosen: Some(UNLIMITED),
+        },
+        Case {
+            name: "a small one, others are full, the permit is new",
+            size: Size::Small,
+            has_spare: false,
+            load: full,
+            chosen: None,
+        },
+        Case {
+            name: "a small one, others are full, the permit is spare",
+            size: Size::Small,
+            has_spare: true,
+            load: full,
+            chosen: Some(LIMITED),
+        },
+        Case {
+            name: "a large one",
+            size: Size::Large,
+            has_spare: false,
+            load: busy,
+            chosen: Some(LIMITED),
+        },
+        Case {
+            name: "a large one that may wait",
+            size: Size::LargeAwaitingPermit,
+            has_spare: false,
+            load: busy,
+            chosen: Some(LIMITED),
+        },
+    ];
+    let parts = [part(7, 1_000)];
+    for case in cases {
+        let balance = Balance::new(Config::default());
+        let candidate = |target, load, permits| CandidateLoad {
+            candidate: Candidate {
+                target: TargetId(target),
+                slots: SLOTS,
+                distance: Distance::Near,
+                prefers_light: false,
+            },
+            load,
+            permits,
+        };
+        let permits = Permits {
+            count: 1,
+            of_fleet: 8,
+            has_spare: case.has_spare,
+        };
+        let places = [
+            candidate(LIMITED, busy, Some(permits)),
+            candidate(UNLIMITED, case.load, None),
+        ];
+        let wanted = RequestProfile {
+            size: case.size,
+            ..profile(&parts, false)
+        };
+        let choice = balance.choose(NOW, wanted, places.iter());
+        let chosen = choice.map(|choice| choice.target.0);
+        assert_eq!(chosen, case.chosen, "{}", case.name);
+    }
+}
--- a/crates/core/src/balance/turns.rs
+++ b/crates/core/src/balance/turns.rs
@@ -175,7 +175,8 @@
                 (tokens, 0) => (left / tokens).max(1),
                 (tokens, _) => left / tokens,
             };
-            soon.min(u64::from(slots))
+            let permits = loaded.permits.map_or(u64::MAX, |permits| permits.of_fleet);
+            soon.min(u64::from(slots)).min(permits)
         };
         candidates.iter().map(capacity).sum()
     }
--- a/crates/core/src/limit/demand.rs
+++ b/crates/core/src/limit/demand.rs
@@ -21,8 +21,8 @@
     previous: u64,
     /// The prompt tokens of the last requests, the oldest first.
     sizes: VecDeque<u32>,
-    /// The prompt tokens from which a request counts as large.
-    large_from: u32,
+    /// The prompt tokens from which a request counts as large, if any does.
+    large_from: Option<u32>,
 }
 
 impl Demand {
@@ -66,13 +66,20 @@
         let small = sizes
             .len()
             .saturating_sub(usize::try_from(large).unwrap_or(usize::MAX));
-        arrivals.large_from = sizes.get(small).copied().unwrap_or(u32::MAX);
+        arrivals.large_from = sizes.get(small).copied();
+    }
+
+    /// Lets no request count as large until pools are divided again.
+    pub fn forget_sizes(&mut self) {
+        for arrivals in self.0.values_mut() {
+            arrivals.large_from = None;
+        }
     }
 
     /// Returns whether a prompt counts as large in its pool.
     pub fn is_large(&self, pool: PoolId, prompt_tokens: u32) -> bool {
-        let arrivals = self.0.get(&pool);
-        arrivals.is_some_and(|arrivals| prompt_tokens >= arrivals.large_from)
+        let from = self.0.get(&pool).and_then(|arrivals| arrivals.large_from);
+        from.is_some_and(|from| prompt_tokens >= from)
     }
 
     /// Drops the counts of pools that are unknown.
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -2,7 +2,7 @@
 
 use crate::input::StatedLimit;
 use crate::limit::message::LimitRow;
-use crate::limit::{Change, Limits, Meter, Part, RAISE_DELAY, Rate};
+use crate::limit::{Change, Demand, Limits, Meter, Part, RAISE_DELAY, Rate};
 use crate::prelude::*;
 
 const TARGET: TargetId = TargetId(5);
@@ -420,3 +420,29 @@
     );
     assert!(limits.limit(TARGET).is_some_and(|(_, part)| part < SEVEN));
 }
+
+/// Guards against requests of a pool without limits that count as large, and wait for a permit that never comes.
+#[test]
+fn only_as_many_requests_as_there_are_permits_count_as_large() {
+    const POOL: PoolId = PoolId(1);
+    let mut demand = Demand::default();
+    for number in 0..64 {
+        demand.on_arrival(
+            at(number * 10),
+            POOL,
+            100 * u32::try_from(number).expect("small"),
+        );
+    }
+    let large = |demand: &Demand| {
+        (0..64)
+            .filter(|size| demand.is_large(POOL, 100 * size))
+            .count()
+    };
+    assert_eq!(large(&demand), 0, "no limits");
+    demand.divide_by_size(at(640), POOL, Rate::from_millis(16_000));
+    assert_eq!(large(&demand), 16, "a quarter of what arrives");
+    demand.divide_by_size(at(640), POOL, Rate::from_millis(900_000));
+    assert_eq!(large(&demand), 64, "more than arrives");
+    demand.forget_sizes();
+    assert_eq!(large(&demand), 0, "no limits any more");
+}
--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -355,6 +355,7 @@
         self.running.add(pool, organisation, class);
         self.targets.on_dispatch(self.cx.now, target);
         self.cold_targets.on_dispatch(self.cx.now, target);
+        self.limits.on_dispatch(target);
         if let Some(prefix) = prefix {
             self.prefixes.store(target, prefix);
         }
--- a/crates/core/src/node/limit.rs
+++ b/crates/core/src/node/limit.rs
@@ -1,13 +1,34 @@
-//! The limits that targets state, and this router's part of them.
+//! The limits that targets state: this router's part of them, and the requests that they leave no
+//! room for.
 
 use std::collections::BTreeMap;
 
+use crate::balance::Size;
 use crate::input::{AnswerHead, StatedLimit};
 use crate::limit::message::{DemandRow, LimitRow};
 use crate::limit::{Change, Part, Rate};
 use crate::node::Node;
+use crate::node::request::Active;
 use crate::prelude::*;
 
+/// The part of its allowed wait for which a large request waits for a permit rather than taking a
+/// target without a limit, in hundredths.
+const PERMIT_WAIT_PERCENT: u32 = 50;
+
+/// The requests that a router may send to a pool whose targets all state limits.
+#[derive(Debug, Clone, Copy)]
+struct Room {
+    /// The sum of the router's parts.
+    rate: Rate,
+    /// The unused permits.
+    permits: u64,
+    /// How long it takes until there is a permit.
+    next_in: Duration,
+}
+
+/// The wait that is assumed, relative to what follows from the present parts, in hundredths.
+const WAIT_MARGIN_PERCENT: u32 = 150;
+
 impl Node {
     /// Processes the head of an answer.
     pub(super) fn on_answer_head(&mut self, attempt: AttemptId, head: AnswerHead) {
@@ -83,6 +104,7 @@
 
     /// Recomputes this router's part of each limit.
     pub(super) fn update_limits(&mut self) {
+        self.demand.forget_sizes();
         if self.limits.is_empty() {
             return;
         }
@@ -93,6 +115,8 @@
         let heard = (balance.reporting_peers(now) as u64 + 1).min(routers);
         self.limits
             .retain_known(|target| catalogue.target(target).is_some());
+        self.demand
+            .retain_known(|pool| catalogue.pool(pool).is_some());
         self.limits.update(now, |target| {
             let view = catalogue.target(target);
             let pool = view.and_then(|view| catalogue.pool_by_name(&view.entry.pool));
@@ -132,4 +156,67 @@
         }
         pools
     }
+
+    /// Returns how the size of a request compares with those of other requests of its pool.
+    pub(super) fn size(&self, active: &Active) -> Size {
+        let req = &active.req;
+        if !self.demand.is_large(req.pool, req.prompt_tokens) {
+            return Size::Small;
+        }
+        let waited = self.cx.now.since(active.arrived);
+        let wait = active.wait_until.since(active.arrived);
+        match waited < wait * PERMIT_WAIT_PERCENT / 100 {
+            true => Size::LargeAwaitingPermit,
+            false => Size::Large,
+        }
+    }
+
+    /// Returns the requests that this router may send to a pool if all targets that serve it state
+    /// limits.
+    fn limited_room(&self, pool: PoolId) -> Option<Room> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        let serving = self.catalogue.targets_of(pool);
+        let mut serving = serving.filter(|view| self.targets.serves(view));
+        let none = Room {
+            rate: Rate::default(),
+            permits: 0,
+            next_in: Duration::MAX,
+        };
+        serving.try_fold(none, |room, view| {
+            let (_, part) = self.limits.limit(view.id)?;
+            Some(Room {
+                rate: room.rate.saturating_add(part),
+                permits: room.permits + u64::from(self.limits.permits(view.id)?.count),
+                next_in: room.next_in.min(self.limits.next_in(view.id)?),
+            })
+        })
+    }
+
+    /// Returns how long another request of an organisation would wait for a pool whose targets all
+    /// state limits, if it shares them evenly with the other organisations that wait.
+    pub(super) fn limited_wait(
+        &self,
+        pool: PoolId,
+        organisation: OrganisationId,
+    ) -> Option<Duration> {
+        let room = self.limited_room(pool)?;
+        let (mut own, mut organisations, mut waiting) = (0, 1, 0);
+        for (other, lane) in self.queues.backlogged(pool) {
+            waiting += lane.len() as u64;
+            match other == organisation {
+                true => own = lane.len() as u64,
+                false => organisations += 1,
+            }
+        }
+        Some(match room.permits > waiting {
+            true => Duration::ZERO,
+            false => {
+                let wait = room.next_in + room.rate.time_for((own + 1) * organisations - 1);
+                // The part may shrink meanwhile.
+                wait * WAIT_MARGIN_PERCENT / 100
+            }
+        })
+    }
 }
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -97,6 +97,7 @@
         if self.targets_are_stale() || !self.is_scan_due(pool) {
             return;
         }
+        self.limits.advance(self.cx.now);
         let target_list = self.take_target_list(pool);
         self.dispatch_from(pool, &target_list);
         self.target_lists.insert(pool, target_list);
@@ -368,6 +369,12 @@
         let Some(max_wait) = self.max_wait(req) else {
             return Ok(());
         };
+        if local && let Some(wait) = self.limited_wait(req.pool, req.organisation) {
+            return match wait > max_wait {
+                true => Err(Refusal::not_run(Reason::QueueFull, Some(wait))),
+                false => Ok(()),
+            };
+        }
         // A few requests may always wait, since an organisation whose queue runs empty now and then
         // would lose its turns.
         if self.queues.waiting(req.organisation) < WAITING_ALWAYS_ALLOWED {
@@ -387,7 +394,10 @@
     ) -> Option<Choice> {
         let active = self.requests.get(&request)?;
         let constraints = active.retry_state.dispatch_constraints();
-        let wanted = RequestProfile::of(&active.req, waits_for_holder);
+        let wanted = RequestProfile {
+            size: self.size(active),
+            ..RequestProfile::of(&active.req, waits_for_holder)
+        };
         let now = self.cx.now;
         let is_preferred =
             |place: &&CandidateLoad| constraints.prefer == Some(place.candidate.target);
@@ -415,6 +425,7 @@
                 && usable(&view)
                 && !self.quarantine.is_reserved(now, view.id)
                 && self.cold_limit_allows(pool, view.id)
+                && self.limits.allows(view.id)
         };
         let open: Vec<Candidate> = target_list
             .targets
@@ -425,7 +436,19 @@
         let loads = self.balance.loads(now, open.iter().map(|it| it.target));
         let places = open.iter().zip(loads);
         places
-            .map(|(&candidate, load)| CandidateLoad { candidate, load })
+            .map(|(&candidate, load)| {
+                let permits = self.limits.permits(candidate.target);
+                // A limit suits large requests.
+                let prefers_light = candidate.prefers_light && permits.is_none();
+                CandidateLoad {
+                    candidate: Candidate {
+                        prefers_light,
+                        ..candidate
+                    },
+                    load,
+                    permits,
+                }
+            })
             .collect()
     }
 
@@ -469,12 +492,15 @@
         target: TargetId,
     ) {
         let now = self.cx.now;
-        let is_open =
-            self.cold_limit_allows(pool, target) && self.targets.wants_requests(now, target);
+        let permits = self.limits.permits(target);
+        let is_open = self.cold_limit_allows(pool, target)
+            && self.targets.wants_requests(now, target)
+            && self.limits.allows(target);
         candidates.retain(|place| is_open || place.candidate.target != target);
         for place in candidates {
             if place.candidate.target == target {
                 place.load = self.balance.load(now, target);
+                place.permits = permits;
             }
         }
     }
