Follow a stream from the position that its caller names

Cause: the position at which the caller stands was not part of what the order of events is checked by. A target that ignores that position and begins again was forwarded as well (55 of 55 pieces twice in the trace).

Sequence begins at the id that the caller names; an answer that begins at or before it is sent again elsewhere. Where nothing confirms the last of just two ids, and it is not the next number, the answer is not resumed after it.

--- a/crates/bulrushtrestled/src/traffic/hosted/drive.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/drive.rs
@@ -42,7 +42,7 @@
         hosted: &hosted,
         call: &call,
         arrived,
-        relay: Relay::new(reply),
+        relay: Relay::new(reply, call.info.resume_after),
         target_failure: None,
         plan: None,
         attempts: 0,
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -160,12 +160,14 @@
 }
 
 impl Relay {
-    pub(super) fn new(reply: Reply) -> Self {
+    /// Returns the state of an answer that has not begun. `asked_after` is the id after which the caller
+    /// asked a stream to go on.
+    pub(super) fn new(reply: Reply, asked_after: Option<u64>) -> Self {
         Self {
             reply: Some(reply),
             forwarded: Forwarded::Nothing,
             format: Format::default(),
-            sequence: Sequence::default(),
+            sequence: Sequence::asked_after(asked_after),
             started: Instant::now(),
             first_byte_after: None,
             connected_after: None,
--- a/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/sequence.rs
@@ -38,6 +38,8 @@
 /// The position of an answer in its events, across all attempts of the request.
 #[derive(Debug, Default)]
 pub(super) struct Sequence {
+    /// The id after which the caller asked the stream to go on, if it did.
+    asked_after: Option<u64>,
     /// The id of the first event that was forwarded and has one.
     first: Option<u64>,
     /// The id of the last event that was forwarded and has one.
@@ -57,6 +59,14 @@
 }
 
 impl Sequence {
+    /// Returns the position of an answer of which the caller has all events up to `asked_after`.
+    pub(super) fn asked_after(asked_after: Option<u64>) -> Self {
+        Self {
+            asked_after,
+            ..Self::default()
+        }
+    }
+
     /// Begins an attempt, which resumes the answer after [`delivered`](Self::delivered).
     pub(super) fn begin_attempt(&mut self) {
         self.resumed_from = self.last;
@@ -69,15 +79,30 @@
         self.last.unwrap_or(0)
     }
 
+    /// Returns the id of the last event that the caller has, from this answer or an earlier one.
+    fn position(&self) -> Option<u64> {
+        self.last.or(self.asked_after)
+    }
+
     /// Returns whether an answer that breaks off now may be resumed: the caller has received no event
-    /// without a position after the last one with an id.
-    pub(super) const fn is_resumable(&self) -> bool {
-        self.unnumbered == 0
+    /// without a position after the last one with an id, and that id is not in doubt.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.unnumbered == 0 && !self.is_second_doubtful()
+    }
+
+    /// Returns whether the last of just two ids may be spoilt: it is not the next number, and no other
+    /// step shows that ids increase by more than one.
+    fn is_second_doubtful(&self) -> bool {
+        let steps_by_one = self.first.and_then(|first| first.checked_add(1)) == self.last;
+        self.numbered == 2 && !steps_by_one
     }
 
-    /// Returns the first id that was forwarded if no other event has confirmed it.
+    /// Returns the first id that was forwarded if neither another event nor what the caller asked for
+    /// has confirmed it.
     pub(super) fn unconfirmed_first(&self) -> Option<u64> {
-        self.first.filter(|_| self.numbered == 1)
+        let due = self.asked_after.and_then(|after| after.checked_add(1));
+        let first = self.first.filter(|_| self.numbered == 1);
+        first.filter(|&first| due != Some(first))
     }
 
     /// Returns the first id that was forwarded if other events have confirmed it.
@@ -111,7 +136,7 @@
             }
             self.release(batch);
         }
-        if let Some(last) = self.last.filter(|&last| id <= last) {
+        if let Some(last) = self.position().filter(|&last| id <= last) {
             return Err(self.out_of_order(Some(id), last));
         }
         if self.is_jump(id) {
@@ -149,7 +174,7 @@
     /// Returns whether an id is further ahead than any step before allows.
     fn is_jump(&self, id: u64) -> bool {
         let events = self.unnumbered.saturating_add(1);
-        let step = id.saturating_sub(self.delivered());
+        let step = id.saturating_sub(self.position().unwrap_or(0));
         self.step_max
             .is_some_and(|step_max| step > step_max.saturating_mul(events))
     }
@@ -166,7 +191,7 @@
             self.unnumbered += u64::from(!event.is_end && !event.is_comment);
             return;
         };
-        let step = id.saturating_sub(self.delivered()) / (self.unnumbered + 1);
+        let step = id.saturating_sub(self.position().unwrap_or(0)) / (self.unnumbered + 1);
         self.step_max = match self.numbered {
             // The first id shows the step only until two ids do.
             0 | 1 => Some(step.max(1)),
@@ -180,9 +205,9 @@
     }
 
     /// Returns the error for an event. Its own id or the one before may be wrong; the latter was
-    /// confirmed by the steps before, unless it is the only one.
+    /// confirmed by the steps before, unless it is the only one of this answer.
     fn out_of_order(&self, id: Option<u64>, after: u64) -> OutOfOrder {
-        let is_confirmed = self.numbered > 1 || !self.held.is_empty();
+        let is_confirmed = self.numbered != 1 || !self.held.is_empty();
         OutOfOrder {
             id,
             after,
--- a/crates/bulrushtrestled/src/traffic/hosted/tests.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/tests.rs
@@ -176,6 +176,13 @@
             Outcome::Resumable(3),
         ),
         case("an id twice", "1 2 2 3", "1 2", Outcome::Resumable(2)),
+        case(
+            "the second id jumps, the first is large",
+            "51 92 53",
+            "51 92",
+            Outcome::Final,
+        ),
+        case("ids by two", "2 4 6 1", "2 4 6", Outcome::Resumable(6)),
         case("the first id jumps", "9 2 3 4", "9", Outcome::Final),
         case(
             "the second id jumps",
@@ -461,3 +468,41 @@
         }
     }
 }
+
+/// Guards against a stream that lacks pieces because its caller asked it to go on after an id, and the router knows nothing of
+/// that position.
+#[test]
+fn the_events_of_a_stream_that_a_caller_resumes_follow_the_id_that_it_names() {
+    struct Case {
+        name: &'static str,
+        events: &'static str,
+        forwarded: &'static str,
+        outcome: Outcome,
+    }
+    let case = |name, events, forwarded, outcome| Case {
+        name,
+        events,
+        forwarded,
+        outcome,
+    };
+    let cases = [
+        case("sound", "51 52 53", "51 52 53", Outcome::Complete),
+        case(
+            "the second id jumps",
+            "51 92 53",
+            "51",
+            Outcome::Resumable(51),
+        ),
+        // Nothing was forwarded, so that the request is sent again as the caller sent it.
+        case("from the beginning", "1 2 3", "", Outcome::Resumable(0)),
+        case("the last event again", "50 51", "", Outcome::Resumable(0)),
+    ];
+    for case in cases {
+        let mut sequence = Sequence::asked_after(Some(50));
+        let (forwarded, outcome) = push_all(&mut sequence, case.events);
+        assert_eq!(forwarded, case.forwarded, "{}", case.name);
+        assert_eq!(outcome, case.outcome, "{}", case.name);
+        assert!(sequence.is_resumable(), "{}", case.name);
+        assert_eq!(sequence.unconfirmed_first(), None, "{}", case.name);
+    }
+}
