Never send an engine's rejection into an answer that has its opening event

Cause: whether the answer has begun was read from the number of its tokens. It is asked whether the stream has begun.

No test shows the fault: the stand-in engine sends no opening event; to be added.

--- a/crates/bulrushtrestled/src/traffic/chat.rs
+++ b/crates/bulrushtrestled/src/traffic/chat.rs
@@ -38,6 +38,8 @@
     collected: Option<Collected>,
     /// Whether the beginning of a stream was sent to the caller.
     is_streaming: bool,
+    /// Whether an earlier attempt sent the beginning of the answer.
+    has_opened: bool,
 }
 
 /// An answer that is collected for a caller that did not ask for a stream.
@@ -114,6 +116,7 @@
             delivered: 0,
             collected: (!stream).then(Collected::default),
             is_streaming: false,
+            has_opened: false,
         }
     }
 
@@ -137,10 +140,11 @@
     }
 
     async fn stream(&mut self, attempt: &Attempt<'_>, reply: &mut Reply) -> Result<(), Ended> {
+        self.has_opened = self.is_streaming || self.delivered > 0;
         let answer = attempt.send(self.delivered).await?;
         let (head, mut body) = answer.into_parts();
         if !head.status.is_success() {
-            if self.delivered > 0 {
+            if self.has_opened {
                 return Err(not_resumed(attempt));
             }
             // The engine rejected the request. Its response is the complete answer.
@@ -225,7 +229,7 @@
                 return;
             }
             result.delivered = id;
-        } else if resumed_from > 0 && result.delivered == resumed_from {
+        } else if self.has_opened && result.delivered == resumed_from {
             // The caller received the opening event, which has no number, in an earlier attempt.
             return;
         }
