Lift a limit when the first peer reports its end

A report of the same does not begin the wait again. limit::tests::reports_of_several_peers_do_not_delay_the_end_of_a_limit fails before.

--- a/crates/core/src/limit/state.rs
+++ b/crates/core/src/limit/state.rs
@@ -114,7 +114,13 @@
             (Some(known), Some(limit)) if limit <= known.limit => {
                 self.set(now, row.target, limit);
             }
-            (Some(known), limit) => known.raise = Some((now + RAISE_DELAY, limit)),
+            (Some(known), limit) => {
+                // Several peers report the same; the first report counts.
+                let is_known = known.raise.is_some_and(|(_, raise)| raise == limit);
+                if !is_known {
+                    known.raise = Some((now + RAISE_DELAY, limit));
+                }
+            }
         }
     }
 
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -446,3 +446,19 @@
     demand.forget_sizes();
     assert_eq!(large(&demand), 0, "no limits any more");
 }
+
+/// Guards against a limit that stays in force because one peer after the other reports its end.
+#[test]
+fn reports_of_several_peers_do_not_delay_the_end_of_a_limit() {
+    let mut limits = limits();
+    limits.on_statement(NOW, TARGET, NOW, StatedLimit::PerSecond(SEVEN));
+    let row = LimitRow {
+        target: TARGET,
+        limit: None,
+    };
+    for millis in (100..=600).step_by(100) {
+        limits.on_peer_statement(at(millis), row);
+        limits.update(at(millis), |_| ALL);
+    }
+    assert_eq!(known(&limits), None);
+}
