--- a/crates/bulrushtrestled/tests/ends.rs
+++ b/crates/bulrushtrestled/tests/ends.rs
@@ -172,7 +172,6 @@
                     end.clone(),
                 ];
             }
-            // The router sends the request again once an equal one has shown that it crashes no target.
             let mut steps = vec![Step::Wait(Duration::from_millis(500))];
             steps.extend(whole(received, &sent_whole));
             steps
@@ -416,7 +415,6 @@
                 sent.push_str(&events([0]));
             }
             None => {
-                // The router resumes a stream once an equal one has shown that the request crashes no target.
                 steps.push(Step::Wait(Duration::from_millis(500)));
                 sent.push_str(&chunk("id: 0\ndata: another run\n\n"));
                 sent.push_str(&chunk("id: 1\ndata: another run\n\n"));
