--- a/crates/core/tests/broken_off.rs
+++ b/crates/core/tests/broken_off.rs
@@ -105,34 +105,55 @@
     LostAnswers,
 }
 
+/// A request that breaks off, and what else its targets bear.
+struct GoesOn {
+    name: &'static str,
+    breaks: Breaks,
+    targets: u32,
+    rate: usize,
+    attempts_max: u32,
+}
+
+impl GoesOn {
+    const fn new(name: &'static str, breaks: Breaks, targets: u32, rate: usize) -> Self {
+        Self {
+            name,
+            breaks,
+            targets,
+            rate,
+            attempts_max: 2,
+        }
+    }
+}
+
 /// Guards against a request that may be repeated and waits for its deadline because its answer broke off once.
 #[test]
 fn a_request_that_broke_off_goes_on_at_another_target() {
-    struct Case {
-        name: &'static str,
-        breaks: Breaks,
-        targets: u32,
-        rate: usize,
-        attempts_max: u32,
-    }
-    let case = |name, breaks, targets, rate| Case {
-        name,
-        breaks,
-        targets,
-        rate,
-        attempts_max: 2,
-    };
-    let cases = [
-        case("the target goes on", Breaks::LostAnswer, 6, 400),
-        case("the target serves nobody else", Breaks::LostAnswer, 6, 0),
-        case("the target begins a new run", Breaks::Crash, 6, 400),
-        case("a rack crashes at once", Breaks::Rack(4), 12, 1_000),
-        case("two crash at once", Breaks::Rack(2), 12, 0),
-        Case {
+    assert_goes_on([
+        GoesOn::new("the target goes on", Breaks::LostAnswer, 6, 400),
+        GoesOn::new("the target serves nobody else", Breaks::LostAnswer, 6, 0),
+        GoesOn::new("the target begins a new run", Breaks::Crash, 6, 400),
+        GoesOn::new("two crash at once", Breaks::Rack(2), 12, 0),
+        GoesOn {
             attempts_max: 3,
-            ..case("two targets go on", Breaks::LostAnswers, 6, 400)
+            ..GoesOn::new("two targets go on", Breaks::LostAnswers, 6, 400)
         },
-    ];
+    ]);
+}
+
+/// Guards against a request that may be repeated and uses up its attempts on refused connections, because a rack of targets
+/// crashed at once.
+#[test]
+fn a_request_goes_on_although_a_rack_of_targets_crashes() {
+    assert_goes_on([GoesOn::new(
+        "a rack crashes at once",
+        Breaks::Rack(4),
+        12,
+        1_000,
+    )]);
+}
+
+fn assert_goes_on(cases: impl IntoIterator<Item = GoesOn>) {
     for case in cases {
         let mut world = World::new(case.targets, case.rate);
         let all = world.fleet.targets_listed();
