--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -59,6 +59,7 @@
             }
             Output::Count(counter) => self.metrics.count(counter),
             Output::Notice(notice) => self.event_log.notice(&notice),
+            Output::DutyRead { .. } | Output::DutyRecord { .. } | Output::DutyCall(_) => {}
             Output::Stopped => {
                 self.stopped.send_replace(true);
             }
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -4,6 +4,7 @@
 
 use crate::catalogue::Scope;
 use crate::catalogue::entry::{Entry, Kind};
+use crate::duty::{DutyEvent, DutyResult};
 use crate::feed::{Record, Topic};
 use crate::key::{AppendId, AttemptId, Fingerprint, Offset, RequestId, RouterId, TargetId};
 use crate::limit::Rate;
@@ -49,6 +50,10 @@
     Cache(TargetId, Vec<CacheEvent>),
     /// A target answered an order, or the order timed out.
     Ordered(TargetId, OrderEvent),
+    /// The topic of the duties was read or appended to.
+    Duty(DutyEvent),
+    /// A call of a duty was answered, or timed out. The number is that of the call.
+    DutyAnswer(u64, DutyResult),
     /// The time requested by an earlier [`Output::Wake`](crate::output::Output::Wake) was reached.
     Timer,
     /// An operator allows a part of prompts again that is barred because it crashed targets.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -63,6 +63,7 @@
 //!   task, which routers are live, and which router addresses callers should use.
 //! - [`share`], [`queue`], [`slots`]: the fair order of organisations, the waiting requests, and
 //!   which router may use which slots of a target.
+//! - [`duty`]: calls of the platform that one router at a time makes for the fleet.
 //! - [`target`], [`route`], [`version`]: the capacity of each target, the choice of a target, and
 //!   the moves of traffic between versions.
 //! - [`balance`], [`cold_start`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
@@ -90,6 +91,7 @@
 pub mod context;
 pub mod cost;
 pub mod counter;
+pub mod duty;
 pub mod feed;
 pub mod input;
 pub mod key;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use crate::balance::message::{FleetPart, LoadPart};
 use crate::catalogue::message::CataloguePart;
+use crate::duty::message::DutyPart;
 use crate::feed::message::FeedPart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
@@ -58,6 +59,8 @@
     Feed(FeedPart),
     /// Parts of prompts that crash targets.
     Poison(PoisonPart),
+    /// Who holds the lease on the duties.
+    Duty(DutyPart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod config;
 mod dispatch;
+mod duty;
 mod feed;
 mod freshness;
 mod limit;
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -221,6 +221,8 @@
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
             Input::Timer => {}
+            Input::Duty(event) => self.on_duty(event),
+            Input::DutyAnswer(call, result) => self.on_duty_answer(call, result),
             Input::LiftBar(content) => self.lift_bar(content),
             Input::Stop { deadline } => self.on_stop(deadline),
         }
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use crate::counter::Counter;
+use crate::duty::DutyCall;
 use crate::feed::{Record, Topic};
 use crate::key::{AppendId, AttemptId, Fence, Offset, RequestId, RouterId, TargetId};
 use crate::time::Time;
@@ -79,6 +80,28 @@
         /// The peer from which this is known. `None` if this router read the topic.
         from: Option<RouterId>,
     },
+    /// Read the topic of the duties. The answer returns as
+    /// [`Input::Duty`](crate::input::Input::Duty).
+    DutyRead {
+        /// The offset from which to read; `None` reads the newest records of all keys.
+        from: Option<Offset>,
+        /// For how long the store may hold the answer back if there is no record.
+        wait: Duration,
+    },
+    /// Append a record to the topic of the duties. The answer returns as
+    /// [`Input::Duty`](crate::input::Input::Duty).
+    DutyRecord {
+        /// The record's key.
+        key: String,
+        /// The record's value.
+        value: Vec<u8>,
+        /// If given, the record is appended only if the topic ends at this offset.
+        at: Option<Offset>,
+    },
+    /// Call the platform's control endpoint, unless the time from which the call must not be
+    /// started any more has passed. The answer returns as
+    /// [`Input::DutyAnswer`](crate::input::Input::DutyAnswer).
+    DutyCall(DutyCall),
     /// All work is finished after [`Input::Stop`](crate::input::Input::Stop); the process may exit.
     Stopped,
 }
