Holder of the duties: lease, fencing number and calls (no tests yet)

Cause: some calls of the platform may be made by one router at a time. Change: core::duty and its path through the node; off unless the configuration holds it.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -94,4 +94,20 @@
     PartCleared = "part_cleared";
     /// A permit was received to try a part of prompts whose bar has run out.
     PartTried = "part_tried";
+    /// The lease on the duties was acquired.
+    DutyClaimed = "duty_claimed";
+    /// The lease on the duties was renewed.
+    DutyRenewed = "duty_renewed";
+    /// The lease on the duties was lost or lapsed.
+    DutyLost = "duty_lost";
+    /// The control endpoint accepted a call.
+    DutyAccepted = "duty_accepted";
+    /// The control endpoint refused a call because it has seen a higher fencing number.
+    DutyFenced = "duty_fenced";
+    /// The control endpoint asked for fewer calls.
+    DutyThrottled = "duty_throttled";
+    /// The control endpoint refused the content of a call.
+    DutyRefused = "duty_refused";
+    /// A call of the control endpoint got no usable answer.
+    DutyUnknown = "duty_unknown";
 }
--- a/crates/core/src/duty/message.rs
+++ b/crates/core/src/duty/message.rs
@@ -142,6 +142,18 @@
     pub sent: Time,
 }
 
+impl HolderRecord {
+    /// Encodes the record's value, as text that operators can read.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("records hold no maps with keys other than strings")
+    }
+
+    /// Decodes a record's value. Returns `None` if it is not such a record.
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        serde_json::from_slice(value).ok()
+    }
+}
+
 /// Who holds the lease, as far as the sender knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyPart {
--- /dev/null
+++ b/crates/core/src/duty/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the lease on duties.
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 use crate::version;
 use crate::{
-    address, attempt, balance, feed, lease, membership, once, poison, quarantine, queue, share,
+    address, attempt, balance, duty, feed, lease, membership, once, poison, quarantine, queue, share,
     slots, target,
 };
 
@@ -51,6 +51,8 @@
     pub balance: balance::Config,
     /// Settings of passing on the store's records.
     pub feed: feed::Config,
+    /// Settings of the duties, if the deployment has any. Default: none.
+    pub duty: Option<duty::Config>,
 }
 
 /// Where the catalogue is kept.
@@ -117,6 +119,7 @@
             version: version::Config::default(),
             balance: balance::Config::default(),
             feed: feed::Config::default(),
+            duty: None,
         }
     }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -11,10 +11,12 @@
 use crate::cold_start::ColdTargets;
 use crate::feed::Feed;
 use crate::input::{AttemptEvent, Input, StoreChange};
+use crate::duty::Duties;
 use crate::lease::Leases;
 use crate::limit::{Demand, Limits};
 use crate::membership::Members;
 use crate::node::attempt::Attempt;
+use crate::node::duty::DutyState;
 use crate::node::freshness::CatchUp;
 use crate::node::local_dispatch::TargetList;
 use crate::node::log::Reader;
@@ -110,6 +112,8 @@
     pub(super) sums_readers: BTreeSet<RouterId>,
     pub(super) relays: Relays,
     pub(super) feed: Feed,
+    /// The duties, if the deployment has any.
+    pub(super) duty: Option<DutyState>,
     pub(super) flush_all: bool,
     pub(super) started: Time,
     pub(super) was_ready: bool,
@@ -180,6 +184,10 @@
             sums_readers: BTreeSet::new(),
             relays: Relays::default(),
             feed: Feed::new(cfg.feed.clone()),
+            duty: cfg
+                .duty
+                .clone()
+                .map(|duty| DutyState::new(Duties::new(duty))),
             flush_all: false,
             started: now,
             was_ready: false,
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -36,9 +36,11 @@
             .on_time(&mut self.cx, &self.catalogue, &self.members);
         self.follow_moves();
         self.renew_turns_if_due();
+        self.advance_duties();
         if self.cx.now >= self.next_frame {
             self.next_frame = self.cx.now + self.members.period();
             self.send_heartbeats();
+            self.send_duty_parts();
             self.report_service();
             self.renew_slots();
             self.flush_all = true;
