--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -51,6 +51,9 @@
     Ordered(TargetId, OrderEvent),
     /// The time requested by an earlier [`Output::Wake`](crate::output::Output::Wake) was reached.
     Timer,
+    /// The wall clock of this router was read. Passed about once a second, and only in deployments
+    /// with duties.
+    WallClock(Time),
     /// An operator allows a part of prompts again that is barred because it crashed targets.
     LiftBar(Fingerprint),
     /// The process was asked to stop.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod context;
 pub mod cost;
 pub mod counter;
+pub mod duty;
 pub mod feed;
 pub mod input;
 pub mod key;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -28,6 +28,7 @@
 #[cfg(test)]
 mod tests;
 mod timer;
+mod usage;
 mod version;
 
 pub use self::config::{CatalogueSource, Config, LogConfig};
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -221,6 +221,7 @@
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
             Input::Timer => {}
+            Input::WallClock(time) => self.on_wall_clock(time),
             Input::LiftBar(content) => self.lift_bar(content),
             Input::Stop { deadline } => self.on_stop(deadline),
         }
