--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -711,6 +711,7 @@
                 .output_tokens_hint
                 .unwrap_or(call.head.output_tokens_max),
             body_bytes: call.body_bytes,
+            is_resumed: call.head.resume_after.is_some(),
         },
     }
 }
--- a/crates/bulrushtrestled/src/logging.rs
+++ b/crates/bulrushtrestled/src/logging.rs
@@ -217,6 +217,8 @@
         NoticeKind::Target => "target",
         NoticeKind::Version => "version",
         NoticeKind::Lease => "lease",
+        NoticeKind::Usage => "usage",
+        NoticeKind::Scale => "scale",
         NoticeKind::Quarantine => "quarantine",
         NoticeKind::Stop => "stop",
     }
--- /dev/null
+++ b/crates/core/src/autoscale/mod.rs
@@ -0,0 +1,1 @@
+//! Autoscale: how many targets a pool needs in each data centre.
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -92,6 +92,12 @@
     PartBarred = "part_barred";
     /// A part of prompts is not barred any more.
     PartCleared = "part_cleared";
+    /// A window of usage was closed: its counts are final.
+    UsageClosed = "usage_closed";
+    /// A window of usage was not reported.
+    UsageLeftOut = "usage_left_out";
+    /// The number of a pool's targets was ordered in a data centre.
+    ScaleOrdered = "scale_ordered";
     /// A permit was received to try a part of prompts whose bar has run out.
     PartTried = "part_tried";
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,6 +68,8 @@
 //! - [`balance`], [`cold_start`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
 //!   where routers decide on their own and no owner grants slots, how their figures travel in a large
 //!   fleet, and how the records of a store do.
+//! - [`usage`], [`autoscale`]: how many requests of each organisation began, and how many targets a
+//!   pool needs, for the one router that reports it to the platform.
 //! - [`attempt`], [`once`], [`quarantine`]: the retries of one request, requests that run at most
 //!   once, and requests that crash targets.
 //!
@@ -84,13 +86,13 @@
 pub mod address;
 mod ascending;
 pub mod attempt;
+pub mod autoscale;
 pub mod balance;
 pub mod catalogue;
 pub mod cold_start;
 pub mod context;
 pub mod cost;
 pub mod counter;
-pub mod duty;
 pub mod feed;
 pub mod input;
 pub mod key;
@@ -113,5 +115,6 @@
 pub mod slots;
 pub mod target;
 pub mod time;
+pub mod usage;
 pub mod verdict;
 pub mod version;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -14,6 +14,7 @@
 use crate::share::message::SharePart;
 use crate::slots::message::SlotsPart;
 use crate::target::message::TargetPart;
+use crate::usage::message::UsagePart;
 use crate::version::message::VersionPart;
 
 /// The size of the largest accepted frame, in bytes.
@@ -58,6 +59,8 @@
     Feed(FeedPart),
     /// Parts of prompts that crash targets.
     Poison(PoisonPart),
+    /// The sender's requests by window and organisation, for the holder of the duties.
+    Usage(UsagePart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -162,14 +162,14 @@
         let Some(attempt) = self.attempts.get_mut(&attempt) else {
             return;
         };
-        let target = attempt.target;
+        let (target, request) = (attempt.target, attempt.request);
         self.last_received.insert(target, now);
         let unstarted = matches!(attempt.flow, Flow::Pending | Flow::Late);
         if unstarted && shows_start(event) {
             attempt.flow = Flow::Started(now);
             let unread = core::mem::take(&mut attempt.unread);
-            self.balance.on_read(target, unread);
             let after = now.since(attempt.sent);
+            self.balance.on_read(target, unread);
             self.targets
                 .on_signal(&mut self.cx, target, Signal::Started { after });
         }
@@ -195,6 +195,9 @@
             }
             self.targets.on_signal(&mut self.cx, target, sign);
         }
+        if unstarted && shows_start(event) {
+            self.count_begin(request);
+        }
     }
 
     /// Removes an attempt, frees the slot and the charges that it holds, and returns it.
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -4,7 +4,7 @@
 use crate::version;
 use crate::{
     address, attempt, balance, feed, lease, membership, once, poison, quarantine, queue, share,
-    slots, target,
+    slots, target, usage,
 };
 
 /// The settings of a node. Every component has its own settings, with all defaults stated.
@@ -51,6 +51,9 @@
     pub balance: balance::Config,
     /// Settings of passing on the store's records.
     pub feed: feed::Config,
+    /// Settings of reports of usage and of scaling orders. `None` in deployments without either:
+    /// nothing is counted, sent or decided then. Default: `None`.
+    pub usage: Option<usage::Config>,
 }
 
 /// Where the catalogue is kept.
@@ -117,6 +120,7 @@
             version: version::Config::default(),
             balance: balance::Config::default(),
             feed: feed::Config::default(),
+            usage: None,
         }
     }
 }
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -21,6 +21,8 @@
     pub(super) wait_until: Time,
     pub(super) stage: Stage,
     pub(super) retry_state: RetryState,
+    /// Whether an answer began, here or at the router whose stream the request resumes.
+    pub(super) has_begun: bool,
 }
 
 /// The stage of a request in the node.
@@ -36,10 +38,13 @@
 
 impl Node {
     pub(super) fn on_request(&mut self, req: Request) {
-        let id = req.id;
+        let (id, pool) = (req.id, req.pool);
         match self.admit(req) {
             Ok(()) => self.cx.count(Counter::Accepted),
-            Err(refusal) => self.refuse(id, refusal),
+            Err(refusal) => {
+                self.count_refusal(pool, refusal.reason);
+                self.refuse(id, refusal);
+            }
         }
     }
 
@@ -92,6 +97,7 @@
                 .map(|refusal| refusal.verdict);
             let verdict = unclaimed.unwrap_or(active.retry_state.verdict());
             self.queues.remove(pool, organisation, request);
+            self.count_refusal(pool, reason);
             let refusal = Refusal {
                 verdict,
                 reason,
@@ -169,6 +175,7 @@
             deadline,
             stage: Stage::Claiming,
             retry_state: RetryState::new(req.repeat),
+            has_begun: req.details.is_resumed,
             req,
         };
         let id = active.req.id;
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -20,6 +20,7 @@
 use crate::node::log::Reader;
 use crate::node::request::Active;
 use crate::node::stop::Stopping;
+use crate::node::usage::Reporting;
 use crate::node::{CatalogueSource, Config};
 use crate::once::Once;
 use crate::output::Output;
@@ -110,6 +111,8 @@
     pub(super) sums_readers: BTreeSet<RouterId>,
     pub(super) relays: Relays,
     pub(super) feed: Feed,
+    /// The counts for the duties; `None` in a deployment without them.
+    pub(super) reporting: Option<Reporting>,
     pub(super) flush_all: bool,
     pub(super) started: Time,
     pub(super) was_ready: bool,
@@ -180,6 +183,7 @@
             sums_readers: BTreeSet::new(),
             relays: Relays::default(),
             feed: Feed::new(cfg.feed.clone()),
+            reporting: cfg.usage.clone().map(|cfg| Reporting::new(now, cfg)),
             flush_all: false,
             started: now,
             was_ready: false,
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -26,6 +26,7 @@
             self.remove_lapsed();
             self.advance_suspects();
             self.advance_poison();
+            self.report_usage_if_due();
             self.finish_stop();
             if self.members.has_unsent_rows() {
                 self.next_frame = self.cx.now;
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -213,6 +213,10 @@
     Version,
     /// A lease was acquired or lost.
     Lease,
+    /// A window of usage was closed or left out.
+    Usage,
+    /// The number of a pool's targets was ordered.
+    Scale,
     /// A request was quarantined.
     Quarantine,
     /// The router is stopping.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -80,6 +80,8 @@
     /// When the request arrived, if that was before the node received it. The time in between
     /// counts as waiting time.
     pub arrived: Option<Time>,
+    /// Whether the request continues a stream of which the caller has received a part.
+    pub is_resumed: bool,
 }
 
 /// A request that arrived at this router.
--- /dev/null
+++ b/crates/core/src/usage/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the reports of usage.
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -1004,6 +1004,7 @@
                 output_tokens: 10,
                 body_bytes: 10_000,
                 arrived: Some(self.now - before),
+                is_resumed: false,
             },
         }
     }
