--- a/crates/core/src/duty/mod.rs
+++ b/crates/core/src/duty/mod.rs
@@ -33,6 +33,3 @@
 
 /// The key of the record that holds the lease.
 pub const HOLDER: &str = "holder";
-
-/// The key of the record that holds the last reports of usage.
-pub const USAGE: &str = "usage";
--- a/crates/core/src/duty/state.rs
+++ b/crates/core/src/duty/state.rs
@@ -245,9 +245,7 @@
         self.end = None;
         self.next_read = cx.now;
         // A holder of the former era may act until its term ends, and its record may be gone.
-        self.lapses = self
-            .lapses
-            .max(cx.now + self.cfg.term + self.cfg.margin);
+        self.lapses = self.lapses.max(cx.now + self.cfg.term + self.cfg.margin);
         let held = self.own.map_or(0, |own| own.fence.0);
         cx.notice(
             NoticeKind::Lease,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -15,6 +15,7 @@
 use crate::share::message::SharePart;
 use crate::slots::message::SlotsPart;
 use crate::target::message::TargetPart;
+use crate::usage::message::UsagePart;
 use crate::version::message::VersionPart;
 
 /// The size of the largest accepted frame, in bytes.
@@ -61,6 +62,8 @@
     Poison(PoisonPart),
     /// Who holds the lease on the duties.
     Duty(DutyPart),
+    /// The sender's requests by window and organisation, for the holder of the duties.
+    Usage(UsagePart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/config.rs
+++ b/crates/core/src/node/config.rs
@@ -3,8 +3,8 @@
 use crate::prelude::*;
 use crate::version;
 use crate::{
-    address, attempt, balance, duty, feed, lease, membership, once, poison, quarantine, queue, share,
-    slots, target,
+    address, attempt, balance, duty, feed, lease, membership, once, poison, quarantine, queue,
+    share, slots, target, usage,
 };
 
 /// The settings of a node. Every component has its own settings, with all defaults stated.
@@ -53,6 +53,9 @@
     pub feed: feed::Config,
     /// Settings of the duties, if the deployment has any. Default: none.
     pub duty: Option<duty::Config>,
+    /// Settings of reports of usage and of scaling orders. `None` in deployments without either:
+    /// nothing is counted, sent or decided then. Default: `None`.
+    pub usage: Option<usage::Config>,
 }
 
 /// Where the catalogue is kept.
@@ -120,6 +123,7 @@
             balance: balance::Config::default(),
             feed: feed::Config::default(),
             duty: None,
+            usage: None,
         }
     }
 }
--- a/crates/core/src/node/duty.rs
+++ b/crates/core/src/node/duty.rs
@@ -3,11 +3,12 @@
 use core::cmp::Reverse;
 use std::collections::BTreeSet;
 
-use crate::duty::{Duties, DutyEvent, DutyOrder, DutyPart, DutyResult, Standing, USAGE};
+use crate::duty::{Duties, DutyEvent, DutyOrder, DutyPart, DutyResult, Standing};
 use crate::membership::message::Condition;
 use crate::membership::ranking;
 use crate::node::Node;
 use crate::prelude::*;
+use crate::usage::RECORD_KEY;
 
 /// How many routers follow the lease, so that one claims it if its holder is gone. With three, the loss
 /// of two at once leaves one that has read the topic.
@@ -60,7 +61,7 @@
         let records = duty.duties.on_event(&mut self.cx, event);
         self.tell_usage_of_era();
         for (key, value) in records {
-            if key == USAGE {
+            if key == RECORD_KEY {
                 self.on_usage_record(&value);
             }
         }
@@ -130,7 +131,7 @@
             return;
         };
         if let Some(value) = value {
-            duty.duties.write(&mut self.cx, USAGE, value);
+            duty.duties.write(&mut self.cx, RECORD_KEY, value);
         }
         for order in orders {
             duty.duties.send(order);
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -114,6 +114,7 @@
             Part::Feed(part) => self.on_feed_part(from, part),
             Part::Poison(part) => self.on_poison_part(from, part),
             Part::Duty(part) => self.on_duty_part(part),
+            Part::Usage(part) => self.on_usage_part(from, run, part),
         }
     }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -9,9 +9,9 @@
 use crate::balance::Balance;
 use crate::catalogue::Catalogue;
 use crate::cold_start::ColdTargets;
+use crate::duty::Duties;
 use crate::feed::Feed;
 use crate::input::{AttemptEvent, Input, StoreChange};
-use crate::duty::Duties;
 use crate::lease::Leases;
 use crate::limit::{Demand, Limits};
 use crate::membership::Members;
@@ -22,6 +22,7 @@
 use crate::node::log::Reader;
 use crate::node::request::Active;
 use crate::node::stop::Stopping;
+use crate::node::usage::Reporting;
 use crate::node::{CatalogueSource, Config};
 use crate::once::Once;
 use crate::output::Output;
@@ -114,6 +115,8 @@
     pub(super) feed: Feed,
     /// The duties, if the deployment has any.
     pub(super) duty: Option<DutyState>,
+    /// The counts for the duties; `None` in a deployment without them.
+    pub(super) reporting: Option<Reporting>,
     pub(super) flush_all: bool,
     pub(super) started: Time,
     pub(super) was_ready: bool,
@@ -188,6 +191,7 @@
                 .duty
                 .clone()
                 .map(|duty| DutyState::new(Duties::new(duty))),
+            reporting: cfg.usage.clone().map(|cfg| Reporting::new(now, cfg)),
             flush_all: false,
             started: now,
             was_ready: false,
@@ -231,6 +235,7 @@
             Input::Timer => {}
             Input::Duty(event) => self.on_duty(event),
             Input::DutyAnswer(call, result) => self.on_duty_answer(call, result),
+            Input::WallClock(time) => self.on_wall_clock(time),
             Input::LiftBar(content) => self.lift_bar(content),
             Input::Stop { deadline } => self.on_stop(deadline),
         }
