Store client states the era of each answer

Cause: a store restored from an older copy gives out offsets again, and nothing read the header that says so.

Change: an Offset holds the era in its highest 24 bits, so that offsets of a later era follow those of an earlier one and era 0 is as before. `Input::StoreEra(u64)` and `Output::StoreEra(u64)` tell the node and the embedding when it rises. No call is added.

Tests of the other crates not run yet.

--- a/crates/bulrushtrestled/src/control/follow.rs
+++ b/crates/bulrushtrestled/src/control/follow.rs
@@ -19,7 +19,7 @@
 use crate::control::LATE_MAX;
 use crate::control::gate::Gate;
 use crate::metrics::{Edge, Metrics};
-use crate::platform::{CALL_TIMEOUT, Store, StoreError};
+use crate::platform::{Answered, CALL_TIMEOUT, Store, StoreError};
 
 /// The delay before a failed call of the store is retried. Reads double it with each failure in a
 /// row, up to the longest, because a store that turns routers away is relieved by none of their calls.
@@ -106,6 +106,8 @@
     /// A read failed and will be retried. True if the failure was detected in time. Otherwise this
     /// process was delayed, and the failure is no evidence about the store.
     Failed(Topic, bool),
+    /// The store answered in this era, which is higher than that of the topic's last answer.
+    Era(u64),
     /// The newest statuses of all rollouts, as of the time or later.
     Statuses(Vec<Record>, Time),
 }
@@ -130,6 +132,7 @@
         asked: clock.now(),
         failures: 0,
         has_read: false,
+        era: 0,
     };
     while !follower.events.is_closed() {
         if let Err(error) = follower.run().await {
@@ -153,6 +156,8 @@
     failures: u32,
     /// Whether the newest records were read once.
     has_read: bool,
+    /// The era of the last answer.
+    era: u64,
 }
 
 impl Follower {
@@ -168,7 +173,7 @@
             let asked = self.clock.now();
             self.asked = asked;
             let batch = match self.store.read(self.topic, next, wait).await {
-                Ok(batch) => batch,
+                Ok(answer) => self.result(answer),
                 // The records read so far stay valid, so only repeated failures require reading all
                 // newest records again.
                 Err(error) if self.failures < READ_FAILURES_MAX => {
@@ -248,7 +253,8 @@
     async fn read_newest(&mut self) -> Result<Offset, StoreError> {
         let asked = self.clock.now();
         self.asked = asked;
-        let (records, end) = self.store.newest(self.topic).await?;
+        let answer = self.store.newest(self.topic).await?;
+        let (records, end) = self.result(answer);
         self.failures = 0;
         self.has_read = true;
         self.send(TopicEvent::Records(self.topic, records, Some(end)));
@@ -256,6 +262,15 @@
         Ok(end)
     }
 
+    /// Returns the result of a read, and reports the era of the answer if it has risen.
+    fn result<T>(&mut self, answer: Answered<T>) -> T {
+        if answer.era > self.era {
+            self.era = answer.era;
+            self.send(TopicEvent::Era(answer.era));
+        }
+        answer.result
+    }
+
     /// Reports a failed read, and waits before the next.
     async fn on_failure(&mut self, error: &StoreError) {
         self.report_failure(error);
@@ -334,10 +349,10 @@
 async fn try_offer(store: &Store, text: &str, at: Offset) -> Result<Option<Offset>, StoreError> {
     let value = Some(text.as_bytes());
     let appended = store.append(Topic::Routers, router::FLEET_KEY, value, Some(at));
-    if appended.await? == Appended::Done {
+    if appended.await?.result == Appended::Done {
         return Ok(None);
     }
-    match store.read(Topic::Routers, at, Duration::ZERO).await? {
+    match store.read(Topic::Routers, at, Duration::ZERO).await?.result {
         Batch::Records { records, next, .. } => {
             let has_key = records.iter().any(|it| it.key == router::FLEET_KEY);
             Ok((!has_key).then_some(next))
@@ -355,7 +370,10 @@
 ) {
     let asked = clock.now();
     match store.newest(Topic::Status).await {
-        Ok((records, _)) => drop(events.send(TopicEvent::Statuses(records, asked))),
+        Ok(Answered {
+            result: (records, _),
+            ..
+        }) => drop(events.send(TopicEvent::Statuses(records, asked))),
         Err(error) => {
             metrics.edge(Edge::ReadFailed);
             let took = clock.now().since(asked).as_millis();
@@ -389,7 +407,7 @@
     key: &str,
     value: &[u8],
 ) -> Result<bool, StoreError> {
-    let (records, end) = store.newest(Topic::Status).await?;
+    let (records, end) = store.newest(Topic::Status).await?.result;
     let present = records.iter().find(|record| record.key == key);
     match present.map(rollout::decode).transpose() {
         Ok(Some(Some(present))) if !replaces(status, &present) => return Ok(true),
@@ -402,7 +420,7 @@
     let appended = store
         .append(Topic::Status, key, Some(value), Some(end))
         .await?;
-    Ok(appended == Appended::Done)
+    Ok(appended.result == Appended::Done)
 }
 
 /// Returns whether a status is to replace the recorded one.
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -375,6 +375,7 @@
                     }));
                 }
             }
+            TopicEvent::Era(era) => self.handle(Input::StoreEra(era)),
             TopicEvent::Statuses(records, asked) => self.on_statuses(&records, asked),
             TopicEvent::CaughtUp(topic, known, asked) => {
                 if let Some(topic) = feed_topic(topic) {
@@ -398,6 +399,13 @@
         }
     }
 
+    /// Makes answers of earlier eras errors, so that every topic is read again in the new one.
+    pub(super) fn on_new_era(&self, era: u64) {
+        if let Some(hosting) = &self.hosting {
+            hosting.store.raise_era(era);
+        }
+    }
+
     /// Queues records of the store. They are applied once the node has handled its present input.
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         if let Some(hosting) = &mut self.hosting {
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -49,6 +49,7 @@
                 as_of,
                 from: _,
             } => self.deliver(Delivery::Complete(topic, known, as_of)),
+            Output::StoreEra(era) => self.on_new_era(era),
             Output::Order {
                 target,
                 order,
--- a/crates/bulrushtrestled/src/platform/http.rs
+++ b/crates/bulrushtrestled/src/platform/http.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -31,6 +31,9 @@
     authorization: Option<HeaderValue>,
 }
 
+/// The status, the headers and the complete body of an answer.
+pub(super) type Answer = (StatusCode, HeaderMap, Bytes);
+
 /// The reason why a request got no usable answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum HttpError {
@@ -114,15 +117,15 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, HttpError> {
-        let (status, body) = self.call(method, at, path, body, timeout).await?;
+        let (status, _, body) = self.call(method, at, path, body, timeout).await?;
         match status.is_success() {
             true => Ok(body),
             false => Err(HttpError::Status(status)),
         }
     }
 
-    /// Sends a request and returns the status and the complete body of the answer, whatever the
-    /// status.
+    /// Sends a request and returns the status, the headers and the complete body of the answer,
+    /// whatever the status.
     pub(super) async fn call(
         &self,
         method: Method,
@@ -130,7 +133,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), HttpError> {
+    ) -> Result<Answer, HttpError> {
         let mut req = Request::builder()
             .method(method)
             .uri(format!("http://{at}{path}"))
@@ -147,7 +150,7 @@
         }
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), HttpError> {
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Answer, HttpError> {
         let answer = self.client.request(req).await.map_err(|error| {
             if error.is_connect() {
                 HttpError::NotSent
@@ -158,6 +161,6 @@
         let (head, body) = answer.into_parts();
         let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
         let body = body.map_err(|_| HttpError::Unanswered)?;
-        Ok((head.status, body.to_bytes()))
+        Ok((head.status, head.headers, body.to_bytes()))
     }
 }
--- a/crates/bulrushtrestled/src/platform/mod.rs
+++ b/crates/bulrushtrestled/src/platform/mod.rs
@@ -18,7 +18,7 @@
 
 pub(crate) use self::http::Http;
 pub(crate) use self::log::HttpLog;
-pub(crate) use self::store::{CALL_TIMEOUT, Store, StoreError};
+pub(crate) use self::store::{Answered, CALL_TIMEOUT, Store, StoreError};
 pub(crate) use self::target::HttpTarget;
 pub(crate) use self::vms::HttpVmList;
 pub(crate) use self::weights::HttpWeights;
--- a/crates/core/src/feed/state.rs
+++ b/crates/core/src/feed/state.rs
@@ -70,6 +70,8 @@
     last_asked_by: Option<Time>,
     /// Whether this router leaves the store to its sources as long as they answer.
     is_fed: bool,
+    /// The highest era of the store that is known.
+    era: u64,
 }
 
 /// What is known of one topic.
@@ -115,9 +117,25 @@
             silent: BTreeMap::new(),
             last_asked_by: None,
             is_fed: false,
+            era: 0,
         }
     }
 
+    /// Returns the number of times that the store has been restored from an older copy, as far as
+    /// known.
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Records the era that the store or a peer stated. Returns whether it is higher than before.
+    pub const fn raise_era(&mut self, era: u64) -> bool {
+        let is_new = era > self.era;
+        if is_new {
+            self.era = era;
+        }
+        is_new
+    }
+
     /// Applies records that this router read. Returns those that are new.
     pub fn on_records(&mut self, now: Time, topic: Topic, records: Vec<Record>) -> Vec<Record> {
         self.topics[topic.index()].copy.admit(now, records)
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -37,6 +37,9 @@
     /// A topic of the store was read. Its records come back as
     /// [`Output::Records`](crate::output::Output::Records) if they are new.
     Feed(FeedEvent),
+    /// The store stated this era, the number of times that it has been restored from an older copy.
+    /// An era that is not higher than all earlier ones has no effect.
+    StoreEra(u64),
     /// The head of an attempt's answer arrived. It comes before all other events of the answer.
     Head(AttemptId, AnswerHead),
     /// A target stated with an answer that it is leaving, or that it wants no requests for a while.
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -45,9 +45,40 @@
     PoolId(u32), "p"
 }
 key! {
-    /// A position in the platform's log. Edits have no order other than that of their offsets.
+    /// A position in the platform's log, or in a topic of a store. Edits have no order other than that
+    /// of their offsets. The highest 24 bits hold the era of the store, so that offsets of a later era
+    /// are greater than all of an earlier one; see `docs/design/0040-restored-store.md`. A log, and a
+    /// store that states no era, have the era 0.
     Offset(u64), "@"
 }
+
+impl Offset {
+    /// The number of bits of the position within the era. A topic with a thousand records a second
+    /// reaches the largest position after 34 years.
+    const POSITION_BITS: u32 = 40;
+    /// The largest position within an era.
+    pub const POSITION_MAX: u64 = (1 << Self::POSITION_BITS) - 1;
+    /// The largest era.
+    pub const ERA_MAX: u64 = u64::MAX >> Self::POSITION_BITS;
+
+    /// Returns the offset at a position of an era; `None` if either is out of range.
+    pub const fn in_era(era: u64, position: u64) -> Option<Self> {
+        if era > Self::ERA_MAX || position > Self::POSITION_MAX {
+            return None;
+        }
+        Some(Self(era << Self::POSITION_BITS | position))
+    }
+
+    /// Returns the number of times that the store had been restored when it gave out the offset.
+    pub const fn era(self) -> u64 {
+        self.0 >> Self::POSITION_BITS
+    }
+
+    /// Returns the position within the era, which is the offset that the store itself uses.
+    pub const fn position(self) -> u64 {
+        self.0 & Self::POSITION_MAX
+    }
+}
 key! {
     /// A request, unique within one incarnation of one router. Assigned by the embedding.
     RequestId(u64), "q"
--- a/crates/core/src/node/feed.rs
+++ b/crates/core/src/node/feed.rs
@@ -59,6 +59,16 @@
         }
     }
 
+    /// Begins a new era of the store, unless it is known already.
+    pub(super) fn on_store_era(&mut self, era: u64) {
+        if !self.feed.raise_era(era) {
+            return;
+        }
+        let subject = format!("the store was restored from an older copy; era {era}");
+        self.cx.notice(NoticeKind::Log, subject);
+        self.cx.out.push(Output::StoreEra(era));
+    }
+
     pub(super) fn on_feed_part(&mut self, from: RouterId, part: FeedPart) {
         let now = self.cx.now;
         let answer = match part {
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -216,6 +216,7 @@
             }
             Input::Store(event) => self.on_store(event),
             Input::Feed(event) => self.on_feed(event),
+            Input::StoreEra(era) => self.on_store_era(era),
             Input::Head(attempt, head) => self.on_answer_head(attempt, head),
             Input::Notice(target, notice) => self.on_target_notice(target, notice),
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -79,6 +79,9 @@
         /// The peer from which this is known. `None` if this router read the topic.
         from: Option<RouterId>,
     },
+    /// The store was restored from an older copy and is in this era now, as stated by the store or by a
+    /// peer. Every topic is to be read from its newest records.
+    StoreEra(u64),
     /// All work is finished after [`Input::Stop`](crate::input::Input::Stop); the process may exit.
     Stopped,
 }
