--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -225,6 +225,8 @@
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
             Input::Timer => {}
+            Input::Duty(event) => self.on_duty(event),
+            Input::DutyAnswer(call, result) => self.on_duty_answer(call, result),
             Input::WallClock(time) => self.on_wall_clock(time),
             Input::LiftBar(content) => self.lift_bar(content),
             Input::Stop { deadline } => self.on_stop(deadline),
--- a/crates/core/src/node/usage.rs
+++ b/crates/core/src/node/usage.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::duty::message::{DutyOrder, DutyResult};
+use crate::duty::{DutyOrder, DutyResult};
 use crate::node::Node;
 use crate::prelude::*;
 use crate::usage::message::{PoolRow, UsagePart};
@@ -29,6 +29,7 @@
     }
 }
 
+#[expect(dead_code, reason = "called by node::duty once that part is merged")]
 impl Node {
     /// Sets the routers that receive this router's figures: the holder of the duties and the next
     /// candidate. Called whenever either changes; this router may be among them.
@@ -66,9 +67,8 @@
         }
     }
 
-    /// Closes usage windows and returns the value that the record
-    /// [`RECORD_KEY`](crate::usage::RECORD_KEY) of the duties' topic is to have, if it differs from
-    /// the last known one. Called only while this router holds the lease, has read the topic to its
+    /// Closes usage windows and returns the value that the record [`USAGE`](crate::duty::USAGE) is
+    /// to have, if it differs from the last known one. Called only while this router holds the lease, has read the topic to its
     /// end, and no append is in progress. The value is returned until
     /// [`on_usage_record`](Self::on_usage_record) passes it back.
     pub(super) fn due_usage_record(&mut self) -> Option<Vec<u8>> {
@@ -83,7 +83,7 @@
         reporting.usage.record_due(now)
     }
 
-    /// Applies the record [`RECORD_KEY`](crate::usage::RECORD_KEY), which was read, or whose append
+    /// Applies the record [`USAGE`](crate::duty::USAGE), which was read, or whose append
     /// was confirmed in the present era.
     pub(super) fn on_usage_record(&mut self, value: &[u8]) {
         if let Some(reporting) = &mut self.reporting {
@@ -98,7 +98,9 @@
             reporting.usage.on_era(self.cx.now);
         }
     }
+}
 
+impl Node {
     /// Records a reading of this router's wall clock.
     pub(super) fn on_wall_clock(&mut self, time: Time) {
         if let Some(reporting) = &mut self.reporting {
--- a/crates/core/src/usage/state.rs
+++ b/crates/core/src/usage/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::duty::message::DutyResult;
+use crate::duty::DutyResult;
 use crate::prelude::*;
 use crate::usage::clock::Clock;
 use crate::usage::message::{Figures, PoolRow, WindowRows};
@@ -62,6 +62,8 @@
     heard: Time,
     /// The time up to which its counts are complete.
     until: Time,
+    /// Its requests in the last window before that time.
+    usual: u64,
     windows: BTreeMap<u64, Counts>,
     /// Counts of earlier runs of the router.
     earlier: BTreeMap<u64, Counts>,
@@ -190,6 +192,8 @@
                 *known = count.max(*known);
             }
         }
+        let last = (part.time.0 / micros(self.cfg.window)).saturating_sub(1);
+        sender.usual = sender.known(last);
         let time = self.clock.settled_time(now)?;
         let deviation = time.since(part.time).max(part.time.since(time));
         (deviation > DEVIATION_MAX).then_some(time)
@@ -460,12 +464,10 @@
     /// Removes counts of windows that no holder can close any more, and routers that are gone.
     fn forget_old(&mut self, now: Time, time: Time) {
         let kept = self.window_at(time - self.cfg.late);
-        // A window that is being closed compares its counts with those of the window before.
-        let known = kept.saturating_sub(1);
         self.own.retain(|&window, _| window >= kept);
         for sender in self.senders.values_mut() {
-            sender.windows.retain(|&window, _| window >= known);
-            sender.earlier.retain(|&window, _| window >= known);
+            sender.windows.retain(|&window, _| window >= kept);
+            sender.earlier.retain(|&window, _| window >= kept);
         }
         self.senders
             .retain(|_, sender| now.since(sender.heard) < SILENT_MAX);
@@ -493,21 +495,18 @@
 }
 
 impl Sender {
-    /// Returns an estimate of the requests of a window that the router has not reported, from its
-    /// requests of the window before.
+    /// Returns an estimate of the requests of a window that the router has not reported.
     fn expected(&self, window: u64, end: Time, length: Duration) -> u64 {
-        let before: u64 = window
-            .checked_sub(1)
-            .and_then(|before| self.windows.get(&before))
-            .map_or(0, |counts| counts.values().sum());
-        let known: u64 = self
-            .windows
-            .get(&window)
-            .map_or(0, |counts| counts.values().sum());
         let length = micros(length);
         let left = u64::try_from(end.since(self.until).as_micros()).unwrap_or(u64::MAX);
-        let left = left.min(length);
-        (before.max(known) * left).div_ceil(length)
+        let usual = self.usual.max(self.known(window));
+        (usual * left.min(length)).div_ceil(length)
+    }
+
+    /// Returns the requests of a window that this run of the router has reported.
+    fn known(&self, window: u64) -> u64 {
+        let counts = self.windows.get(&window);
+        counts.map_or(0, |counts| counts.values().sum())
     }
 }
 
@@ -523,7 +522,5 @@
 
 /// Returns a length in microseconds, at least one.
 fn micros(length: Duration) -> u64 {
-    u64::try_from(length.as_micros())
-        .unwrap_or(u64::MAX)
-        .max(1)
+    u64::try_from(length.as_micros()).unwrap_or(u64::MAX).max(1)
 }
