--- a/crates/bulrushctl/src/catalogue/build.rs
+++ b/crates/bulrushctl/src/catalogue/build.rs
@@ -80,14 +80,15 @@
     name: String,
     service: Service,
 ) -> Result<Option<PendingChange>, Error> {
-    let bounds = match current_entry(catalogue, Kind::Pool, &name) {
-        Some(Entry::Pool(entry)) => entry.bounds,
-        _ => Bounds::default(),
+    let (bounds, autoscale) = match current_entry(catalogue, Kind::Pool, &name) {
+        Some(Entry::Pool(entry)) => (entry.bounds, entry.autoscale),
+        _ => (Bounds::default(), None),
     };
     let entry = Pool {
         name,
         service,
         bounds,
+        autoscale,
     };
     change_to(catalogue, Entry::Pool(entry))
 }
--- a/crates/bulrushctl/src/catalogue/tests.rs
+++ b/crates/bulrushctl/src/catalogue/tests.rs
@@ -26,6 +26,7 @@
         name: "m".to_owned(),
         service: Service::Model,
         bounds: Bounds::default(),
+        autoscale: None,
     });
     Edit::put(Uuid::from_u128(id), replaces.map(Offset), entry)
 }
--- a/crates/bulrushctl/src/load/experiment.rs
+++ b/crates/bulrushctl/src/load/experiment.rs
@@ -280,6 +280,7 @@
         name: text.to_owned(),
         service: Service::Model,
         bounds: Bounds::default(),
+        autoscale: None,
     };
     catalogue::check(&Entry::Pool(pool)).is_ok()
 }
--- a/crates/bulrushctl/tests/ctl/race.rs
+++ b/crates/bulrushctl/tests/ctl/race.rs
@@ -16,6 +16,7 @@
         name: "m".to_owned(),
         service,
         bounds: Bounds::default(),
+        autoscale: None,
     });
     let mut edit = Edit::put(Uuid::now_v7(), replaces.map(Offset), entry);
     edit.author = "bob".to_owned();
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -214,6 +214,9 @@
                         log::info!(target: "catalogue", "version={} offset={}", limits.version, record.offset);
                         self.limits.send_replace(Some(limits));
                     }
+                    for field in &decoded.left_out {
+                        log::warn!(target: "catalogue", "offset={} left out: {field}", record.offset);
+                    }
                     changes.push(StoreChange {
                         revision: record.offset,
                         scope: decoded.scope,
--- a/crates/bulrushtrestled/tests/support/mod.rs
+++ b/crates/bulrushtrestled/tests/support/mod.rs
@@ -356,6 +356,7 @@
         name: name.to_owned(),
         service,
         bounds: Bounds::default(),
+        autoscale: None,
     })
 }
 
--- a/crates/core/benches/control.rs
+++ b/crates/core/benches/control.rs
@@ -84,6 +84,7 @@
         name: "new".to_owned(),
         service: Service::Plain,
         bounds: Bounds::default(),
+        autoscale: None,
     };
     fleet.publish(Entry::Pool(entry), None);
     let time = until(&mut fleet, |fleet| {
--- a/crates/core/benches/memory.rs
+++ b/crates/core/benches/memory.rs
@@ -74,6 +74,7 @@
         name: "m".to_owned(),
         service: Service::Model,
         bounds: Bounds::default(),
+        autoscale: None,
     }));
     bench.measure("organisation", 22_000, |bench, n| {
         bench.entry(Entry::Organisation(Organisation {
--- a/crates/core/benches/size.rs
+++ b/crates/core/benches/size.rs
@@ -156,6 +156,7 @@
             name: format!("p{index}"),
             bounds: Bounds::default(),
             service: Service::Model,
+            autoscale: None,
         })
     });
     let targets = (0..targets).map(|index| {
--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -96,6 +96,21 @@
     /// The limits of each target of the pool, in addition to its slots.
     #[serde(default, skip_serializing_if = "Bounds::is_default")]
     pub bounds: Bounds,
+    /// How many targets the fleet may order. `None` if operators do not want the fleet to order any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub autoscale: Option<Autoscale>,
+}
+
+/// The limits on the number of a pool's targets that the fleet may order in each data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Autoscale {
+    /// The smallest number of targets. From 0 to `max`.
+    pub min: u32,
+    /// The largest number of targets. From 1 to 10000.
+    pub max: u32,
+    /// How long a new target takes until it serves, in milliseconds. From 0 to 3600000.
+    pub boot_ms: u32,
 }
 
 /// The limits of each target of a pool, in addition to its slots. Zero stands for an unknown limit.
--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -47,7 +47,7 @@
 /// use bulrushtrestle_core::key::Offset;
 ///
 /// let bounds = Bounds::default();
-/// let entry = Entry::Pool(Pool { name: "drafts".into(), service: Service::Model, bounds });
+/// let entry = Entry::Pool(Pool { name: "drafts".into(), service: Service::Model, bounds, autoscale: None });
 /// let edit = Edit {
 ///     id: uuid::Uuid::from_u128(1),
 ///     replaces: None,
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -18,6 +18,7 @@
         name: "p".to_owned(),
         service,
         bounds: Bounds::default(),
+        autoscale: None,
     });
     Edit::put(Uuid::from_u128(id), replaces.map(Offset), entry)
 }
@@ -341,6 +342,7 @@
             name: name.to_owned(),
             service: Service::Plain,
             bounds: Bounds::default(),
+            autoscale: None,
         }),
         Kind::Target => Entry::Target(Target {
             name: name.to_owned(),
--- a/crates/core/src/catalogue/validate.rs
+++ b/crates/core/src/catalogue/validate.rs
@@ -3,7 +3,9 @@
 use core::net::SocketAddr;
 use core::ops::RangeInclusive;
 
-use crate::catalogue::entry::{Bounds, Entry, Limits, Move, Organisation, Route, Target};
+use crate::catalogue::entry::{
+    Autoscale, Bounds, Entry, Limits, Move, Organisation, Route, Target,
+};
 
 /// The maximum length of a name, in bytes.
 const NAME_BYTES_MAX: usize = 100;
@@ -25,6 +27,8 @@
 const TIMEOUT_MS: RangeInclusive<u64> = 1..=3_600_000;
 /// The range of the number of tokens in one event of a stream.
 const TOKENS_PER_EVENT: RangeInclusive<u64> = 0..=4_096;
+/// The range of the largest number of targets that may be ordered in a data centre.
+const SCALED_TARGETS: RangeInclusive<u64> = 1..=10_000;
 /// The range of the limit on attempts of a request.
 const ATTEMPTS: RangeInclusive<u64> = 1..=100;
 /// The range of weights of pools in a route.
@@ -83,7 +87,10 @@
         Entry::Target(entry) => target(entry),
         Entry::Move(entry) => version_move(entry),
         Entry::DataCentre(entry) => name("region", &entry.region),
-        Entry::Pool(entry) => bounds(&entry.bounds),
+        Entry::Pool(entry) => {
+            bounds(&entry.bounds)?;
+            entry.autoscale.as_ref().map_or(Ok(()), autoscale)
+        }
         Entry::Route(entry) => route(entry),
     }
 }
@@ -151,6 +158,12 @@
     )
 }
 
+fn autoscale(limits: &Autoscale) -> Result<(), InvalidError> {
+    range("autoscale.max", limits.max, SCALED_TARGETS)?;
+    range("autoscale.min", limits.min, 0..=u64::from(limits.max))?;
+    range("autoscale.boot_s", limits.boot_ms, MILLIS)
+}
+
 fn route(entry: &Route) -> Result<(), InvalidError> {
     let has_slashes = entry.path_prefix.starts_with('/') && entry.path_prefix.ends_with('/');
     if !has_slashes || entry.path_prefix.len() > PATH_BYTES_MAX {
--- a/crates/core/src/queue/running.rs
+++ b/crates/core/src/queue/running.rs
@@ -17,6 +17,12 @@
         self.organisations.get(&organisation).copied().unwrap_or(0)
     }
 
+    /// Returns the number of running requests of a pool.
+    pub fn at(&self, pool: PoolId) -> u32 {
+        let of = |class| self.pools.get(&(pool, class)).copied().unwrap_or(0);
+        of(Class::Interactive).saturating_add(of(Class::Batch))
+    }
+
     /// Returns whether interactive requests are less than `percent` hundredths of the pool's
     /// running requests, counting one more request.
     pub fn is_interactive_short(&self, pool: PoolId, percent: u32) -> bool {
--- a/crates/core/src/usage/message.rs
+++ b/crates/core/src/usage/message.rs
@@ -61,3 +61,14 @@
     /// Requests that were refused for want of capacity since the message before.
     pub refused: u32,
 }
+
+impl PoolRow {
+    /// Returns whether the row says nothing.
+    pub fn is_idle(&self) -> bool {
+        *self
+            == Self {
+                pool: self.pool,
+                ..Self::default()
+            }
+    }
+}
--- a/crates/core/src/usage/state.rs
+++ b/crates/core/src/usage/state.rs
@@ -36,8 +36,10 @@
     pub late: Duration,
     /// The deviation that is allowed in a report, in hundredths of a count.
     pub tolerance_percent: u32,
-    /// Whether reports are made. If not, the routers exchange only the figures of pools.
+    /// Whether reports are made.
     pub reports: bool,
+    /// Whether the number of targets is ordered.
+    pub scaling: bool,
 }
 
 impl Default for Config {
@@ -47,6 +49,7 @@
             late: Duration::from_secs(10),
             tolerance_percent: 5,
             reports: true,
+            scaling: true,
         }
     }
 }
@@ -210,10 +213,13 @@
         self.clock.follow_median(now, routers);
     }
 
-    /// Returns the last figures of pools of each other router, with their age.
-    pub fn pool_rows(&self, now: Time) -> impl Iterator<Item = (Duration, &[PoolRow])> {
-        let known = self.senders.values();
-        known.map(move |sender| (now.since(sender.heard), sender.pools.as_slice()))
+    /// Returns the last figures of pools of each other router, with their age. Those of a router that
+    /// fell silent count for some time, as it may serve on.
+    pub fn pool_rows(&self, now: Time) -> impl Iterator<Item = (RouterId, Duration, &[PoolRow])> {
+        self.senders.iter().map(move |(&router, sender)| {
+            let age = now.since(sender.heard);
+            (router, age, sender.pools.as_slice())
+        })
     }
 
     /// Closes the windows that are complete, and leaves out those that cannot be completed in time.
--- a/crates/core/src/version/tests.rs
+++ b/crates/core/src/version/tests.rs
@@ -70,6 +70,7 @@
         name: "m".to_owned(),
         service: Service::Model,
         bounds: Bounds::default(),
+        autoscale: None,
     });
     let entry = Entry::Move(Move {
         pool: "m".to_owned(),
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -160,6 +160,7 @@
             name: "new".to_owned(),
             service: Service::Plain,
             bounds: Bounds::default(),
+            autoscale: None,
         };
         let offset = fleet.publish(Entry::Pool(entry), None);
         trouble.after_edit(&mut fleet);
@@ -179,6 +180,7 @@
             name: "raced".to_owned(),
             service,
             bounds: Bounds::default(),
+            autoscale: None,
         })
     };
     let first = fleet.publish(pool(Service::Model), None);
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -110,6 +110,7 @@
             cold_starts_per_s,
             ..Bounds::default()
         },
+        autoscale: None,
     };
     let route = Route {
         name: "r".to_owned(),
