--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Returns the client of the store.
+    pub(super) const fn store(&self) -> &Store {
+        &self.store
+    }
+
     /// Queues records for [`Control::apply`].
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         self.deliveries.push_back(delivery);
--- a/crates/bulrushtrestled/src/control/mod.rs
+++ b/crates/bulrushtrestled/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! admitted requests are never dropped; their number is bounded by that of the admitted requests.
 
 mod backlog;
+mod duty;
 mod follow;
 mod gate;
 mod handle;
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -60,7 +60,9 @@
             }
             Output::Count(counter) => self.metrics.count(counter),
             Output::Notice(notice) => self.event_log.notice(&notice),
-            Output::DutyRead { .. } | Output::DutyRecord { .. } | Output::DutyCall(_) => {}
+            Output::DutyRead { from, wait } => self.read_duties(from, wait),
+            Output::DutyRecord { key, value, at } => self.append_duty_record(key, value, at),
+            Output::DutyCall(call) => self.call_endpoint(call),
             Output::Stopped => {
                 self.stopped.send_replace(true);
             }
--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -8,6 +8,7 @@
 
 use bulrushtrestle_core::catalogue::entry::Service;
 use bulrushtrestle_core::counter::Counter;
+use bulrushtrestle_core::duty::DutyEvent;
 use bulrushtrestle_core::input::{AttemptEvent, Input};
 use bulrushtrestle_core::key::{AttemptId, OrganisationId, PoolId, RequestId};
 use bulrushtrestle_core::node::Node;
@@ -24,6 +25,7 @@
 
 use crate::clock::Clock;
 use crate::control::backlog::{Backlog, LATE_MAX, spread_retry_after};
+use crate::control::duty::DutyClient;
 use crate::control::follow::TopicEvent;
 use crate::control::handle::Handle;
 use crate::control::hosting::{Hosting, next_store_event};
@@ -202,6 +204,8 @@
     pub(super) orders: Option<Orders>,
     /// The state for a hosting platform. `None` with the project's own services.
     pub(super) hosting: Option<Hosting>,
+    /// The client for the duties. `None` if the deployment has none.
+    pub(super) duty: Option<DutyClient>,
     pub(super) withdrawn: Withdrawn,
     backlog: Backlog,
     /// The last addresses returned to callers near each data centre. A change is logged.
@@ -255,6 +259,7 @@
             peers: None,
             orders: None,
             hosting: None,
+            duty: None,
             withdrawn,
             backlog,
             logged_addresses: BTreeMap::new(),
@@ -291,6 +296,14 @@
                     peers,
                     limits,
                 ));
+                if let (Some(hosting), Some(duty)) = (&control.hosting, &cfg.duty) {
+                    control.duty = Some(DutyClient::new(
+                        duty,
+                        hosting.store().clone(),
+                        control.sender.clone(),
+                        Arc::clone(metrics),
+                    ));
+                }
             }
         }
         control
@@ -421,6 +434,10 @@
             hosting.record_request();
         }
         let mut out = std::mem::take(&mut self.out);
+        if self.duty.as_mut().is_some_and(DutyClient::was_suspended) {
+            let suspended = Input::Duty(DutyEvent::Suspended);
+            self.node.handle(self.clock.now(), suspended, &mut out);
+        }
         self.node.handle(self.clock.now(), input, &mut out);
         if has_vms {
             // The outputs may already contain messages to routers that this VM list added.
@@ -457,6 +474,10 @@
                 reports.read(&self.watched());
             }
         }
+        let wall_clock = self.duty.as_mut().and_then(DutyClient::wall_clock_due);
+        if let Some(wall_clock) = wall_clock {
+            self.handle(Input::WallClock(wall_clock));
+        }
         let time = self.clock.now();
         if self.wake_times.first().is_some_and(|&wake| wake <= time) {
             self.wake_times = self
--- a/crates/bulrushtrestled/src/platform/mod.rs
+++ b/crates/bulrushtrestled/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! Each interface is a trait with one implementation over HTTP, so that a test or an embedding can
 //! use another implementation. See `docs/DESIGN.md` for the interfaces.
 
+mod duty;
 mod http;
 mod log;
 mod store;
@@ -16,6 +17,7 @@
 use bulrushtrestle_core::key::{Fence, Offset};
 use bulrushtrestle_core::output::Order;
 
+pub(crate) use self::duty::call as call_endpoint;
 pub(crate) use self::http::Http;
 pub(crate) use self::log::HttpLog;
 pub(crate) use self::store::{Answered, CALL_TIMEOUT, Store, StoreError};
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -11,7 +11,7 @@
 use bulrushtrestle_core::cost::Cost;
 use bulrushtrestle_core::key::{Incarnation, RouterId};
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
-use bulrushtrestle_core::{quarantine, slots};
+use bulrushtrestle_core::{duty, quarantine, slots, usage};
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::runtime;
@@ -271,6 +271,33 @@
     let unproven = percent(exposure.share, UNPROVEN_PERCENT).max(least_share);
     config.version.share_max = hosting.move_share_max.min(unproven);
     config.version.exposure = exposure;
+    if let Some(duty) = &hosting.duty {
+        configure_duty(config, duty);
+    }
+}
+
+/// Adds the duties that this router knows. Without any there is nothing to hold a lease for.
+fn configure_duty(config: &mut Config, settings: &settings::Duty) {
+    for name in &settings.unknown {
+        log::warn!(target: "duty", "unknown duty left alone name={name:?}");
+    }
+    if !settings.usage_report && !settings.autoscale {
+        log::warn!(target: "duty", "no known duty; this router calls no endpoint");
+        return;
+    }
+    config.duty = Some(duty::Config {
+        node: settings.node.clone(),
+        term: settings.lease * 2,
+        call_timeout: settings.call_timeout(),
+        calls_per_s: settings.calls_per_s,
+        ..duty::Config::default()
+    });
+    config.usage = Some(usage::Config {
+        window: settings.usage_window,
+        late: settings.usage_late,
+        reports: settings.usage_report,
+        ..usage::Config::default()
+    });
 }
 
 /// Returns a percentage of a number, rounded down.
--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -16,6 +16,7 @@
 
 use bulrushtrestle_core::cost::Cost;
 use bulrushtrestle_core::{balance, version};
+use bulrushtrestle_platform::duty;
 use bulrushtrestle_wire::FleetKey;
 
 pub(crate) use self::error::Error;
@@ -172,6 +173,33 @@
     /// The most requests of a pool that a new version may get during its move. Default: a tenth and
     /// 50 more, as in the users' deployments.
     pub(crate) move_exposure: version::Exposure,
+    /// The duties, if the platform has an endpoint for them.
+    pub(crate) duty: Option<Duty>,
+}
+
+/// Settings of the tasks that one router at a time performs by calls to the platform's endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Duty {
+    /// The address of the endpoint.
+    pub(crate) endpoint: SocketAddr,
+    /// The name by which the endpoint knows this router.
+    pub(crate) node: String,
+    /// Whether usage is to be reported.
+    pub(crate) usage_report: bool,
+    /// Whether the number of targets is to be ordered.
+    pub(crate) autoscale: bool,
+    /// The names of duties that this router does not know, and leaves alone.
+    pub(crate) unknown: Vec<String>,
+    /// The calls per second that the endpoint takes from all routers. Default: 50.
+    pub(crate) calls_per_s: u32,
+    /// Whether the endpoint checks the fencing number. It changes nothing here. Default: no.
+    pub(crate) fencing_required: bool,
+    /// The time within which the lease must not go to another router and back. Default: 3 s.
+    pub(crate) lease: Duration,
+    /// The length of a window of usage. Default: 5 s.
+    pub(crate) usage_window: Duration,
+    /// The time after a window's end by which its report must be sent. Default: 10 s.
+    pub(crate) usage_late: Duration,
 }
 
 /// The addresses and limits of the platform's services.
@@ -390,12 +418,66 @@
                 },
                 slack: s.limit("move_exposure_slack", 0..=u64::from(u32::MAX), 50)?,
             },
+            duty: Duty::read(s)?,
         };
         s.finish()?;
         Ok(hosting)
     }
 }
 
+impl Duty {
+    /// Reads the settings of the duties. Without an endpoint and a list of duties there are none, and
+    /// the bounds do not matter.
+    fn read(s: &mut Section) -> Result<Option<Self>, Error> {
+        const BOUNDS: [&str; 4] = [
+            "duty_fencing_required",
+            "duty_lease_ms",
+            "usage_window_s",
+            "usage_late_s",
+        ];
+        let keys = ["duty_endpoint", "duty_node", "duties", "duty_calls_per_s"];
+        if !keys.iter().any(|key| s.has(key)) {
+            for key in BOUNDS {
+                s.skip(key);
+            }
+            return Ok(None);
+        }
+        let names = s.string_list("duties")?;
+        let mut unknown = Vec::new();
+        let mut known = Vec::new();
+        for name in names {
+            match duty::Duty::by_name(&name) {
+                Some(duty) => known.push(duty),
+                None => unknown.push(name),
+            }
+        }
+        let seconds = |s: &mut Section, key, default| match s.has(key) {
+            true => Ok(Duration::from_millis(
+                s.thousandths(key, 1.0..=3_600.0)?.into(),
+            )),
+            false => Ok(Duration::from_secs(default)),
+        };
+        let duty = Self {
+            endpoint: s.required_address("duty_endpoint")?,
+            node: s.required_text("duty_node", 1..=255)?,
+            usage_report: known.contains(&duty::Duty::UsageReport),
+            autoscale: known.contains(&duty::Duty::Autoscale),
+            unknown,
+            calls_per_s: s.limit("duty_calls_per_s", 1..=1_000_000, 50)?,
+            fencing_required: s.bool("duty_fencing_required", false)?,
+            lease: s.millis_limit("duty_lease_ms", 500..=30_000, 3_000)?,
+            usage_window: seconds(s, "usage_window_s", 5)?,
+            usage_late: seconds(s, "usage_late_s", 10)?,
+        };
+        Ok(Some(duty))
+    }
+
+    /// Returns the timeout of a call: a quarter of the lease, so that most of a term remains for calls.
+    pub(crate) fn call_timeout(&self) -> Duration {
+        self.lease / 4
+    }
+}
+
 /// Reads the settings by which targets are compared.
 fn balance(s: &mut Section) -> Result<balance::Config, Error> {
     let default = balance::Config::default();
--- a/crates/bulrushtrestled/src/settings/section.rs
+++ b/crates/bulrushtrestled/src/settings/section.rs
@@ -322,6 +322,20 @@
         }
     }
 
+    /// Returns a list of strings, which is empty if the key is missing.
+    pub(super) fn string_list(&mut self, key: &'static str) -> Result<Vec<String>, Error> {
+        match self.take(key) {
+            None => Ok(Vec::new()),
+            Some(value) => serde_json::from_value(value.clone())
+                .map_err(|_| self.wrong(key, describe(&value), "a list of texts")),
+        }
+    }
+
+    /// Accepts any value under a key that does not matter.
+    pub(super) fn skip(&mut self, key: &'static str) {
+        drop(self.take(key));
+    }
+
     /// Fails if a duration is shorter than another.
     pub(super) fn at_least(
         &self,
--- a/crates/core/src/duty/state.rs
+++ b/crates/core/src/duty/state.rs
@@ -32,18 +32,10 @@
     /// by rank and of the store's answer remains below 1 s.
     pub margin: Duration,
     /// The timeout of a call of the endpoint, before whose end no call may be started. Default:
-    /// 400 ms.
+    /// 750 ms, a quarter of `lease_ms`.
     pub call_timeout: Duration,
     /// The calls per second of the whole fleet that the endpoint takes. Default: 50.
     pub calls_per_s: u32,
-    /// Whether usage is to be reported.
-    pub usage_report: bool,
-    /// Whether the number of targets is to be ordered.
-    pub autoscale: bool,
-    /// The length of a window of usage. Default: 5 s.
-    pub usage_window: Duration,
-    /// The time after a window's end by which its report must be sent. Default: 10 s.
-    pub usage_late: Duration,
 }
 
 impl Default for Config {
@@ -52,12 +44,8 @@
             node: String::new(),
             term: Duration::from_secs(6),
             margin: Duration::from_millis(700),
-            call_timeout: Duration::from_millis(400),
+            call_timeout: Duration::from_millis(750),
             calls_per_s: 50,
-            usage_report: true,
-            autoscale: true,
-            usage_window: Duration::from_secs(5),
-            usage_late: Duration::from_secs(10),
         }
     }
 }
