--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Returns the client of the store.
+    pub(super) const fn store(&self) -> &Store {
+        &self.store
+    }
+
     /// Queues records for [`Control::apply`].
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         self.deliveries.push_back(delivery);
@@ -378,6 +383,7 @@
                     }));
                 }
             }
+            TopicEvent::Era(era) => self.handle(Input::StoreEra(era)),
             TopicEvent::Statuses(records, asked) => self.on_statuses(&records, asked),
             TopicEvent::CaughtUp(topic, known, asked) => {
                 if let Some(topic) = feed_topic(topic) {
@@ -401,6 +407,13 @@
         }
     }
 
+    /// Makes answers of earlier eras errors, so that every topic is read again in the new one.
+    pub(super) fn on_new_era(&self, era: u64) {
+        if let Some(hosting) = &self.hosting {
+            hosting.store.raise_era(era);
+        }
+    }
+
     /// Queues records of the store. They are applied once the node has handled its present input.
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         if let Some(hosting) = &mut self.hosting {
@@ -670,7 +683,7 @@
         digest: match topic {
             Topic::Targets => target::digest(record),
             // Whatever else is written again is passed on again.
-            Topic::Operators | Topic::Routers | Topic::Status => record.offset.0,
+            Topic::Operators | Topic::Routers | Topic::Status | Topic::Duties => record.offset.0,
         },
     }
 }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -9,12 +9,14 @@
 use crate::balance::Balance;
 use crate::catalogue::Catalogue;
 use crate::cold_start::ColdTargets;
+use crate::duty::Duties;
 use crate::feed::Feed;
 use crate::input::{AttemptEvent, Input, StoreChange};
 use crate::lease::Leases;
 use crate::limit::{Demand, Limits};
 use crate::membership::Members;
 use crate::node::attempt::Attempt;
+use crate::node::duty::DutyState;
 use crate::node::freshness::CatchUp;
 use crate::node::local_dispatch::TargetList;
 use crate::node::log::Reader;
@@ -111,6 +113,8 @@
     pub(super) sums_readers: BTreeSet<RouterId>,
     pub(super) relays: Relays,
     pub(super) feed: Feed,
+    /// The duties, if the deployment has any.
+    pub(super) duty: Option<DutyState>,
     /// The counts for the duties; `None` in a deployment without them.
     pub(super) reporting: Option<Reporting>,
     pub(super) flush_all: bool,
@@ -183,6 +187,10 @@
             sums_readers: BTreeSet::new(),
             relays: Relays::default(),
             feed: Feed::new(cfg.feed.clone()),
+            duty: cfg
+                .duty
+                .clone()
+                .map(|duty| DutyState::new(Duties::new(duty))),
             reporting: cfg.usage.clone().map(|cfg| Reporting::new(now, cfg)),
             flush_all: false,
             started: now,
@@ -220,6 +228,7 @@
             }
             Input::Store(event) => self.on_store(event),
             Input::Feed(event) => self.on_feed(event),
+            Input::StoreEra(era) => self.on_store_era(era),
             Input::Head(attempt, head) => self.on_answer_head(attempt, head),
             Input::Notice(target, notice) => self.on_target_notice(target, notice),
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -102,6 +102,9 @@
     /// started any more has passed. The answer returns as
     /// [`Input::DutyAnswer`](crate::input::Input::DutyAnswer).
     DutyCall(DutyCall),
+    /// The store was restored from an older copy and is in this era now, as stated by the store or by a
+    /// peer. Every topic is to be read from its newest records.
+    StoreEra(u64),
     /// All work is finished after [`Input::Stop`](crate::input::Input::Stop); the process may exit.
     Stopped,
 }
