--- a/crates/core/src/node/usage.rs
+++ b/crates/core/src/node/usage.rs
@@ -38,7 +38,6 @@
     }
 }
 
-#[expect(dead_code, reason = "called by node::duty once that part is merged")]
 impl Node {
     /// Sets the routers that receive this router's figures: the holder of the duties and the next
     /// candidate. Called whenever either changes; this router may be among them.
@@ -101,7 +100,7 @@
         }
     }
 
-    /// Closes usage windows and returns the value that the record [`USAGE`](crate::duty::USAGE) is
+    /// Closes usage windows and returns the value that the record [`RECORD_KEY`](crate::usage::RECORD_KEY) is
     /// to have, if it differs from the last known one. Called only while this router holds the lease, has read the topic to its
     /// end, and no append is in progress. The value is returned until
     /// [`on_usage_record`](Self::on_usage_record) passes it back.
@@ -117,7 +116,7 @@
         reporting.usage.record_due(now)
     }
 
-    /// Applies the record [`USAGE`](crate::duty::USAGE), which was read, or whose append
+    /// Applies the record [`RECORD_KEY`](crate::usage::RECORD_KEY), which was read, or whose append
     /// was confirmed in the present era.
     pub(super) fn on_usage_record(&mut self, value: &[u8]) {
         if let Some(reporting) = &mut self.reporting {
--- a/crates/core/src/usage/mod.rs
+++ b/crates/core/src/usage/mod.rs
@@ -27,3 +27,6 @@
 
 pub use self::report::Report;
 pub use self::state::{Config, Usage};
+
+/// The key of the record that holds the last reports.
+pub const RECORD_KEY: &str = "usage";
--- a/crates/core/src/usage/report.rs
+++ b/crates/core/src/usage/report.rs
@@ -11,7 +11,7 @@
     pub counts: Vec<(String, u64)>,
 }
 
-/// The record under the key [`USAGE`](crate::duty::USAGE): the last reports, the oldest first.
+/// The record under the key [`RECORD_KEY`](super::RECORD_KEY): the last reports, the oldest first.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct UsageRecord {
     pub(super) reports: Vec<Report>,
--- a/crates/core/src/usage/tests.rs
+++ b/crates/core/src/usage/tests.rs
@@ -104,7 +104,9 @@
             }
             *self.truth.entry(window).or_default() += REQUESTS;
             if let Some(figures) = router.usage.rows_due(at) {
-                let lost = self.lost.is_some_and(|one| (self.steps + id) % one == 0);
+                let lost = self
+                    .lost
+                    .is_some_and(|one| (self.steps + id).is_multiple_of(one));
                 let copies = if lost { 0 } else { self.copies };
                 for to in self.receivers().filter(|&to| to != id) {
                     let is_heard = self.routers[id].is_heard;
