--- a/crates/core/src/usage/state.rs
+++ b/crates/core/src/usage/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::duty::message::DutyResult;
+use crate::duty::DutyResult;
 use crate::prelude::*;
 use crate::usage::clock::Clock;
 use crate::usage::message::{Figures, PoolRow, WindowRows};
@@ -20,8 +20,9 @@
 /// How long a router that fell silent counts as missing. It may serve on in a partition; one that
 /// was killed has usually started again.
 const SILENT_MAX: Duration = Duration::from_secs(30);
-/// The time after which an order without a result is due again.
-const RESULT_TIMEOUT: Duration = Duration::from_secs(3);
+/// The time after which an order without a result is due again. Every call ends in a result; this
+/// only bounds the harm if one is missing.
+const RESULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// The pause before an order that was not accepted is due again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// The clocks of two holders may differ by this much when one takes over after a restore.
@@ -36,8 +37,10 @@
     pub late: Duration,
     /// The deviation that is allowed in a report, in hundredths of a count.
     pub tolerance_percent: u32,
-    /// Whether reports are made. If not, the routers exchange only the figures of pools.
+    /// Whether reports are made.
     pub reports: bool,
+    /// Whether the number of targets is ordered.
+    pub scaling: bool,
 }
 
 impl Default for Config {
@@ -47,6 +50,7 @@
             late: Duration::from_secs(10),
             tolerance_percent: 5,
             reports: true,
+            scaling: true,
         }
     }
 }
@@ -62,6 +66,8 @@
     heard: Time,
     /// The time up to which its counts are complete.
     until: Time,
+    /// Its requests in the last window before that time.
+    usual: u64,
     windows: BTreeMap<u64, Counts>,
     /// Counts of earlier runs of the router.
     earlier: BTreeMap<u64, Counts>,
@@ -190,6 +196,8 @@
                 *known = count.max(*known);
             }
         }
+        let last = (part.time.0 / micros(self.cfg.window)).saturating_sub(1);
+        sender.usual = sender.known(last);
         let time = self.clock.settled_time(now)?;
         let deviation = time.since(part.time).max(part.time.since(time));
         (deviation > DEVIATION_MAX).then_some(time)
@@ -206,10 +214,13 @@
         self.clock.follow_median(now, routers);
     }
 
-    /// Returns the last figures of pools of each other router, with their age.
-    pub fn pool_rows(&self, now: Time) -> impl Iterator<Item = (Duration, &[PoolRow])> {
-        let known = self.senders.values();
-        known.map(move |sender| (now.since(sender.heard), sender.pools.as_slice()))
+    /// Returns the last figures of pools of each other router, with their age. Those of a router that
+    /// fell silent count for some time, as it may serve on.
+    pub fn pool_rows(&self, now: Time) -> impl Iterator<Item = (RouterId, Duration, &[PoolRow])> {
+        self.senders.iter().map(move |(&router, sender)| {
+            let age = now.since(sender.heard);
+            (router, age, sender.pools.as_slice())
+        })
     }
 
     /// Closes the windows that are complete, and leaves out those that cannot be completed in time.
@@ -460,12 +471,10 @@
     /// Removes counts of windows that no holder can close any more, and routers that are gone.
     fn forget_old(&mut self, now: Time, time: Time) {
         let kept = self.window_at(time - self.cfg.late);
-        // A window that is being closed compares its counts with those of the window before.
-        let known = kept.saturating_sub(1);
         self.own.retain(|&window, _| window >= kept);
         for sender in self.senders.values_mut() {
-            sender.windows.retain(|&window, _| window >= known);
-            sender.earlier.retain(|&window, _| window >= known);
+            sender.windows.retain(|&window, _| window >= kept);
+            sender.earlier.retain(|&window, _| window >= kept);
         }
         self.senders
             .retain(|_, sender| now.since(sender.heard) < SILENT_MAX);
@@ -493,21 +502,18 @@
 }
 
 impl Sender {
-    /// Returns an estimate of the requests of a window that the router has not reported, from its
-    /// requests of the window before.
+    /// Returns an estimate of the requests of a window that the router has not reported.
     fn expected(&self, window: u64, end: Time, length: Duration) -> u64 {
-        let before: u64 = window
-            .checked_sub(1)
-            .and_then(|before| self.windows.get(&before))
-            .map_or(0, |counts| counts.values().sum());
-        let known: u64 = self
-            .windows
-            .get(&window)
-            .map_or(0, |counts| counts.values().sum());
         let length = micros(length);
         let left = u64::try_from(end.since(self.until).as_micros()).unwrap_or(u64::MAX);
-        let left = left.min(length);
-        (before.max(known) * left).div_ceil(length)
+        let usual = self.usual.max(self.known(window));
+        (usual * left.min(length)).div_ceil(length)
+    }
+
+    /// Returns the requests of a window that this run of the router has reported.
+    fn known(&self, window: u64) -> u64 {
+        let counts = self.windows.get(&window);
+        counts.map_or(0, |counts| counts.values().sum())
     }
 }
 
