--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -26,6 +26,7 @@
 //! # }
 //! ```
 
+pub mod endpoint;
 pub mod engine;
 pub mod fault;
 pub mod log;
