--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -296,10 +296,7 @@
         window: settings.usage_window,
         late: settings.usage_late,
         reports: settings.usage_report,
-<<<<<<< HEAD
         scaling: settings.autoscale,
-=======
->>>>>>> duty
         ..usage::Config::default()
     });
 }
