Merge the holder of duties, usage reports and scaling orders

Cause: deployments with a control endpoint need calls that one router makes at a time. Change: core::duty, core::usage, core::autoscale, their client and settings.

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Returns the client of the store.
+    pub(super) const fn store(&self) -> &Store {
+        &self.store
+    }
+
     /// Queues records for [`Control::apply`].
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         self.deliveries.push_back(delivery);
@@ -214,6 +219,9 @@
                         log::info!(target: "catalogue", "version={} offset={}", limits.version, record.offset);
                         self.limits.send_replace(Some(limits));
                     }
+                    for field in &decoded.left_out {
+                        log::warn!(target: "catalogue", "offset={} left out: {field}", record.offset);
+                    }
                     changes.push(StoreChange {
                         revision: record.offset,
                         scope: decoded.scope,
@@ -375,6 +383,7 @@
                     }));
                 }
             }
+            TopicEvent::Era(era) => self.handle(Input::StoreEra(era)),
             TopicEvent::Statuses(records, asked) => self.on_statuses(&records, asked),
             TopicEvent::CaughtUp(topic, known, asked) => {
                 if let Some(topic) = feed_topic(topic) {
@@ -398,6 +407,13 @@
         }
     }
 
+    /// Makes answers of earlier eras errors, so that every topic is read again in the new one.
+    pub(super) fn on_new_era(&self, era: u64) {
+        if let Some(hosting) = &self.hosting {
+            hosting.store.raise_era(era);
+        }
+    }
+
     /// Queues records of the store. They are applied once the node has handled its present input.
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         if let Some(hosting) = &mut self.hosting {
@@ -667,7 +683,7 @@
         digest: match topic {
             Topic::Targets => target::digest(record),
             // Whatever else is written again is passed on again.
-            Topic::Operators | Topic::Routers | Topic::Status => record.offset.0,
+            Topic::Operators | Topic::Routers | Topic::Status | Topic::Duties => record.offset.0,
         },
     }
 }
@@ -711,6 +727,7 @@
                 .output_tokens_hint
                 .unwrap_or(call.head.output_tokens_max),
             body_bytes: call.body_bytes,
+            is_resumed: call.head.resume_after.is_some(),
         },
     }
 }
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -4,6 +4,7 @@
 
 use crate::catalogue::Scope;
 use crate::catalogue::entry::{Entry, Kind};
+use crate::duty::{DutyEvent, DutyResult};
 use crate::feed::{Record, Topic};
 use crate::key::{AppendId, AttemptId, Fingerprint, Offset, RequestId, RouterId, TargetId};
 use crate::limit::Rate;
@@ -37,6 +38,9 @@
     /// A topic of the store was read. Its records come back as
     /// [`Output::Records`](crate::output::Output::Records) if they are new.
     Feed(FeedEvent),
+    /// The store stated this era, the number of times that it has been restored from an older copy.
+    /// An era that is not higher than all earlier ones has no effect.
+    StoreEra(u64),
     /// The head of an attempt's answer arrived. It comes before all other events of the answer.
     Head(AttemptId, AnswerHead),
     /// A target stated with an answer that it is leaving, or that it wants no requests for a while.
@@ -49,8 +53,15 @@
     Cache(TargetId, Vec<CacheEvent>),
     /// A target answered an order, or the order timed out.
     Ordered(TargetId, OrderEvent),
+    /// The topic of the duties was read or appended to.
+    Duty(DutyEvent),
+    /// A call of a duty was answered, or timed out. The number is that of the call.
+    DutyAnswer(u64, DutyResult),
     /// The time requested by an earlier [`Output::Wake`](crate::output::Output::Wake) was reached.
     Timer,
+    /// The wall clock of this router was read. Passed about once a second, and only in deployments
+    /// with duties.
+    WallClock(Time),
     /// An operator allows a part of prompts again that is barred because it crashed targets.
     LiftBar(Fingerprint),
     /// The process was asked to stop.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -63,11 +63,14 @@
 //!   task, which routers are live, and which router addresses callers should use.
 //! - [`share`], [`queue`], [`slots`]: the fair order of organisations, the waiting requests, and
 //!   which router may use which slots of a target.
+//! - [`duty`]: calls of the platform that one router at a time makes for the fleet.
 //! - [`target`], [`route`], [`version`]: the capacity of each target, the choice of a target, and
 //!   the moves of traffic between versions.
 //! - [`balance`], [`cold_start`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
 //!   where routers decide on their own and no owner grants slots, how their figures travel in a large
 //!   fleet, and how the records of a store do.
+//! - [`usage`], [`autoscale`]: how many requests of each organisation began, and how many targets a
+//!   pool needs, for the one router that reports it to the platform.
 //! - [`attempt`], [`once`], [`quarantine`]: the retries of one request, requests that run at most
 //!   once, and requests that crash targets.
 //!
@@ -84,12 +87,14 @@
 pub mod address;
 mod ascending;
 pub mod attempt;
+pub mod autoscale;
 pub mod balance;
 pub mod catalogue;
 pub mod cold_start;
 pub mod context;
 pub mod cost;
 pub mod counter;
+pub mod duty;
 pub mod feed;
 pub mod input;
 pub mod key;
@@ -112,5 +117,6 @@
 pub mod slots;
 pub mod target;
 pub mod time;
+pub mod usage;
 pub mod verdict;
 pub mod version;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use crate::balance::message::{FleetPart, LoadPart};
 use crate::catalogue::message::CataloguePart;
+use crate::duty::message::DutyPart;
 use crate::feed::message::FeedPart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
@@ -14,6 +15,7 @@
 use crate::share::message::SharePart;
 use crate::slots::message::SlotsPart;
 use crate::target::message::TargetPart;
+use crate::usage::message::UsagePart;
 use crate::version::message::VersionPart;
 
 /// The size of the largest accepted frame, in bytes.
@@ -58,6 +60,10 @@
     Feed(FeedPart),
     /// Parts of prompts that crash targets.
     Poison(PoisonPart),
+    /// Who holds the lease on the duties.
+    Duty(DutyPart),
+    /// The sender's requests by window and organisation, for the holder of the duties.
+    Usage(UsagePart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod config;
 mod dispatch;
+mod duty;
 mod feed;
 mod freshness;
 mod limit;
@@ -28,6 +29,7 @@
 #[cfg(test)]
 mod tests;
 mod timer;
+mod usage;
 mod version;
 
 pub use self::config::{CatalogueSource, Config, LogConfig};
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -9,17 +9,20 @@
 use crate::balance::Balance;
 use crate::catalogue::Catalogue;
 use crate::cold_start::ColdTargets;
+use crate::duty::Duties;
 use crate::feed::Feed;
 use crate::input::{AttemptEvent, Input, StoreChange};
 use crate::lease::Leases;
 use crate::limit::{Demand, Limits};
 use crate::membership::Members;
 use crate::node::attempt::Attempt;
+use crate::node::duty::DutyState;
 use crate::node::freshness::CatchUp;
 use crate::node::local_dispatch::TargetList;
 use crate::node::log::Reader;
 use crate::node::request::Active;
 use crate::node::stop::Stopping;
+use crate::node::usage::Reporting;
 use crate::node::{CatalogueSource, Config};
 use crate::once::Once;
 use crate::output::Output;
@@ -110,6 +113,10 @@
     pub(super) sums_readers: BTreeSet<RouterId>,
     pub(super) relays: Relays,
     pub(super) feed: Feed,
+    /// The duties, if the deployment has any.
+    pub(super) duty: Option<DutyState>,
+    /// The counts for the duties; `None` in a deployment without them.
+    pub(super) reporting: Option<Reporting>,
     pub(super) flush_all: bool,
     pub(super) started: Time,
     pub(super) was_ready: bool,
@@ -180,6 +187,11 @@
             sums_readers: BTreeSet::new(),
             relays: Relays::default(),
             feed: Feed::new(cfg.feed.clone()),
+            duty: cfg
+                .duty
+                .clone()
+                .map(|duty| DutyState::new(Duties::new(duty))),
+            reporting: cfg.usage.clone().map(|cfg| Reporting::new(now, cfg)),
             flush_all: false,
             started: now,
             was_ready: false,
@@ -216,11 +228,15 @@
             }
             Input::Store(event) => self.on_store(event),
             Input::Feed(event) => self.on_feed(event),
+            Input::StoreEra(era) => self.on_store_era(era),
             Input::Head(attempt, head) => self.on_answer_head(attempt, head),
             Input::Notice(target, notice) => self.on_target_notice(target, notice),
             Input::Cache(target, events) => self.prefixes.on_events(target, &events),
             Input::Ordered(..) => {}
             Input::Timer => {}
+            Input::Duty(event) => self.on_duty(event),
+            Input::DutyAnswer(call, result) => self.on_duty_answer(call, result),
+            Input::WallClock(time) => self.on_wall_clock(time),
             Input::LiftBar(content) => self.lift_bar(content),
             Input::Stop { deadline } => self.on_stop(deadline),
         }
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -26,6 +26,7 @@
             self.remove_lapsed();
             self.advance_suspects();
             self.advance_poison();
+            self.report_usage_if_due();
             self.finish_stop();
             if self.members.has_unsent_rows() {
                 self.next_frame = self.cx.now;
@@ -36,9 +37,11 @@
             .on_time(&mut self.cx, &self.catalogue, &self.members);
         self.follow_moves();
         self.renew_turns_if_due();
+        self.advance_duties();
         if self.cx.now >= self.next_frame {
             self.next_frame = self.cx.now + self.members.period();
             self.send_heartbeats();
+            self.send_duty_parts();
             self.report_service();
             self.renew_slots();
             self.flush_all = true;
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -110,6 +110,7 @@
             cold_starts_per_s,
             ..Bounds::default()
         },
+        autoscale: None,
     };
     let route = Route {
         name: "r".to_owned(),
@@ -1004,6 +1005,7 @@
                 output_tokens: 10,
                 body_bytes: 10_000,
                 arrived: Some(self.now - before),
+                is_resumed: false,
             },
         }
     }
