Order records by the store's era, and settle a new era after two seconds

Cause: after a restore the store gives out offsets again, so each record counted as older than what was known.

Change: the feed learns the era from reads, heartbeats and answers of peers, drops what is of an earlier one, and passes on every record of a new one. For two seconds what was known stays in force: a key without a record may be written again, a record of the older copy may be outdated. A record that says what is in force already only renumbers the version move that it orders; the move's facts stay and its status is recorded again. `ConfigurationOrder` refuses a configuration of a lower version that a later era shows. A heartbeat of an earlier era is no evidence that a router is current.

--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -28,12 +28,14 @@
 
 pub mod entry;
 pub mod message;
+mod order;
 mod retention;
 mod state;
 #[cfg(test)]
 mod tests;
 mod validate;
 
+pub use self::order::ConfigurationOrder;
 pub use self::retention::Retention;
 pub use self::state::{Applied, Catalogue, Scope, TargetView, derived_id};
 pub use self::validate::{InvalidError, check};
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -9,7 +9,7 @@
     Bounds, Entry, Kind, Limits, Organisation, Pool, PoolShare, Route, RouteRepeat, Service, Target,
 };
 use super::message::{Change, Edit, Stored};
-use super::{Applied, Catalogue, Scope, derived_id};
+use super::{Applied, Catalogue, ConfigurationOrder, Scope, derived_id};
 use crate::key::{Offset, OrganisationId, PoolId};
 use crate::request::Class;
 
@@ -522,3 +522,42 @@
         assert_eq!(found.map(|entry| entry.name.as_str()), Some(keeps));
     }
 }
+
+/// Guards against an older configuration that a restored store shows at a later offset, and against
+/// refusing operators who go back to a lower version.
+#[test]
+fn a_restored_store_does_not_bring_back_an_older_configuration() {
+    struct Case {
+        era: u64,
+        position: u64,
+        version: u64,
+        admitted: bool,
+    }
+    let case = |era, position, version, admitted| Case {
+        era,
+        position,
+        version,
+        admitted,
+    };
+    let cases = [
+        case(0, 1, 5, true),
+        case(0, 2, 4, true),
+        case(0, 3, 6, true),
+        case(1, 1, 5, false),
+        case(1, 2, 6, true),
+        case(1, 3, 3, true),
+        case(3, 1, 2, false),
+    ];
+    let mut order = ConfigurationOrder::default();
+    for case in cases {
+        let Case {
+            era,
+            position,
+            version,
+            admitted,
+        } = case;
+        let revision = Offset::in_era(era, position).expect("in range");
+        let was = order.admits(revision, version);
+        assert_eq!(was, admitted, "version {version} at {revision}");
+    }
+}
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -12,6 +12,10 @@
 //! whose sources know nothing recent, reads the store itself. In a fleet of any size a router that
 //! the store does not answer asks others.
 //!
+//! A store that was restored from an older copy begins a new era, and its offsets follow those of all
+//! earlier eras. What is known of an earlier era stays in force until the new one has settled; see
+//! `docs/design/0040-restored-store.md`.
+//!
 //! A record that differs from its key's last one only by a serial number is not passed on, unless it
 //! is asked for by name. See `docs/design/0035-records.md`.
 
@@ -21,6 +25,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use self::copy::Restored;
 pub use self::message::Record;
 pub use self::state::{Config, Feed, Received};
 
--- a/crates/core/src/feed/state.rs
+++ b/crates/core/src/feed/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::feed::Topic;
-use crate::feed::copy::Copy;
+use crate::feed::copy::{Copy, Restored};
 use crate::feed::message::{Answer, Ask, Record, TopicPart};
 use crate::prelude::*;
 
@@ -31,6 +31,10 @@
     pub targets: Duration,
     /// For the records of routers. Default: 7 s.
     pub routers: Duration,
+    /// Returns whether the operators' record of a key states a version, by which its receiver detects
+    /// outdated ones. After a restore of the store the record of any other key takes effect only once
+    /// it is certain that no newer one is written again. Default: none does.
+    pub is_versioned: fn(&str) -> bool,
 }
 
 impl Default for Config {
@@ -39,6 +43,7 @@
             operators: Duration::from_millis(1_800),
             targets: Duration::from_millis(1_200),
             routers: Duration::from_secs(7),
+            is_versioned: |_| false,
         }
     }
 }
@@ -75,7 +80,7 @@
 }
 
 /// What is known of one topic.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Known {
     copy: Copy,
     /// Until when answers of peers make an own read unnecessary.
@@ -106,9 +111,19 @@
 impl Feed {
     /// Returns the feed of a router that has read nothing.
     pub fn new(cfg: Config) -> Self {
+        let is_versioned = cfg.is_versioned;
+        let topics = Topic::ALL.map(|topic| Known {
+            copy: Copy::new(match topic {
+                Topic::Operators => is_versioned,
+                // Targets number their records. The record of a router never changes.
+                Topic::Targets | Topic::Routers => |_| true,
+            }),
+            fed_until: Time::default(),
+            failed: false,
+        });
         Self {
             cfg,
-            topics: Default::default(),
+            topics,
             sources: Vec::new(),
             turn: 0,
             asked: VecDeque::new(),
@@ -128,16 +143,32 @@
     }
 
     /// Records the era that the store or a peer stated. Returns whether it is higher than before.
-    pub const fn raise_era(&mut self, era: u64) -> bool {
-        let is_new = era > self.era;
-        if is_new {
-            self.era = era;
+    pub fn raise_era(&mut self, era: u64) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        for of in &mut self.topics {
+            of.copy.begin_era(era);
         }
-        is_new
+        true
+    }
+
+    /// Returns whether a topic is known completely in the present era of the store and has no value of
+    /// a key, so that whoever wrote it has to write it again. False in era 0, in which nothing is lost.
+    pub fn lacks(&self, topic: Topic, key: &str) -> bool {
+        let copy = &self.topics[topic.index()].copy;
+        self.era > 0 && copy.known.era() == self.era && copy.lacks(key)
+    }
+
+    /// Returns what is to be done with records of a topic because the store was restored.
+    pub fn take_restored(&mut self, topic: Topic) -> Restored {
+        self.topics[topic.index()].copy.take_restored()
     }
 
     /// Applies records that this router read. Returns those that are new.
     pub fn on_records(&mut self, now: Time, topic: Topic, records: Vec<Record>) -> Vec<Record> {
+        let records = self.of_this_era(records);
         self.topics[topic.index()].copy.admit(now, records)
     }
 
@@ -150,14 +181,23 @@
         records: Vec<Record>,
         end: Offset,
     ) -> Vec<Record> {
-        self.topics[topic.index()].copy.admit_all(now, records, end)
+        if end.era() < self.era {
+            return Vec::new();
+        }
+        let copy = &mut self.topics[topic.index()].copy;
+        copy.admit_all(now, records, end)
     }
 
-    /// Records that this router read a topic up to its end, as of `asked`.
-    pub fn on_complete(&mut self, topic: Topic, known: Offset, asked: Time) {
+    /// Records that this router read a topic up to its end, as of `asked`. Returns whether that holds
+    /// in the present era of the store.
+    pub fn on_complete(&mut self, now: Time, topic: Topic, known: Offset, asked: Time) -> bool {
+        if known.era() < self.era {
+            return false;
+        }
         let of = &mut self.topics[topic.index()];
-        of.copy.on_complete(known, asked);
+        of.copy.on_complete(now, known, asked);
         of.failed = false;
+        true
     }
 
     /// Records that this router's read of a topic failed.
@@ -274,13 +314,22 @@
 
     fn on_topic(&mut self, now: Time, topic: Topic, asked: Time, part: TopicPart) -> Received {
         let age_max = self.cfg.age_max(topic);
+        if part.known.era() < self.era {
+            // The peer has not read the topic in the present era.
+            return Received {
+                topic,
+                records: Vec::new(),
+                complete: None,
+            };
+        }
+        let records = self.of_this_era(part.records);
         let of = &mut self.topics[topic.index()];
-        let records = of.copy.admit(now, part.records);
+        let records = of.copy.admit(now, records);
         of.copy.known = of.copy.known.max(part.known);
         let before = of.copy.as_of;
         if let Some(age) = part.age_ms {
             let as_of = asked - Duration::from_millis(u64::from(age));
-            of.copy.on_complete(part.known, as_of);
+            of.copy.on_complete(now, part.known, as_of);
             if !part.failed {
                 let until = (asked + ANSWER_LASTS).min(as_of + age_max);
                 of.fed_until = of.fed_until.max(until);
@@ -294,6 +343,13 @@
         }
     }
 
+    /// Returns the records of the present era.
+    fn of_this_era(&self, records: Vec<Record>) -> Vec<Record> {
+        let mut records = records;
+        records.retain(|record| record.offset.era() >= self.era);
+        records
+    }
+
     /// Marks the routers that left a question unanswered.
     fn note_silent(&mut self, now: Time) {
         self.silent.retain(|_, until| *until > now);
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -39,7 +39,7 @@
 /// Lets `from` read records and the end of the topic of targets.
 fn read(feed: &mut Feed, now: Time, records: Vec<Record>, end: u64) -> Vec<Record> {
     let new = feed.on_records(now, Topic::Targets, records);
-    feed.on_complete(Topic::Targets, Offset(end), now);
+    feed.on_complete(now, Topic::Targets, Offset(end), now);
     new
 }
 
@@ -358,3 +358,264 @@
     let decoded: FeedPart = postcard::from_bytes(&bytes).expect("it is decoded");
     assert_eq!(decoded, answer);
 }
+
+fn at(era: u64, position: u64) -> Offset {
+    Offset::in_era(era, position).expect("in range")
+}
+
+fn of_era(era: u64, record: Record) -> Record {
+    Record {
+        offset: at(era, record.offset.0),
+        ..record
+    }
+}
+
+/// A record whose value does not depend on its offset, as operators and targets write it again.
+fn written(key: &str, offset: Offset, says: u64) -> Record {
+    Record {
+        key: key.to_owned(),
+        offset,
+        value: Some(vec![u8::try_from(says).expect("small")]),
+        digest: says,
+    }
+}
+
+/// Reads the newest records of a topic in an era, as of `now`.
+fn read_all(
+    feed: &mut Feed,
+    now: Time,
+    topic: Topic,
+    records: Vec<Record>,
+    end: Offset,
+) -> Vec<Record> {
+    feed.raise_era(end.era());
+    let new = feed.on_all_records(now, topic, records, end);
+    feed.on_complete(now, topic, end, now);
+    new
+}
+
+/// Guards against four faults after a restore: an operator's record that is taken for an old one
+/// because of its offset, an outdated record that takes effect, a key that is removed although its
+/// record is written again, and one that stays although it is not.
+#[test]
+fn what_was_known_stays_in_force_until_a_new_era_has_settled() {
+    struct Case {
+        name: &'static str,
+        topic: Topic,
+        /// What the copy shows in era 1. In era 0 the key `a` said 1 at offset 9.
+        copy: Vec<Record>,
+        /// What is written 1 s after the first read.
+        later: Vec<Record>,
+        /// What takes effect at the first read, and at the second.
+        applied: [Vec<u64>; 2],
+        again: usize,
+        lost: usize,
+        in_force: usize,
+    }
+    let case = |name, topic, copy, later, applied, (again, lost, in_force)| Case {
+        name,
+        topic,
+        copy,
+        later,
+        applied,
+        again,
+        lost,
+        in_force,
+    };
+    let (operators, targets, routers) = (Topic::Operators, Topic::Targets, Topic::Routers);
+    let none = || [vec![], vec![]];
+    let cases = [
+        case(
+            "written again",
+            operators,
+            vec![],
+            vec![written("a", at(1, 2), 1)],
+            none(),
+            (1, 0, 0),
+        ),
+        case(
+            "still there",
+            operators,
+            vec![written("a", at(1, 9), 1)],
+            vec![],
+            none(),
+            (1, 0, 0),
+        ),
+        case(
+            "written twice",
+            operators,
+            vec![written("a", at(1, 2), 1)],
+            vec![written("a", at(1, 3), 1)],
+            none(),
+            (2, 0, 0),
+        ),
+        case(
+            "new",
+            operators,
+            vec![],
+            vec![written("a", at(1, 10), 2)],
+            [vec![], vec![2]],
+            (0, 0, 0),
+        ),
+        case(
+            "outdated, then written again",
+            operators,
+            vec![written("a", at(1, 2), 3)],
+            vec![written("a", at(1, 3), 1)],
+            none(),
+            (1, 0, 0),
+        ),
+        case(
+            "outdated, not written again",
+            operators,
+            vec![written("a", at(1, 2), 3)],
+            vec![],
+            none(),
+            (0, 0, 1),
+        ),
+        case("lost", operators, vec![], vec![], none(), (0, 1, 0)),
+        case(
+            "a target's, lost",
+            targets,
+            vec![],
+            vec![],
+            none(),
+            (0, 1, 0),
+        ),
+        case(
+            "a target's, outdated",
+            targets,
+            vec![written("a", at(1, 2), 3)],
+            vec![],
+            [vec![3], vec![]],
+            (0, 0, 0),
+        ),
+        case(
+            "a router's, lost",
+            routers,
+            vec![],
+            vec![],
+            none(),
+            (0, 1, 0),
+        ),
+    ];
+    for case in cases {
+        let (name, topic) = (case.name, case.topic);
+        let mut feed = feed();
+        read_all(
+            &mut feed,
+            after(0),
+            topic,
+            vec![written("a", at(0, 9), 1)],
+            at(0, 10),
+        );
+        let says =
+            |records: Vec<Record>| -> Vec<u64> { records.iter().map(|it| it.digest).collect() };
+        let first = says(read_all(
+            &mut feed,
+            after(1_000),
+            topic,
+            case.copy,
+            at(1, 3),
+        ));
+        let second = says(feed.on_records(after(2_000), topic, case.later));
+        feed.on_complete(after(2_900), topic, at(1, 11), after(2_900));
+        let early = feed.take_restored(topic);
+        assert_eq!(
+            (early.lost.len(), early.in_force.len()),
+            (0, 0),
+            "{name}: too early"
+        );
+        feed.on_complete(after(3_000), topic, at(1, 11), after(3_000));
+        let settled = feed.take_restored(topic);
+        assert_eq!([first, second], case.applied, "{name}");
+        assert_eq!(early.again.len(), case.again, "{name}: again");
+        assert_eq!(settled.lost.len(), case.lost, "{name}: lost");
+        assert_eq!(settled.in_force.len(), case.in_force, "{name}: in force");
+        // Whatever comes later is newer than all of this.
+        let next = written("a", at(1, 11), 7);
+        assert_eq!(
+            feed.on_records(after(3_100), topic, vec![next]).len(),
+            1,
+            "{name}"
+        );
+    }
+}
+
+/// Guards against using what a peer or a late answer says of an earlier era, and against a member that
+/// is fed and lacks records of the new one.
+#[test]
+fn an_answer_of_an_earlier_era_shows_nothing() {
+    let (mut asker, mut peer) = (feed(), feed());
+    let held = vec![record("a", 4, 1), record("gone", 5, 1)];
+    read(&mut asker, after(0), held.clone(), 6);
+    read(&mut peer, after(0), held, 6);
+
+    // The asker has read the new era, the peer has not.
+    let new = vec![of_era(1, record("a", 2, 1))];
+    read_all(
+        &mut asker,
+        after(100),
+        Topic::Targets,
+        new.clone(),
+        at(1, 3),
+    );
+    let answer = question(&mut asker, &mut peer, after(200), after(200));
+    let received = targets(asker.on_answer(after(210), PEER, answer));
+    assert_eq!((received.records.len(), received.complete), (0, None));
+    let late = vec![record("b", 6, 1)];
+    assert!(
+        asker
+            .on_records(after(220), Topic::Targets, late)
+            .is_empty()
+    );
+    assert!(!asker.on_complete(after(220), Topic::Targets, Offset(7), after(220)));
+
+    // A member that knows only the earlier era gets all records of the new one, changed or not, and
+    // removes what is lost by itself.
+    let mut member = feed();
+    read(
+        &mut member,
+        after(0),
+        vec![record("a", 4, 1), record("gone", 5, 1)],
+        6,
+    );
+    let mut brought = Vec::new();
+    let mut lost = 0;
+    for ms in [300, 1_300, 2_400] {
+        asker.on_complete(after(ms), Topic::Targets, at(1, 3), after(ms));
+        let answer = question(&mut member, &mut asker, after(ms), after(ms));
+        let part = &answer.topics[Topic::Targets.index()];
+        member.raise_era(part.known.era());
+        let received = targets(member.on_answer(after(ms + 10), PEER, answer));
+        assert!(received.complete.is_some(), "{ms}");
+        brought.extend(received.records);
+        lost += member.take_restored(Topic::Targets).lost.len();
+    }
+    assert_eq!(keys(&brought), [("a", at(1, 2).0)]);
+    assert_eq!(lost, 1, "the key without a record");
+}
+
+/// Guards against writing again what is not lost, and against any such call where no era is stated.
+#[test]
+fn only_what_the_present_era_lacks_is_missing() {
+    let mut feed = feed();
+    let topic = Topic::Routers;
+    assert!(!feed.lacks(topic, "me"), "nothing read");
+    read_all(&mut feed, after(0), topic, vec![], at(0, 0));
+    assert!(!feed.lacks(topic, "me"), "era 0");
+    read_all(
+        &mut feed,
+        after(10),
+        topic,
+        vec![written("me", at(1, 1), 1)],
+        at(1, 2),
+    );
+    assert!(!feed.lacks(topic, "me"), "in the copy");
+    feed.raise_era(2);
+    assert!(!feed.lacks(topic, "me"), "not read yet");
+    read_all(&mut feed, after(20), topic, vec![], at(2, 0));
+    assert!(feed.lacks(topic, "me"), "lost");
+    feed.on_records(after(30), topic, vec![written("me", at(2, 0), 1)]);
+    assert!(!feed.lacks(topic, "me"), "written again");
+}
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -170,6 +170,13 @@
 pub enum StoreEvent {
     /// Records of the store changed or were read for the first time.
     Changed(Vec<StoreChange>),
+    /// After a restore, the record that ordered the version move of a pool has another revision.
+    MoveRenumbered {
+        /// The name of the pool.
+        pool: String,
+        /// The revision of the record now.
+        revision: Offset,
+    },
     /// Entries of these names are about to be described. Their identities are known afterwards.
     Named(Vec<(Kind, String)>),
     /// The records that operators write were read up to their end.
--- a/crates/core/src/node/feed.rs
+++ b/crates/core/src/node/feed.rs
@@ -3,7 +3,7 @@
 use rand::RngExt;
 
 use crate::feed::message::FeedPart;
-use crate::feed::{ASK_EVERY, Feed};
+use crate::feed::{ASK_EVERY, Feed, Restored, Topic};
 use crate::input::FeedEvent;
 use crate::membership::ranking;
 use crate::node::Node;
@@ -30,10 +30,15 @@
                 records,
                 all_below,
             } => {
+                let offsets = records.iter().map(|record| record.offset);
+                if let Some(latest) = offsets.chain(all_below).max() {
+                    self.on_store_era(latest.era());
+                }
                 let records = match all_below {
                     Some(end) => self.feed.on_all_records(now, topic, records, end),
                     None => self.feed.on_records(now, topic, records),
                 };
+                self.pass_on_restored(topic);
                 if !records.is_empty() {
                     self.cx.out.push(Output::Records {
                         topic,
@@ -47,7 +52,11 @@
                 known,
                 asked,
             } => {
-                self.feed.on_complete(topic, known, asked);
+                self.on_store_era(known.era());
+                if !self.feed.on_complete(now, topic, known, asked) {
+                    return;
+                }
+                self.pass_on_restored(topic);
                 self.cx.out.push(Output::Complete {
                     topic,
                     known,
@@ -69,19 +78,36 @@
         self.cx.out.push(Output::StoreEra(era));
     }
 
+    /// Learns the era of the store from the offsets that a peer states.
+    fn on_offsets_of_peer(&mut self, offsets: impl Iterator<Item = Offset>) {
+        if let Some(latest) = offsets.max() {
+            self.on_store_era(latest.era());
+        }
+    }
+
+    fn pass_on_restored(&mut self, topic: Topic) {
+        let records = self.feed.take_restored(topic);
+        if records != Restored::default() {
+            self.cx.out.push(Output::Restored { topic, records });
+        }
+    }
+
     pub(super) fn on_feed_part(&mut self, from: RouterId, part: FeedPart) {
         let now = self.cx.now;
         let answer = match part {
             FeedPart::Ask(ask) => {
+                self.on_offsets_of_peer(ask.known.into_iter());
                 let answer = FeedPart::Answer(self.feed.answer(now, &ask));
                 self.cx.send(from, Part::Feed(answer), Urgency::Now);
                 return;
             }
             FeedPart::Answer(answer) => answer,
         };
+        self.on_offsets_of_peer(answer.topics.iter().map(|part| part.known));
         for received in self.feed.on_answer(now, from, answer) {
             let (topic, records) = (received.topic, received.records);
             let from = Some(from);
+            self.pass_on_restored(topic);
             if !records.is_empty() {
                 self.cx.out.push(Output::Records {
                     topic,
--- a/crates/core/src/node/freshness.rs
+++ b/crates/core/src/node/freshness.rs
@@ -79,7 +79,9 @@
         let mut down = usize::from(self.reader.down);
         for (_, after, heartbeat) in self.members.heartbeats(self.cx.now) {
             let age = Duration::from_millis(u64::from(heartbeat.current_age_ms));
-            if heartbeat.applied <= known && after - age >= limit {
+            // A peer that has not read the records of this era says nothing about them.
+            let is_comparable = heartbeat.applied.era() == known.era();
+            if is_comparable && heartbeat.applied <= known && after - age >= limit {
                 return Freshness::Current;
             }
             ahead |= heartbeat.applied > known;
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -2,7 +2,7 @@
 
 use crate::membership::message::{Heartbeat, Row};
 use crate::message::Frame;
-use crate::node::Node;
+use crate::node::{CatalogueSource, Node};
 use crate::output::Output;
 use crate::prelude::*;
 
@@ -101,6 +101,9 @@
                     let rows = self.members.all_rows();
                     self.send_heartbeat(from, rows, false);
                 }
+                if self.cfg.log.source == CatalogueSource::Store {
+                    self.on_store_era(heartbeat.applied.era());
+                }
                 self.members.on_heartbeat(self.cx.now, from, heartbeat);
             }
             Part::Catalogue(part) => self.on_catalogue_part(from, part),
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -19,6 +19,7 @@
     pub(super) fn on_store(&mut self, event: StoreEvent) {
         match event {
             StoreEvent::Changed(changes) => self.on_changes(changes),
+            StoreEvent::MoveRenumbered { pool, revision } => self.renumber_move(&pool, revision),
             StoreEvent::Named(names) => {
                 let names = names.iter().map(|(kind, name)| (*kind, name.as_str()));
                 self.catalogue.assign_identities(names);
@@ -65,6 +66,22 @@
             .retain_known(now, |target| catalogue.target(target).is_some());
     }
 
+    /// Gives a move the revision that its record has after a restore of the store. The move goes on as
+    /// the same, and its status is recorded again.
+    fn renumber_move(&mut self, pool: &str, revision: Offset) {
+        let Some((former, entry)) = self.catalogue.move_of(pool) else {
+            return;
+        };
+        let entries = vec![Entry::Move(entry.clone())];
+        if let Some((id, _)) = self.catalogue.pool_by_name(pool) {
+            self.moves.renumber(id, former, revision);
+        }
+        let scope = Scope::One(Kind::Move, pool.to_owned());
+        self.catalogue.replace(revision, &scope, entries);
+        let subject = format!("the move of {pool} at {former} is now at {revision}");
+        self.cx.notice(NoticeKind::Version, subject);
+    }
+
     /// Defers the removal of a target if the store was recently unreachable: the entries of targets
     /// lapse during an outage, and live targets write theirs again soon.
     fn defer_lapse(&mut self, change: StoreChange) -> Option<StoreChange> {
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 
 use crate::counter::Counter;
-use crate::feed::{Record, Topic};
+use crate::feed::{Record, Restored, Topic};
 use crate::key::{AppendId, AttemptId, Fence, Offset, RequestId, RouterId, TargetId};
 use crate::time::Time;
 use crate::verdict::Refusal;
@@ -79,6 +79,13 @@
         /// The peer from which this is known. `None` if this router read the topic.
         from: Option<RouterId>,
     },
+    /// What is to be done with records of a topic because the store was restored from an older copy.
+    Restored {
+        /// The topic of the records.
+        topic: Topic,
+        /// The records by what is to be done with them.
+        records: Restored,
+    },
     /// The store was restored from an older copy and is in this era now, as stated by the store or by a
     /// peer. Every topic is to be read from its newest records.
     StoreEra(u64),
--- a/crates/core/src/version/state/operator_status.rs
+++ b/crates/core/src/version/state/operator_status.rs
@@ -54,6 +54,26 @@
         })
     }
 
+    /// Gives the move of a pool the revision that its order has after a restore of the store. What is
+    /// known of the move stays, and its status is to be recorded again.
+    pub fn renumber(&mut self, pool: PoolId, former: Offset, revision: Offset) {
+        if revision <= former {
+            return;
+        }
+        if let Some(known) = self.facts.remove(&(pool, former)) {
+            let renumbered = self.facts.entry((pool, revision)).or_default();
+            renumbered.fact.merge(&known.fact);
+            renumbered.has_update = true;
+        }
+        if let Some(active) = self.moves.get_mut(&pool)
+            && active.revision == former
+        {
+            active.revision = revision;
+            active.reported_phase = None;
+            active.pending_phase = None;
+        }
+    }
+
     /// Returns the pools of which this router cannot tell whether their move was finished or rolled
     /// back before it learned of the move. Returns nothing before the next retry is due.
     pub fn pools_without_status(&mut self, now: Time) -> Vec<PoolId> {
@@ -85,12 +105,15 @@
     }
 
     /// Adopts the status of a move that this router or another one recorded for operators. A status
-    /// of an earlier move of the pool to the same version has another revision.
+    /// of an earlier move of the pool to the same version has another revision. One of an earlier era
+    /// was recorded before the store was restored, when the order had another offset.
     fn adopt(&mut self, cx: &mut Context, status: &MoveProgress) {
         let found = self.moves.iter().find(|(_, active)| {
             active.name == status.pool
                 && active.entry.to == status.version
-                && status.revision.is_none_or(|it| it == active.revision)
+                && status
+                    .revision
+                    .is_none_or(|it| it == active.revision || it.era() < active.revision.era())
         });
         let Some((&pool, active)) = found else {
             return;
