Pace targets that have started or recovered

Cause: after its cold phase a target got requests from all routers at once, and the burst was often more than it bore.

Change: core::pace keeps, per router, an estimate of the rate that a target bears from the whole fleet. It doubles with each round of answered requests and halves on a slow answer, a refusal or a failure. Each router uses a part of it by demand, with the parts, permits and demand rows of core::limit. A target is paced if it is new while the router runs, was restarted, refuses connections, or breaks off where cold targets have an allowance. Nothing is paced within five seconds after a router's start. Counters, log lines and the field pace_millis of the status show it.

--- a/crates/core/src/cold_start/state.rs
+++ b/crates/core/src/cold_start/state.rs
@@ -67,6 +67,11 @@
         restarted
     }
 
+    /// Returns whether a target has published a state.
+    pub fn has_state(&self, target: TargetId) -> bool {
+        self.last_states.contains_key(&target)
+    }
+
     /// Returns the last record of a target, if it named its run.
     pub fn last_record(&self, target: TargetId) -> Option<RunRecord> {
         let &(run, sequence) = self.last_states.get(&target)?;
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -77,6 +77,12 @@
     TargetUnlimited = "target_unlimited";
     /// A target stated a limit that cannot be read.
     TargetLimitUnreadable = "target_limit_unreadable";
+    /// A target that has started or recovered is paced.
+    TargetPaced = "target_paced";
+    /// The pace of a target was halved because it answered slowly, refused or broke off.
+    TargetPaceHalved = "target_pace_halved";
+    /// The pace of a target is no bound any more.
+    TargetPaceEnded = "target_pace_ended";
     /// A target was classified as cold.
     TargetCold = "target_cold";
     /// A version move was found to be finished.
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -109,7 +109,7 @@
 impl Part {
     /// Returns the part of a rate. Each router counts as having one more request than arrived, so
     /// that one without demand has a small part when its first request arrives.
-    fn of(self, rate: Rate) -> Rate {
+    pub(crate) fn of(self, rate: Rate) -> Rate {
         let heard = self.heard.clamp(1, self.routers.max(1));
         let numerator = u128::from(self.own + 1) * u128::from(heard);
         let weights = u128::from(self.own) + u128::from(self.others) + u128::from(heard);
@@ -120,7 +120,7 @@
 
     /// Returns whether the fleet is so small that each router may keep a permit: all of these
     /// together are no more than the requests of one second.
-    const fn keeps_permit(self, rate: Rate) -> bool {
+    pub(crate) const fn keeps_permit(self, rate: Rate) -> bool {
         self.routers.saturating_mul(1_000) <= rate.0
     }
 }
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -96,6 +96,7 @@
         // A request that was not sent shows nothing about the target.
         if event != AttemptEvent::Withheld {
             self.note_data(attempt, event);
+            self.update_pace_by(attempt, event);
             self.update_health(attempt, event);
             self.compare_versions(attempt, event);
             self.judge_parts(attempt, event);
@@ -318,7 +319,7 @@
 }
 
 /// Says whether an event shows that the target has begun to answer.
-const fn shows_start(event: AttemptEvent) -> bool {
+pub(super) const fn shows_start(event: AttemptEvent) -> bool {
     matches!(
         event,
         AttemptEvent::Started | AttemptEvent::Progress { .. } | AttemptEvent::Finished { .. }
--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -356,6 +356,7 @@
         self.targets.on_dispatch(self.cx.now, target);
         self.cold_targets.on_dispatch(self.cx.now, target);
         self.limits.on_dispatch(target);
+        self.pace.on_dispatch(target);
         if let Some(prefix) = prefix {
             self.prefixes.store(target, prefix);
         }
--- a/crates/core/src/node/limit.rs
+++ b/crates/core/src/node/limit.rs
@@ -1,7 +1,7 @@
 //! The limits that targets state: this router's part of them, and the requests that they leave no
 //! room for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::balance::Size;
 use crate::input::{AnswerHead, StatedLimit};
@@ -86,13 +86,13 @@
     }
 
     /// Returns the other routers that may send requests, heard of or not.
-    fn sharing_peers(&self) -> impl Iterator<Item = RouterId> {
+    pub(super) fn sharing_peers(&self) -> impl Iterator<Item = RouterId> {
         let peers = self.members.peers();
         let sharing = peers.filter(|(_, peer)| peer.listed && !peer.leaving);
         sharing.map(|(router, _)| router)
     }
 
-    fn rank_for_limits(&mut self) {
+    pub(super) fn rank_for_limits(&mut self) {
         let me = self.cx.me;
         let (mut before, mut routers) = (0, 1);
         for router in self.sharing_peers() {
@@ -100,6 +100,7 @@
             before += usize::from(router < me);
         }
         self.limits.set_rank(before, routers);
+        self.pace.set_rank(before, routers);
     }
 
     /// Recomputes this router's part of each limit.
@@ -133,13 +134,15 @@
         }
     }
 
-    /// Returns the requests that recently arrived here, for each pool with a limited target.
+    /// Returns the requests that recently arrived here, for each pool with a limited or paced target.
     pub(super) fn own_demand(&self) -> Vec<DemandRow> {
-        let row = |(pool, _)| DemandRow {
+        let row = |pool| DemandRow {
             pool,
             requests: u32::try_from(self.demand.requests(self.cx.now, pool)).unwrap_or(u32::MAX),
         };
-        self.limited_pools().into_iter().map(row).collect()
+        let mut pools: BTreeSet<PoolId> = self.limited_pools().into_keys().collect();
+        pools.extend(self.pace.targets().map(|(_, pool)| pool));
+        pools.into_iter().map(row).collect()
     }
 
     /// Returns the pools with a limited target, each with the sum of this router's parts.
--- a/crates/core/src/node/load_exchange.rs
+++ b/crates/core/src/node/load_exchange.rs
@@ -40,6 +40,7 @@
         }
         let part = self.balance.report(now, claims, coverage);
         self.update_limits();
+        self.update_pace();
         self.send_reports(part, readers, &role);
         if matches!(role, Role::Relay(_)) {
             self.send_fleet_sums();
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -98,6 +98,7 @@
             return;
         }
         self.limits.advance(self.cx.now);
+        self.pace.advance(self.cx.now);
         let target_list = self.take_target_list(pool);
         self.dispatch_from(pool, &target_list);
         self.target_lists.insert(pool, target_list);
@@ -425,6 +426,7 @@
                 && usable(&view)
                 && !self.quarantine.is_reserved(now, view.id)
                 && self.cold_limit_allows(pool, view.id)
+                && self.pace.allows(view.id)
                 && self.limits.allows(view.id)
         };
         let open: Vec<Candidate> = target_list
@@ -494,6 +496,7 @@
         let now = self.cx.now;
         let permits = self.limits.permits(target);
         let is_open = self.cold_limit_allows(pool, target)
+            && self.pace.allows(target)
             && self.targets.wants_requests(now, target)
             && self.limits.allows(target);
         candidates.retain(|place| is_open || place.candidate.target != target);
@@ -544,7 +547,7 @@
 
     /// Returns how many requests per second the fleet may send to a cold target of a pool, and the
     /// routers that share them.
-    fn allowance(&self, pool: PoolId) -> Allowance {
+    pub(super) fn allowance(&self, pool: PoolId) -> Allowance {
         let per_second = self
             .catalogue
             .pool(pool)
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod local_dispatch;
 mod log;
 mod once;
+mod pace;
 mod page;
 mod peer;
 mod poison;
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -23,6 +23,7 @@
 use crate::node::{CatalogueSource, Config};
 use crate::once::Once;
 use crate::output::Output;
+use crate::pace::{Pace, Usual};
 use crate::poison::Poison;
 use crate::prelude::*;
 use crate::quarantine::Quarantine;
@@ -79,6 +80,9 @@
     pub(super) cold_targets: ColdTargets,
     pub(super) limits: Limits,
     pub(super) demand: Demand,
+    pub(super) pace: Pace,
+    /// The usual time to the start of an answer, against which paced targets are compared.
+    pub(super) usual_starts: Usual,
     pub(super) splits: Splits,
     /// Targets whose records lapsed while the store was unreachable, by name: the time until which
     /// they are still used, and the change that removes them.
@@ -160,6 +164,8 @@
             cold_targets: ColdTargets::default(),
             limits: Limits::default(),
             demand: Demand::default(),
+            pace: Pace::default(),
+            usual_starts: Usual::default(),
             splits: Splits::default(),
             lapsed: BTreeMap::new(),
             targets_read: None,
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -4,6 +4,7 @@
 
 use crate::address;
 use crate::catalogue::TargetView;
+use crate::limit::Rate;
 use crate::node::Node;
 use crate::prelude::*;
 use crate::target::Condition;
@@ -72,6 +73,9 @@
     pub stated_limit_millis: Option<u64>,
     /// This router's part of that limit.
     pub part_millis: Option<u64>,
+    /// The requests per second at which all routers use the target, in thousandths, while it is paced
+    /// after a start or a failure.
+    pub pace_millis: Option<u64>,
 }
 
 impl Node {
@@ -121,6 +125,7 @@
             owner: self.targets.owner(view.id),
             stated_limit_millis: stated(view.id).map(|(limit, _)| limit.as_millis()),
             part_millis: stated(view.id).map(|(_, part)| part.as_millis()),
+            pace_millis: self.pace.pace(view.id).map(Rate::as_millis),
         };
         self.catalogue.targets().map(status).collect()
     }
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -125,7 +125,12 @@
                 let subject = format!("{} may be used again: it began a new run", state.target);
                 self.cx.notice(NoticeKind::Target, subject);
             }
-            if self.cold_targets.on_state(self.cx.now, state) {
+            let is_new = !self.cold_targets.has_state(state.target);
+            let has_restarted = self.cold_targets.on_state(self.cx.now, state);
+            if is_new || has_restarted {
+                self.start_pace(state.target);
+            }
+            if has_restarted {
                 self.balance.on_restart(state.target);
                 let subject = format!("{} began a new run", state.target);
                 self.cx.notice(NoticeKind::Target, subject);
