Divide the allowance of cold targets by demand

Cause: each router had a fixed share of the allowance of a cold target, so a target idled while the routers with a share had no requests (with 77 routers most have none).

Ruled out: parts by reported demand, as for stated limits. Routers with different views may use up to twice the sum, which a cold target does not bear.

Change: a router with more requests than its share allows asks the at most cold_per_s routers that have one; each lends what it does not use, drawn by demand, for one second at a time. The borrower counts the term from its own request, the lender from the later loan, plus the window, so that a share is never used twice. Lost or late messages cost capacity only. A router that has just started uses its share of half of the allowance and lends nothing until loans of its former run have ended.

--- a/crates/core/src/cold_start/state.rs
+++ b/crates/core/src/cold_start/state.rs
@@ -2,12 +2,15 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use rand::RngExt;
+
+use crate::cold_start::WINDOW;
+use crate::cold_start::loans::{LOANS_OF_FORMER_RUN, Loans, Request};
+use crate::cold_start::message::ColdPart;
 use crate::input::{RunRecord, TargetState};
 use crate::membership::ranking;
 use crate::prelude::*;
 
-/// The time over which requests to a cold target are counted.
-const WINDOW: Duration = Duration::from_secs(1);
 /// Added to the time for which a target reports that it is cold, because the report was delayed on
 /// its way.
 const STATE_DELAY: Duration = Duration::from_millis(500);
@@ -24,6 +27,31 @@
     pub per_second: u32,
     /// The routers that share the allowance.
     pub routers: Vec<RouterId>,
+    /// Whether this router's former run may have lent its share.
+    pub is_former_run_recent: bool,
+}
+
+impl Allowance {
+    /// Returns whether loans of the former run of a router may be in use at `now`.
+    pub fn is_former_run_recent(now: Time, started: Time) -> bool {
+        now.since(started) < LOANS_OF_FORMER_RUN
+    }
+
+    /// Returns the requests per second that the routers with a fixed share divide.
+    const fn divided(&self) -> u32 {
+        match self.is_former_run_recent {
+            true => self.per_second / 2,
+            false => self.per_second,
+        }
+    }
+
+    /// Returns the other routers that have a share of the allowance for a target.
+    fn lenders(&self, target: TargetId, me: RouterId) -> Vec<RouterId> {
+        let mut ranked = ranking(u64::from(target.0), self.routers.iter().copied());
+        ranked.truncate(usize::try_from(self.per_second).unwrap_or(usize::MAX));
+        ranked.retain(|&router| router != me);
+        ranked
+    }
 }
 
 /// The targets that are or may be cold.
@@ -32,6 +60,7 @@
     cold: BTreeMap<TargetId, Cold>,
     /// The last state of each target: its run, and the sequence number within the run.
     last_states: BTreeMap<TargetId, (Option<u64>, u64)>,
+    loans: Loans,
 }
 
 #[derive(Debug)]
@@ -95,9 +124,127 @@
         if allowance.per_second == 0 {
             return true;
         }
-        let since = now - WINDOW;
-        let sent = cold.sent.iter().filter(|&&at| at > since).count();
-        sent < router_share(allowance, target, me)
+        cold.sent_in_window(now) < self.share(now, target, allowance, me)
+    }
+
+    /// Returns how many requests per second this router may send a cold target.
+    fn share(&self, now: Time, target: TargetId, allowance: &Allowance, me: RouterId) -> usize {
+        let fixed = router_share(allowance, target, me);
+        let is_listed = |router| allowance.routers.contains(&router);
+        fixed.saturating_sub(self.loans.lent(now, target))
+            + self.loans.borrowed(now, target, is_listed)
+    }
+
+    /// Returns the targets that are cold.
+    pub fn cold(&self, now: Time) -> impl Iterator<Item = TargetId> {
+        let cold = self.cold.iter();
+        let cold = cold.filter(move |(_, cold)| cold.until > now);
+        cold.map(|(&target, _)| target)
+    }
+
+    /// Drops the loans that have ended.
+    pub fn expire_loans(&mut self, now: Time) {
+        self.loans.expire(now);
+    }
+
+    /// Asks other routers for their shares of a cold target if this router's share is below its
+    /// demand, in requests within the last second.
+    pub fn ask_if_due(
+        &mut self,
+        cx: &mut Context,
+        target: TargetId,
+        demand: u64,
+        allowance: &Allowance,
+    ) {
+        let (now, me) = (cx.now, cx.me);
+        if demand == 0 || allowance.is_former_run_recent || !self.loans.may_ask(now, target) {
+            return;
+        }
+        let fixed = router_share(allowance, target, me);
+        if demand <= fixed.saturating_sub(self.loans.lent(now, target)) as u64 {
+            return;
+        }
+        self.loans.on_asking(now, target);
+        let ask = ColdPart::Ask {
+            target,
+            demand: u32::try_from(demand).unwrap_or(u32::MAX),
+            asked: now,
+        };
+        for lender in allowance.lenders(target, me) {
+            cx.send(lender, Part::Cold(ask), Urgency::Now);
+        }
+        cx.count(Counter::ColdShareAsked);
+    }
+
+    /// Handles a message on shares. A request for a share of a target that is not cold to this router
+    /// is ignored, since what was sent there is not known.
+    pub fn on_part(&mut self, now: Time, from: RouterId, part: ColdPart) {
+        match part {
+            ColdPart::Ask {
+                target,
+                demand,
+                asked,
+            } => {
+                if self.is_cold(now, target) {
+                    let request = Request { demand, asked };
+                    self.loans.on_ask(now, from, target, request);
+                }
+            }
+            ColdPart::Loan {
+                target,
+                units,
+                asked,
+            } => self.loans.on_loan(from, target, units, asked),
+        }
+    }
+
+    /// Lends this router's share of a cold target to the routers that asked for it. `demand` is that
+    /// of this router.
+    pub fn lend_if_due(
+        &mut self,
+        cx: &mut Context,
+        target: TargetId,
+        demand: u64,
+        allowance: &Allowance,
+    ) {
+        let (now, me) = (cx.now, cx.me);
+        let mut wanted = self.loans.take_wanted(now, target);
+        wanted.retain(|router, _| allowance.routers.contains(router));
+        if wanted.is_empty() || allowance.is_former_run_recent {
+            return;
+        }
+        let Some(cold) = self.cold.get(&target) else {
+            return;
+        };
+        let fixed = router_share(allowance, target, me);
+        let used = self.loans.lent(now, target) + cold.sent_in_window(now);
+        let asking = wanted.values().map(|req| u64::from(req.demand));
+        let total = demand + asking.sum::<u64>();
+        let mut more: BTreeMap<RouterId, usize> = BTreeMap::new();
+        for _ in used..fixed {
+            let mut drawn = cx.rng.random_range(0..total.max(1));
+            let to = wanted.iter().find(|(_, req)| {
+                let is_drawn = drawn < u64::from(req.demand);
+                drawn = drawn.saturating_sub(u64::from(req.demand));
+                is_drawn
+            });
+            if let Some((&to, _)) = to {
+                *more.entry(to).or_default() += 1;
+            }
+        }
+        for (to, Request { asked, .. }) in wanted {
+            let more = more.get(&to).copied().unwrap_or_default();
+            let units = self.loans.lend(now, target, to, more);
+            if units > 0 {
+                let loan = ColdPart::Loan {
+                    target,
+                    units: u32::try_from(units).unwrap_or(u32::MAX),
+                    asked,
+                };
+                cx.send(to, Part::Cold(loan), Urgency::Now);
+                cx.count(Counter::ColdShareLent);
+            }
+        }
     }
 
     /// Records that a request is sent to a target.
@@ -140,11 +287,19 @@
     }
 }
 
-/// Returns how many requests per second this router may send a cold target. The remainder of an
+impl Cold {
+    /// Returns how many requests this router sent within the window that ends now.
+    fn sent_in_window(&self, now: Time) -> usize {
+        let since = now - WINDOW;
+        self.sent.iter().filter(|&&at| at > since).count()
+    }
+}
+
+/// Returns this router's fixed share of the allowance of a cold target. The remainder of an
 /// even split goes to the routers that rank first for the target's rendezvous key, one request
 /// each.
 fn router_share(allowance: &Allowance, target: TargetId, me: RouterId) -> usize {
-    let per_second = usize::try_from(allowance.per_second).unwrap_or(usize::MAX);
+    let per_second = usize::try_from(allowance.divided()).unwrap_or(usize::MAX);
     let routers = allowance.routers.len().max(1);
     let ranked = ranking(u64::from(target.0), allowance.routers.iter().copied());
     let mut first = ranked.iter().take(per_second % routers);
--- a/crates/core/src/cold_start/tests.rs
+++ b/crates/core/src/cold_start/tests.rs
@@ -21,6 +21,7 @@
     Allowance {
         per_second,
         routers: (1..=routers).map(RouterId).collect(),
+        is_former_run_recent: false,
     }
 }
 
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -77,6 +77,10 @@
     TargetUnlimited = "target_unlimited";
     /// A target stated a limit that cannot be read.
     TargetLimitUnreadable = "target_limit_unreadable";
+    /// This router asked others for their shares of the allowance of a cold target.
+    ColdShareAsked = "cold_share_asked";
+    /// This router lent its share of the allowance of a cold target, or extended the loan.
+    ColdShareLent = "cold_share_lent";
     /// A target that has started or recovered is paced.
     TargetPaced = "target_paced";
     /// The pace of a target was halved because it answered slowly, refused or broke off.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use crate::balance::message::{FleetPart, LoadPart};
 use crate::catalogue::message::CataloguePart;
+use crate::cold_start::message::ColdPart;
 use crate::feed::message::FeedPart;
 use crate::key::{Incarnation, RouterId};
 use crate::membership::message::Heartbeat;
@@ -58,6 +59,8 @@
     Feed(FeedPart),
     /// Parts of prompts that crash targets.
     Poison(PoisonPart),
+    /// Shares of the allowance of cold targets.
+    Cold(ColdPart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch where each router chooses targets by itself ([`Policy::Local`]) and no owner grants
 //! slots.
 
+use std::collections::BTreeMap;
+
 use crate::address;
 use crate::balance::message::ClaimRow;
 use crate::balance::{Candidate, CandidateLoad, Choice, RequestProfile, Workload};
@@ -556,6 +558,34 @@
         Allowance {
             per_second,
             routers: listed.map(|(id, _)| id).chain([self.cx.me]).collect(),
+            is_former_run_recent: Allowance::is_former_run_recent(self.cx.now, self.started),
+        }
+    }
+
+    /// Asks for shares of the allowance of cold targets, and lends this router's.
+    pub(super) fn exchange_cold_shares(&mut self) {
+        let now = self.cx.now;
+        self.cold_targets.expire_loans(now);
+        if self.slots.cfg.policy != Policy::Local {
+            return;
+        }
+        let cold: Vec<TargetId> = self.cold_targets.cold(now).collect();
+        let mut allowances: BTreeMap<PoolId, Allowance> = BTreeMap::new();
+        for target in cold {
+            let Some(pool) = self.pool_of_target(target) else {
+                continue;
+            };
+            let demand = self.demand.requests(now, pool);
+            let allowance = allowances
+                .entry(pool)
+                .or_insert_with(|| self.allowance(pool));
+            if allowance.per_second == 0 {
+                continue;
+            }
+            self.cold_targets
+                .lend_if_due(&mut self.cx, target, demand, allowance);
+            self.cold_targets
+                .ask_if_due(&mut self.cx, target, demand, allowance);
         }
     }
 
--- a/crates/core/src/node/pace.rs
+++ b/crates/core/src/node/pace.rs
@@ -114,7 +114,7 @@
         self.cold_targets.is_cold(self.cx.now, target) && self.allowance(pool).per_second > 0
     }
 
-    fn pool_of_target(&self, target: TargetId) -> Option<PoolId> {
+    pub(super) fn pool_of_target(&self, target: TargetId) -> Option<PoolId> {
         let view = self.catalogue.target(target)?;
         let (pool, _) = self.catalogue.pool_by_name(&view.entry.pool)?;
         Some(pool)
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -113,6 +113,7 @@
             Part::Fleet(part) => self.on_fleet_part(from, &part),
             Part::Feed(part) => self.on_feed_part(from, part),
             Part::Poison(part) => self.on_poison_part(from, part),
+            Part::Cold(part) => self.cold_targets.on_part(self.cx.now, from, part),
         }
     }
 }
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -24,6 +24,7 @@
             self.note_late_starts();
             self.note_stalled();
             self.remove_lapsed();
+            self.exchange_cold_shares();
             self.advance_suspects();
             self.advance_poison();
             self.finish_stop();
