Let routers that send nothing follow the growth of a pace

Cause: in a fleet of 77 routers that all have requests each one's part is too small to see answers, and answers of a few milliseconds show in no report. The target got 7 to 32 requests in each of the seven seconds after its cold phase.

Change: such a router ends a round if others have requests and these do not pile up at the target, unless its own last request there met trouble.

--- a/crates/core/src/pace/mod.rs
+++ b/crates/core/src/pace/mod.rs
@@ -13,8 +13,9 @@
 //! Each router keeps its own estimate of the rate that the target bears from the whole fleet, and
 //! uses a part of it by demand, as [`limit`](crate::limit) divides a stated limit. A round ends when
 //! half of the requests that this router sent in it have begun to be answered. A router whose part is
-//! too small to send any goes by the load that the other routers report: requests at the target that
-//! do not pile up count as a round. Pacing ends when this router's part is no less than all requests
+//! too small to send any goes by the load that the other routers report: a time in which others have
+//! requests and these do not pile up at the target counts as a round, unless this router's last
+//! request there met trouble. Pacing ends when this router's part is no less than all requests
 //! that arrive here for the pool.
 //!
 //! An answer is slow if it takes far longer to start than is usual for its pool and its prompt. The
--- a/crates/core/src/pace/state.rs
+++ b/crates/core/src/pace/state.rs
@@ -59,6 +59,8 @@
     /// When pacing started or the pace was last halved.
     troubled_at: Time,
     halved_at: Option<Time>,
+    /// Whether no answer has been quick since the pace was last halved.
+    is_in_trouble: bool,
 }
 
 /// A change of a target's pace that operators see.
@@ -124,6 +126,7 @@
             has_grown: false,
             troubled_at: now,
             halved_at: None,
+            is_in_trouble: false,
         };
         self.targets.insert(target, paced);
         Some(Change::Started(start))
@@ -145,6 +148,7 @@
         }
         if sent >= paced.round_since {
             paced.quick += 1;
+            paced.is_in_trouble = false;
         }
         None
     }
@@ -164,7 +168,7 @@
         let paced = self.targets.get_mut(&target)?;
         paced.set_cold(now, surroundings.is_cold);
         if !paced.is_cold {
-            paced.grow_if_due(now, surroundings.running);
+            paced.grow_if_due(now, surroundings);
         }
         let part = surroundings.part;
         let rate = part.of(paced.pace);
@@ -261,6 +265,7 @@
             return None;
         }
         self.halved_at = Some(now);
+        self.is_in_trouble = true;
         self.troubled_at = now;
         self.has_grown = false;
         self.begin_round(now);
@@ -272,13 +277,16 @@
     }
 
     /// Doubles the pace if a round has ended in which the target bore it.
-    fn grow_if_due(&mut self, now: Time, running: u32) {
+    fn grow_if_due(&mut self, now: Time, surroundings: Surroundings) {
         let age = now.since(self.round_since);
         let is_borne = match self.sent {
-            // The others' requests are at the target and do not pile up.
+            // The others' requests do not pile up at the target. After trouble this does not count:
+            // a target that refuses everything has no requests.
             0 => {
                 let seconds_worth = self.pace.as_millis() / 1_000;
-                age >= ROUND_OF_OTHERS && running > 0 && u64::from(running) <= seconds_worth
+                let is_piled_up = u64::from(surroundings.running) > seconds_worth;
+                let others_send = surroundings.part.others > 0 && !is_piled_up;
+                age >= ROUND_OF_OTHERS && others_send && !self.is_in_trouble
             }
             sent => age >= ROUND_MIN && self.quick >= sent.div_ceil(2),
         };
--- a/crates/core/src/pace/tests.rs
+++ b/crates/core/src/pace/tests.rs
@@ -144,6 +144,18 @@
             expected: &[(0, 0, 1), (6_000, 10, 200)],
             ..case("one of many routers, by the load that others report")
         },
+        Case {
+            demand: (10, 760),
+            expected: &[(0, 0, 1), (6_000, 10, 200)],
+            ..case("one of many routers, where answers are so short that no report shows one")
+        },
+        Case {
+            demand: (10, 760),
+            answers: |_| None,
+            expected: &[(0, 0, 1), (2_000, 0, 2), (6_000, 0, 1)],
+            is_paced: true,
+            ..case("one of many routers, at a target that refuses")
+        },
         Case {
             demand: (10, 760),
             running: 4_000_000,
