Merge the pace of targets that have started or recovered

Cause: such targets were flooded or left idle. Change: core::pace, and the allowance of cold targets divided by demand.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,7 +66,7 @@
 //! - [`duty`]: calls of the platform that one router at a time makes for the fleet.
 //! - [`target`], [`route`], [`version`]: the capacity of each target, the choice of a target, and
 //!   the moves of traffic between versions.
-//! - [`balance`], [`cold_start`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
+//! - [`balance`], [`cold_start`], [`pace`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
 //!   where routers decide on their own and no owner grants slots, how their figures travel in a large
 //!   fleet, and how the records of a store do.
 //! - [`usage`], [`autoscale`]: how many requests of each organisation began, and how many targets a
@@ -105,6 +105,7 @@
 pub mod node;
 pub mod once;
 pub mod output;
+pub mod pace;
 pub mod poison;
 pub mod prelude;
 pub mod quarantine;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use crate::balance::message::{FleetPart, LoadPart};
 use crate::catalogue::message::CataloguePart;
+use crate::cold_start::message::ColdPart;
 use crate::duty::message::DutyPart;
 use crate::feed::message::FeedPart;
 use crate::key::{Incarnation, RouterId};
@@ -64,6 +65,8 @@
     Duty(DutyPart),
     /// The sender's requests by window and organisation, for the holder of the duties.
     Usage(UsagePart),
+    /// Shares of the allowance of cold targets.
+    Cold(ColdPart),
 }
 
 /// The error of bytes that are not a frame.
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch where each router chooses targets by itself ([`Policy::Local`]) and no owner grants
 //! slots.
 
+use std::collections::BTreeMap;
+
 use crate::address;
 use crate::balance::message::ClaimRow;
 use crate::balance::{Candidate, CandidateLoad, Choice, RequestProfile, Workload};
@@ -98,6 +100,7 @@
             return;
         }
         self.limits.advance(self.cx.now);
+        self.pace.advance(self.cx.now);
         let target_list = self.take_target_list(pool);
         self.dispatch_from(pool, &target_list);
         self.target_lists.insert(pool, target_list);
@@ -425,6 +428,7 @@
                 && usable(&view)
                 && !self.quarantine.is_reserved(now, view.id)
                 && self.cold_limit_allows(pool, view.id)
+                && self.pace.allows(view.id)
                 && self.limits.allows(view.id)
         };
         let open: Vec<Candidate> = target_list
@@ -494,6 +498,7 @@
         let now = self.cx.now;
         let permits = self.limits.permits(target);
         let is_open = self.cold_limit_allows(pool, target)
+            && self.pace.allows(target)
             && self.targets.wants_requests(now, target)
             && self.limits.allows(target);
         candidates.retain(|place| is_open || place.candidate.target != target);
@@ -544,7 +549,7 @@
 
     /// Returns how many requests per second the fleet may send to a cold target of a pool, and the
     /// routers that share them.
-    fn allowance(&self, pool: PoolId) -> Allowance {
+    pub(super) fn allowance(&self, pool: PoolId) -> Allowance {
         let per_second = self
             .catalogue
             .pool(pool)
@@ -553,6 +558,34 @@
         Allowance {
             per_second,
             routers: listed.map(|(id, _)| id).chain([self.cx.me]).collect(),
+            is_former_run_recent: Allowance::is_former_run_recent(self.cx.now, self.started),
+        }
+    }
+
+    /// Asks for shares of the allowance of cold targets, and lends this router's.
+    pub(super) fn exchange_cold_shares(&mut self) {
+        let now = self.cx.now;
+        self.cold_targets.expire_loans(now);
+        if self.slots.cfg.policy != Policy::Local {
+            return;
+        }
+        let cold: Vec<TargetId> = self.cold_targets.cold(now).collect();
+        let mut allowances: BTreeMap<PoolId, Allowance> = BTreeMap::new();
+        for target in cold {
+            let Some(pool) = self.pool_of_target(target) else {
+                continue;
+            };
+            let demand = self.demand.requests(now, pool);
+            let allowance = allowances
+                .entry(pool)
+                .or_insert_with(|| self.allowance(pool));
+            if allowance.per_second == 0 {
+                continue;
+            }
+            self.cold_targets
+                .lend_if_due(&mut self.cx, target, demand, allowance);
+            self.cold_targets
+                .ask_if_due(&mut self.cx, target, demand, allowance);
         }
     }
 
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -118,6 +118,7 @@
             Part::Poison(part) => self.on_poison_part(from, part),
             Part::Duty(part) => self.on_duty_part(part),
             Part::Usage(part) => self.on_usage_part(from, run, part),
+            Part::Cold(part) => self.cold_targets.on_part(self.cx.now, from, part),
         }
     }
 }
