Decode gap_aim_ms and the stated work of targets, and learn target speeds

Cause: balance counts unread tokens as if each took the same time at every target.

Change: routes carry gap_aim_ms and requests gap_max. Nothing uses the figures yet.

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -687,6 +687,7 @@
     deadline: Time,
 ) -> Request {
     let objective = Duration::from_millis(u64::from(route.objective_ms));
+    let gap_max = Duration::from_millis(u64::from(route.gap_aim_ms));
     Request {
         id: call.id,
         organisation,
@@ -705,6 +706,7 @@
             parts: call.head.parts.clone(),
             attempts_max: Some(route.attempts_max),
             objective: (!objective.is_zero()).then_some(objective),
+            gap_max: (!gap_max.is_zero()).then_some(gap_max),
             arrived: Some(call.arrived),
             output_tokens: call
                 .head
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -543,6 +543,7 @@
     let load = info.load.map(|load| TargetLoad {
         running: load.running,
         waiting: load.waiting,
+        work: load.work,
     });
     let head = AnswerHead { load, limit };
     hosted.traffic.control.head(dispatch.attempt, head);
--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -5,6 +5,7 @@
 use crate::balance::prefix_index::PrefixHash;
 use crate::key::{OrganisationId, PoolId, TargetId};
 use crate::limit::message::{DemandRow, LimitRow};
+use crate::speed::message::SpeedRow;
 
 /// Whose figures a report covers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,6 +62,8 @@
     pub limits: Vec<LimitRow>,
     /// The requests that recently arrived, for each pool with a limited target.
     pub demand: Vec<DemandRow>,
+    /// Changes since the last report of the work that targets state.
+    pub speeds: Vec<SpeedRow>,
 }
 
 impl Figures {
--- a/crates/core/src/balance/relaying.rs
+++ b/crates/core/src/balance/relaying.rs
@@ -9,6 +9,7 @@
 use crate::balance::state::{Load, PeerState, RELAYED_HELD_MAX, Unreported, changed_rows};
 use crate::limit::message::{DemandRow, LimitRow};
 use crate::prelude::*;
+use crate::speed::message::SpeedRow;
 
 /// The state of a router that passes figures between others.
 #[derive(Debug, Default)]
@@ -62,6 +63,13 @@
         }
     }
 
+    /// Includes the work of a target in the next figures for the routers that report here.
+    pub(super) fn add_own_speed(&mut self, row: SpeedRow) {
+        if self.is_relay {
+            self.unsent.add_speed(row);
+        }
+    }
+
     /// Passes on the events in a report: to other relays if it is of a router, and to the routers
     /// that report here.
     pub(super) fn forward(&mut self, unreported: &mut Unreported, part: &LoadPart) {
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -11,6 +11,7 @@
 use crate::balance::{Config, PrefixIndex};
 use crate::limit::message::{DemandRow, LimitRow};
 use crate::prelude::*;
+use crate::speed::message::SpeedRow;
 
 /// The most prompt prefixes in one report: twice what a router typically sends to targets in that
 /// time.
@@ -103,6 +104,8 @@
     pub(super) leaving: Vec<TargetId>,
     /// Changes of the limits that targets state.
     pub(super) limits: Vec<LimitRow>,
+    /// The work that targets stated last.
+    speeds: BTreeMap<TargetId, u16>,
 }
 
 impl Unreported {
@@ -119,10 +122,21 @@
         }
         self.leaving.extend(&figures.leaving);
         self.limits.extend(&figures.limits);
+        for &row in &figures.speeds {
+            self.add_speed(row);
+        }
+    }
+
+    /// Includes the work of a target. A newer figure replaces one that has not been reported.
+    pub(super) fn add_speed(&mut self, row: SpeedRow) {
+        self.speeds.insert(row.target, row.work);
     }
 
     fn is_empty(&self) -> bool {
-        self.held.is_empty() && self.leaving.is_empty() && self.limits.is_empty()
+        self.held.is_empty()
+            && self.leaving.is_empty()
+            && self.limits.is_empty()
+            && self.speeds.is_empty()
     }
 
     /// Moves into a report what goes into one: all about targets, and at most `held_max` prefixes.
@@ -131,6 +145,10 @@
         figures.held = self.held.drain(..held).collect();
         figures.leaving = core::mem::take(&mut self.leaving);
         figures.limits = core::mem::take(&mut self.limits);
+        let speeds = core::mem::take(&mut self.speeds).into_iter();
+        figures.speeds = speeds
+            .map(|(target, work)| SpeedRow { target, work })
+            .collect();
     }
 }
 
@@ -298,6 +316,12 @@
         self.relaying.add_own_limit(row);
     }
 
+    /// Includes in the next report to peers what work a target states now.
+    pub fn report_speed(&mut self, row: SpeedRow) {
+        self.unreported.add_speed(row);
+        self.relaying.add_own_speed(row);
+    }
+
     /// Applies a peer's report.
     pub fn on_part(&mut self, now: Time, from: RouterId, part: &LoadPart) {
         let figures = &part.figures;
--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -214,12 +214,22 @@
     /// The latency objective: the time within which an answer is on time, in milliseconds. From 0
     /// to 3600000.
     pub objective_ms: u32,
+    /// The longest pause between two events of a stream that is on time, in milliseconds. From 0 to
+    /// 3600000; 0 states no such objective.
+    // Routers of an earlier version reject the field, so it is written only where it is stated.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub gap_aim_ms: u32,
     /// The maximum number of targets that may run one request. From 1 to 100.
     pub attempts_max: u32,
     /// Whether callers may send requests without a token.
     pub anonymous: bool,
 }
 
+/// Returns whether a number states nothing.
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// The share of one pool in a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -234,6 +234,7 @@
         streams: false,
         timeout_ms,
         objective_ms: 0,
+        gap_aim_ms: 0,
         attempts_max: 1,
         anonymous: true,
     })
--- a/crates/core/src/catalogue/validate.rs
+++ b/crates/core/src/catalogue/validate.rs
@@ -168,6 +168,7 @@
     }
     range("timeout_ms", entry.timeout_ms, TIMEOUT_MS)?;
     range("objective_ms", entry.objective_ms, MILLIS)?;
+    range("gap_aim_ms", entry.gap_aim_ms, MILLIS)?;
     range("attempts_max", entry.attempts_max, ATTEMPTS)
 }
 
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -271,6 +271,9 @@
     pub running: u32,
     /// Requests that the target has admitted but not started.
     pub waiting: u32,
+    /// The time that work takes on the target at this moment, in hundredths of the usual time, if
+    /// the target states it.
+    pub work: Option<u16>,
 }
 
 /// What a target stated with an answer about further requests.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,7 +65,7 @@
 //!   which router may use which slots of a target.
 //! - [`target`], [`route`], [`version`]: the capacity of each target, the choice of a target, and
 //!   the moves of traffic between versions.
-//! - [`balance`], [`cold_start`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
+//! - [`balance`], [`speed`], [`cold_start`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
 //!   where routers decide on their own and no owner grants slots, how their figures travel in a large
 //!   fleet, and how the records of a store do.
 //! - [`attempt`], [`once`], [`quarantine`]: the retries of one request, requests that run at most
@@ -110,6 +110,7 @@
 pub mod route;
 pub mod share;
 pub mod slots;
+pub mod speed;
 pub mod target;
 pub mod time;
 pub mod verdict;
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -14,6 +14,7 @@
 use crate::queue::Waiting;
 use crate::share::ChargeAccount;
 use crate::slots::Policy;
+use crate::speed::Reading;
 use crate::target::Signal;
 
 /// The time without a token on any stream after which a target's streams count as stalled: three
@@ -43,6 +44,8 @@
     pub(super) sample: VersionSample,
     /// Prompt tokens that the target has still to read for the attempt, if they are counted.
     pub(super) unread: u32,
+    /// Prompt tokens that the target had still to read when the attempt was dispatched.
+    pub(super) ahead: u64,
     /// Whether the attempt counts in the balance of targets.
     pub(super) is_balanced: bool,
     /// Whether the answer cleared the parts of the prompt.
@@ -81,6 +84,7 @@
             runs_as: <(PoolId, OrganisationId, Class)>::default(),
             sample,
             unread: 0,
+            ahead: 0,
             is_balanced: false,
             is_sound: false,
         }
@@ -170,6 +174,16 @@
             let unread = core::mem::take(&mut attempt.unread);
             self.balance.on_read(target, unread);
             let after = now.since(attempt.sent);
+            if attempt.is_balanced {
+                let reading = Reading {
+                    tokens: attempt.ahead + u64::from(unread),
+                    is_alone: attempt.ahead == 0,
+                    took: after,
+                };
+                let (pool, _, _) = attempt.runs_as;
+                let assumed = self.balance.cfg().read_per_ms;
+                self.speeds.on_read(now, (pool, target), assumed, reading);
+            }
             self.targets
                 .on_signal(&mut self.cx, target, Signal::Started { after });
         }
--- a/crates/core/src/node/limit.rs
+++ b/crates/core/src/node/limit.rs
@@ -40,6 +40,12 @@
             self.targets.on_load(target, load);
         }
         let now = self.cx.now;
+        let work = head.load.and_then(|load| load.work);
+        if let Some(work) = work
+            && let Some(row) = self.speeds.on_stated(now, target, work)
+        {
+            self.balance.report_speed(row);
+        }
         if self.limits.limit(target).is_none() && matches!(head.limit, StatedLimit::PerSecond(_)) {
             self.rank_for_limits();
         }
--- a/crates/core/src/node/load_exchange.rs
+++ b/crates/core/src/node/load_exchange.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use crate::relay::Role;
 use crate::slots::Policy;
+use crate::speed::message::SpeedRow;
 
 /// The range of the jitter of the report interval, in per cent of the configured interval.
 const REPORT_JITTER_PERCENT: core::ops::RangeInclusive<u32> = 80..=120;
@@ -120,6 +121,7 @@
         self.avoid_leaving(&part.figures.leaving);
         self.balance.on_part(self.cx.now, from, part);
         self.on_peer_limits(&part.figures.limits);
+        self.on_peer_speeds(&part.figures.speeds);
     }
 
     /// Applies the fleet's sums, if they are from the relay to which this router reports.
@@ -129,6 +131,13 @@
             self.avoid_leaving(&part.figures.leaving);
             self.balance.on_fleet_part(now, from, part);
             self.on_peer_limits(&part.figures.limits);
+            self.on_peer_speeds(&part.figures.speeds);
+        }
+    }
+
+    fn on_peer_speeds(&mut self, rows: &[SpeedRow]) {
+        for &row in rows {
+            self.speeds.on_peer_row(self.cx.now, row);
         }
     }
 
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -561,12 +561,14 @@
             return;
         };
         let parts = &active.req.details.parts;
+        let ahead = self.balance.load(self.cx.now, choice.target).unread;
         self.balance
             .on_dispatch(self.cx.now, choice.target, choice.unread, parts);
         if let crate::node::request::Stage::Running(attempt) = active.stage
             && let Some(attempt) = self.attempts.get_mut(&attempt)
         {
             attempt.unread = choice.unread;
+            attempt.ahead = ahead;
             attempt.sample.tokens = choice.unread;
             attempt.is_balanced = true;
         }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -31,6 +31,7 @@
 use crate::route::{Prefixes, Splits};
 use crate::share::{Ledger, Recent};
 use crate::slots::{Policy, Slots};
+use crate::speed::Speeds;
 use crate::target::Targets;
 use crate::version::Moves;
 
@@ -78,6 +79,8 @@
     pub(super) balance: Balance,
     pub(super) cold_targets: ColdTargets,
     pub(super) limits: Limits,
+    /// How fast targets read and answer.
+    pub(super) speeds: Speeds,
     pub(super) demand: Demand,
     pub(super) splits: Splits,
     /// Targets whose records lapsed while the store was unreachable, by name: the time until which
@@ -159,6 +162,7 @@
             balance: Balance::new(cfg.balance.clone()),
             cold_targets: ColdTargets::default(),
             limits: Limits::default(),
+            speeds: Speeds::default(),
             demand: Demand::default(),
             splits: Splits::default(),
             lapsed: BTreeMap::new(),
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -72,6 +72,8 @@
     pub attempts_max: Option<u32>,
     /// The latency objective: the time within which the first part of the answer is due.
     pub objective: Option<Duration>,
+    /// The longest pause between two events of the answer with which a stream is on time.
+    pub gap_max: Option<Duration>,
     /// The number of tokens to be generated: the caller's estimate or, without one, the caller's
     /// upper limit.
     pub output_tokens: u32,
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -157,6 +157,7 @@
         streams: false,
         timeout_ms: 1,
         objective_ms: 1,
+        gap_aim_ms: 0,
         attempts_max: 1,
         anonymous: false,
     };
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -123,6 +123,7 @@
         streams: true,
         timeout_ms: 15_000,
         objective_ms: 800,
+        gap_aim_ms: 0,
         attempts_max: 1,
         anonymous: false,
     };
@@ -1001,6 +1002,7 @@
                 parts,
                 attempts_max: Some(self.runs_max),
                 objective: Some(OBJECTIVE),
+                gap_max: None,
                 output_tokens: 10,
                 body_bytes: 10_000,
                 arrived: Some(self.now - before),
