Compare targets by time and bound unread prompts by pauses

Cause: a step that reads a chunk of a prompt takes twice as long on a slow target, so streams there pause longer than their objective allows.

Change: a candidate carries the work of its target. Scores are in time. In pools with a route that states gap_aim_ms the unread tokens at a target, the request's own included, take at most half of the least gap_aim_ms (setting pause_percent) at the target's speed and the learnt rate, and an answer has to be likely to begin in time. A target without unread tokens takes any size, but only if no other target reads the prompt within the bound, or no faster one is idle. Calls of plain services are compared by requests times work. Pools of equal targets without gap_aim_ms are scored as before.

--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -403,6 +403,7 @@
     let balance = balance::Config {
         read_per_ms: s.int("read_per_ms", 1..=1_000_000, default.read_per_ms.into())?,
         max_unread: s.millis("ahead_ms", 1..=60_000, millis(default.max_unread))?,
+        pause_percent: s.int("pause_percent", 1..=1_000, default.pause_percent.into())?,
         reread_weight: s.int("reread_weight", 0..=100, default.reread_weight.into())?,
         reread_min: s.int(
             "reread_tokens_min",
--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -11,6 +11,9 @@
     /// The most unread prompts that a target may have ahead of a request, as the time to read them.
     /// Default: 500 ms, the middle objective of model requests.
     pub max_unread: Duration,
+    /// The part of a pool's least pause objective that the unread prompts at a target may take to be
+    /// read, in hundredths. Default: 50, because a target may slow down while it reads them.
+    pub pause_percent: u32,
     /// The weight of a token that a target has to read, relative to a token that is already in its
     /// queue. Default: 16, because reading slows all requests that run on the target, and a request
     /// can often wait for less than its objective.
@@ -56,6 +59,7 @@
         Self {
             read_per_ms: 80,
             max_unread: Duration::from_millis(500),
+            pause_percent: 50,
             reread_weight: 16,
             reread_min: 1_024,
             holder_wait_percent: 90,
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -39,6 +39,6 @@
 pub use self::config::Config;
 pub use self::prefix_index::PrefixIndex;
 pub use self::relaying::Member;
-pub use self::score::{Candidate, CandidateLoad, Choice, RequestProfile, Size};
+pub use self::score::{Candidate, CandidateLoad, Choice, ReadSpeed, RequestProfile, Size};
 pub use self::state::{Balance, Load};
 pub use self::turns::{Permit, Workload};
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -7,6 +7,7 @@
 use crate::limit::Permits;
 use crate::prelude::*;
 use crate::route::Distance;
+use crate::speed::WORK_USUAL;
 
 /// A request is light if it generates more than one token for this many prompt tokens. An engine
 /// reads a token a few times faster than it generates one for a request among many.
@@ -39,6 +40,28 @@
     }
 }
 
+/// How fast a target reads, and how much of it may be unread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadSpeed {
+    /// The time that work takes there, in hundredths of the usual time.
+    pub work: u32,
+    /// The most unread tokens at the target, so that streams there are on time. `None` if the pool has
+    /// no pause objective and the target has the usual speed; then [`Config::max_unread`] applies, and
+    /// targets are compared by tokens alone.
+    ///
+    /// [`Config::max_unread`]: crate::balance::Config::max_unread
+    pub unread_max: Option<u64>,
+}
+
+impl Default for ReadSpeed {
+    fn default() -> Self {
+        Self {
+            work: WORK_USUAL,
+            unread_max: None,
+        }
+    }
+}
+
 /// A target that may take a request, with its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CandidateLoad {
@@ -48,6 +71,8 @@
     pub load: Load,
     /// How many requests this router may send the target now; `None` if the target states no limit.
     pub permits: Option<Permits>,
+    /// How fast the target reads.
+    pub speed: ReadSpeed,
 }
 
 /// The size of a prompt, compared with those of other requests of its pool. Limits of targets count
@@ -79,6 +104,9 @@
     /// How the size of the prompt compares with those of other requests of the pool, where some of
     /// its targets state limits.
     pub size: Size,
+    /// The tokens that a target of usual speed reads until the answer is due to begin; `u64::MAX` if
+    /// that does not bind.
+    pub due_tokens: u64,
 }
 
 impl<'a> RequestProfile<'a> {
@@ -92,6 +120,7 @@
             body_bytes: req.details.body_bytes,
             may_wait,
             size: Size::default(),
+            due_tokens: u64::MAX,
         }
     }
 
@@ -155,9 +184,15 @@
     ) -> Option<Choice> {
         let coverage = self.coverage(now, profile, candidates.clone());
         let is_divided = candidates.clone().any(|place| place.permits.is_none());
+        let is_uneven = candidates
+            .clone()
+            .any(|place| place.speed.work != WORK_USUAL);
         let choices = candidates.filter_map(|&place| {
             let CandidateLoad {
-                candidate, load, ..
+                candidate,
+                load,
+                speed,
+                ..
             } = place;
             let to_read = coverage.scored_at(candidate.target);
             let reread = to_read.saturating_sub(coverage.unshared);
@@ -167,12 +202,22 @@
                 slots => slots,
             };
             let is_idle = load.unread == 0;
-            let has_capacity = self.has_capacity(load, slots, to_read)
+            let unread = match speed.unread_max {
+                // Streams at the target also wait for parts that are presumed to be there.
+                Some(_) => coverage.unread_at(candidate.target),
+                None => to_read,
+            };
+            let has_capacity = self.has_capacity(&place, slots, unread)
+                && is_due_later(&place, unread, profile.due_tokens)
                 && (is_idle || slots == candidate.slots)
                 && (!is_divided || suits(profile.size, place.permits, is_idle));
             has_capacity.then(|| {
-                let score = self.score(profile, place, to_read);
+                let is_too_long = speed
+                    .unread_max
+                    .is_some_and(|most| u64::from(unread) > most);
+                let score = self.score(profile, place, to_read, is_uneven);
                 (
+                    is_too_long,
                     score,
                     tie_breaker(candidate.target, profile),
                     candidate.target,
@@ -180,7 +225,7 @@
                 )
             })
         });
-        let (_, _, target, is_idle) = choices.min()?;
+        let (_, _, _, target, is_idle) = choices.min()?;
         Some(Choice {
             target,
             unread: coverage.unread_at(target),
@@ -233,16 +278,25 @@
     /// Returns whether a target can take any request at all. Whether it can take a given one
     /// depends on the size of that request.
     pub fn may_have_capacity(&self, loaded: &CandidateLoad) -> bool {
-        self.has_capacity(loaded.load, loaded.candidate.slots, 0)
+        self.has_capacity(loaded, loaded.candidate.slots, 0)
     }
 
-    fn has_capacity(&self, load: Load, slots: u32, to_read: u32) -> bool {
+    fn has_capacity(&self, loaded: &CandidateLoad, slots: u32, to_read: u32) -> bool {
+        let load = loaded.load;
         let unread = load.unread + u64::from(to_read);
-        let reads_soon = load.unread == 0 || unread <= self.cfg.max_unread_tokens();
+        let reads_soon = load.unread == 0 || unread <= self.unread_max(loaded);
         load.requests < slots && reads_soon
     }
 
-    /// Returns the cost of sending a request to a target that has to read `to_read` tokens for it.
+    /// Returns the most unread tokens that a target may have unless it takes a single request.
+    pub(super) fn unread_max(&self, loaded: &CandidateLoad) -> u64 {
+        let bound = loaded.speed.unread_max;
+        bound.unwrap_or_else(|| self.cfg.max_unread_tokens())
+    }
+
+    /// Returns the cost of sending a request to a target that has to read `to_read` tokens for it, in
+    /// hundredths of the time in which a usual target reads a token. `is_uneven` says whether the
+    /// speeds of the candidates differ.
     fn score(
         &self,
         profile: RequestProfile<'_>,
@@ -250,8 +304,10 @@
             candidate,
             load,
             permits,
+            speed,
         }: CandidateLoad,
         to_read: u32,
+        is_uneven: bool,
     ) -> u64 {
         let cfg = &self.cfg;
         let distance = match candidate.distance {
@@ -263,7 +319,11 @@
         // Calls of plain services have no prompt. Their targets have few slots, so the share of
         // slots in use counts.
         let running = match profile.prompt_tokens {
-            0 => u64::from(load.requests) * 1_000 / u64::from(candidate.slots.max(1)),
+            0 => {
+                // Where speeds differ, the request itself takes longer at a slow target.
+                let requests = u64::from(load.requests) + u64::from(is_uneven);
+                requests * 1_000 / u64::from(candidate.slots.max(1))
+            }
             _ => u64::from(load.requests) * u64::from(cfg.running_tokens),
         };
         let read = u64::from(to_read) * u64::from(cfg.reread_weight);
@@ -278,10 +338,20 @@
                 cfg.max_unread_tokens()
             }
         };
-        load.unread + read + running + distance + interference + permit
+        let work = load.unread + read + running;
+        work * u64::from(speed.work) + (distance + interference + permit) * u64::from(WORK_USUAL)
     }
 }
 
+/// Returns whether an answer is likely to begin in time behind what a target has to read. A target
+/// without unread tokens takes any request, as does one that is compared by tokens alone.
+fn is_due_later(loaded: &CandidateLoad, to_read: u32, due_tokens: u64) -> bool {
+    let CandidateLoad { load, speed, .. } = loaded;
+    let tokens = load.unread + u64::from(to_read);
+    let is_bound = speed.unread_max.is_some() && load.unread > 0 && due_tokens < u64::MAX;
+    !is_bound || tokens * u64::from(speed.work) <= due_tokens.saturating_mul(u64::from(WORK_USUAL))
+}
+
 /// Returns whether a target may take a request of this size, where other targets of the pool state no
 /// limit.
 fn suits(size: Size, permits: Option<Permits>, is_idle: bool) -> bool {
--- a/crates/core/src/balance/tests.rs
+++ b/crates/core/src/balance/tests.rs
@@ -1,9 +1,12 @@
 //! Tests of the load balancer. Each test guards against a failure under one pattern of load.
 
 mod relayed;
+mod speed;
 
 use super::message::{ClaimRow, Coverage, Figures, FleetPart, LoadPart, LoadRow};
-use super::{Balance, Candidate, CandidateLoad, Config, Load, RequestProfile, Size, Workload};
+use super::{
+    Balance, Candidate, CandidateLoad, Config, Load, ReadSpeed, RequestProfile, Size, Workload,
+};
 use crate::limit::Permits;
 use crate::prelude::*;
 use crate::route::Distance;
@@ -55,12 +58,14 @@
         body_bytes: 10_000,
         may_wait,
         size: Size::default(),
+        due_tokens: u64::MAX,
     }
 }
 
 fn candidates(balance: &Balance, count: u32) -> Vec<CandidateLoad> {
     let candidate = |id| CandidateLoad {
         permits: None,
+        speed: ReadSpeed::default(),
         candidate: Candidate {
             target: TargetId(id),
             slots: SLOTS,
@@ -114,6 +119,7 @@
     let view = |shift: u32| -> Vec<CandidateLoad> {
         let candidate = |id: u32| CandidateLoad {
             permits: None,
+            speed: ReadSpeed::default(),
             candidate: Candidate {
                 target: TargetId(id),
                 slots: SLOTS,
@@ -288,6 +294,7 @@
     };
     let candidate = |id, prefers_light, load| CandidateLoad {
         permits: None,
+        speed: ReadSpeed::default(),
         candidate: Candidate {
             target: TargetId(id),
             slots: SLOTS,
@@ -633,6 +640,7 @@
             },
             load,
             permits,
+            speed: ReadSpeed::default(),
         };
         let permits = Permits {
             count: 1,
--- a/crates/core/src/balance/turns.rs
+++ b/crates/core/src/balance/turns.rs
@@ -161,14 +161,13 @@
     /// free slots, and as many as they can read soon. `is_light` says whether the requests generate
     /// much and read little.
     pub fn free_capacity(&self, candidates: &[CandidateLoad], tokens: u64, is_light: bool) -> u64 {
-        let unread_max = self.cfg.max_unread_tokens();
         let capacity = |loaded: &CandidateLoad| {
             let slots = loaded.candidate.slots_for(is_light);
             if slots < loaded.candidate.slots && loaded.load.unread > 0 {
                 return 0;
             }
             let slots = slots.saturating_sub(loaded.load.requests);
-            let left = unread_max.saturating_sub(loaded.load.unread);
+            let left = self.unread_max(loaded).saturating_sub(loaded.load.unread);
             let soon = match (tokens, loaded.load.unread) {
                 (0, _) => u64::MAX,
                 // An idle target takes a request of any size.
--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -1,5 +1,6 @@
 //! The entries of the catalogue and the rule by which an edit applies.
 
+use core::time::Duration;
 use std::collections::{BTreeMap, BTreeSet};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -318,6 +319,20 @@
             .any(|routes| !routes.is_empty())
     }
 
+    /// Returns the least pause objective of the routes to a pool, if any states one.
+    pub fn gap_aim(&self, pool: &str) -> Option<Duration> {
+        let names = self.routes_by_host.values().flat_map(BTreeMap::values);
+        let aims = names.filter_map(|name| match &self.stored(Kind::Route, name)?.entry {
+            Some(Entry::Route(route)) => {
+                let leads_here = route.pools.iter().any(|share| share.pool == pool);
+                (leads_here && route.gap_aim_ms > 0).then_some(route.gap_aim_ms)
+            }
+            _ => None,
+        });
+        let least = aims.min()?;
+        Some(Duration::from_millis(u64::from(least)))
+    }
+
     /// Returns the route of a host with the longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.routes_by_host.get(host)?;
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -3,15 +3,17 @@
 
 use crate::address;
 use crate::balance::message::ClaimRow;
-use crate::balance::{Candidate, CandidateLoad, Choice, RequestProfile, Workload};
+use crate::balance::{Candidate, CandidateLoad, Choice, ReadSpeed, RequestProfile, Workload};
 use crate::catalogue::TargetView;
 use crate::catalogue::entry::{Pool, Route, Service, Target};
 use crate::cold_start::Allowance;
 use crate::node::Node;
+use crate::node::request::Active;
 use crate::output::Basis;
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::slots::Policy;
+use crate::speed::WORK_USUAL;
 use crate::version::Arm;
 
 /// How many requests of an organisation may always wait at a router, however long the expected
@@ -43,6 +45,8 @@
     changes: u64,
     /// The targets, in ascending order of their ids.
     targets: Vec<ListedTarget>,
+    /// The least pause objective of the routes to the pool.
+    gap_aim: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -396,6 +400,7 @@
         let constraints = active.retry_state.dispatch_constraints();
         let wanted = RequestProfile {
             size: self.size(active),
+            due_tokens: self.due_tokens(active),
             ..RequestProfile::of(&active.req, waits_for_holder)
         };
         let now = self.cx.now;
@@ -414,6 +419,17 @@
         })
     }
 
+    /// Returns the tokens that a target of usual speed reads until the answer to a request is due.
+    fn due_tokens(&self, active: &Active) -> u64 {
+        let (Some(objective), Some(_)) = (active.req.details.objective, active.req.details.gap_max)
+        else {
+            return u64::MAX;
+        };
+        let left = objective.saturating_sub(self.cx.now.since(active.arrived));
+        let assumed = self.balance.cfg().read_per_ms;
+        self.speeds.rate(active.req.pool, assumed).tokens_in(left)
+    }
+
     /// Returns the targets of a pool that may be sent requests now, with their load. The list is
     /// built once for all waiting requests.
     fn candidates(&self, pool: PoolId, arm: Arm, target_list: &TargetList) -> Vec<CandidateLoad> {
@@ -434,6 +450,9 @@
             .map(|listed| listed.candidate)
             .collect();
         let loads = self.balance.loads(now, open.iter().map(|it| it.target));
+        let unread_max = self.unread_max(pool, target_list.gap_aim);
+        let is_bound = target_list.gap_aim.is_some();
+        let mut work = self.speeds.work_each(now);
         let places = open.iter().zip(loads);
         places
             .map(|(&candidate, load)| {
@@ -447,11 +466,26 @@
                     },
                     load,
                     permits,
+                    speed: read_speed(work(candidate.target), unread_max, is_bound),
                 }
             })
             .collect()
     }
 
+    /// Returns the most unread tokens at a target of usual speed, so that prompts begin to be answered
+    /// soon and streams with this pause objective are on time.
+    fn unread_max(&self, pool: PoolId, gap_aim: Option<Duration>) -> u64 {
+        let cfg = self.balance.cfg();
+        match gap_aim {
+            Some(gap) => {
+                let time = (gap * cfg.pause_percent / 100).min(cfg.max_unread);
+                let rate = self.speeds.rate(pool, cfg.read_per_ms);
+                rate.tokens_in(time)
+            }
+            None => cfg.max_unread_tokens(),
+        }
+    }
+
     /// Removes and returns the cached list of a pool's targets, rebuilt if the catalogue has
     /// changed.
     fn take_target_list(&mut self, pool: PoolId) -> TargetList {
@@ -466,6 +500,7 @@
         let mut views: Vec<TargetView<'_>> = self.catalogue.targets_of(pool).collect();
         views.sort_unstable_by_key(|view| view.id);
         let quiet = self.targets_for_light_requests(pool, &views);
+        let entry = self.catalogue.pool(pool);
         let listed = |view: &TargetView<'_>| ListedTarget {
             candidate: Candidate {
                 target: view.id,
@@ -479,6 +514,7 @@
         };
         TargetList {
             changes,
+            gap_aim: entry.and_then(|pool| self.catalogue.gap_aim(&pool.name)),
             targets: views.iter().map(listed).collect(),
         }
     }
@@ -594,3 +630,14 @@
         )
     }
 }
+
+/// Returns how fast a target of this work reads, where a usual one may have `unread_max` unread
+/// tokens. `is_bound` says whether the pool has a pause objective.
+fn read_speed(work: u32, unread_max: u64, is_bound: bool) -> ReadSpeed {
+    let unread_max = match (work, is_bound) {
+        (WORK_USUAL, false) => None,
+        (WORK_USUAL, true) => Some(unread_max),
+        (work, _) => Some(unread_max * u64::from(WORK_USUAL) / u64::from(work)),
+    };
+    ReadSpeed { work, unread_max }
+}
--- a/crates/core/src/speed/rate.rs
+++ b/crates/core/src/speed/rate.rs
@@ -1,5 +1,7 @@
 //! The rate at which the targets of a pool usually read prompts.
 
+use crate::prelude::*;
+
 /// The answers after which the median of their rates is used.
 const ANSWERS_MIN: u32 = 8;
 /// The answers for which the estimate moves in large steps, which suffice to reach any rate in range.
@@ -36,6 +38,12 @@
         }
     }
 
+    /// Returns how many tokens a target of usual speed reads in this time.
+    pub fn tokens_in(&self, time: Duration) -> u64 {
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        millis.saturating_mul(u64::from(self.per_ms())) / 100
+    }
+
     /// Moves the estimate towards the rate of an answer by a fixed step, so that it follows the
     /// median. It stays between a quarter and twice of the assumed rate: routers are late with what
     /// they see rather than engines that far from their specification.
