--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,8 +66,8 @@
 //! - [`duty`]: calls of the platform that one router at a time makes for the fleet.
 //! - [`target`], [`route`], [`version`]: the capacity of each target, the choice of a target, and
 //!   the moves of traffic between versions.
-//! - [`balance`], [`cold_start`], [`pace`], [`limit`], [`relay`], [`feed`]: fair order and choice of targets
-//!   where routers decide on their own and no owner grants slots, how their figures travel in a large
+//! - [`balance`], [`speed`], [`cold_start`], [`pace`], [`limit`], [`relay`], [`feed`]: fair order and
+//!   choice of targets where routers decide on their own and no owner grants slots, how their figures travel in a large
 //!   fleet, and how the records of a store do.
 //! - [`usage`], [`autoscale`]: how many requests of each organisation began, and how many targets a
 //!   pool needs, for the one router that reports it to the platform.
@@ -116,6 +116,7 @@
 pub mod route;
 pub mod share;
 pub mod slots;
+pub mod speed;
 pub mod target;
 pub mod time;
 pub mod usage;
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -35,6 +35,7 @@
 use crate::route::{Prefixes, Splits};
 use crate::share::{Ledger, Recent};
 use crate::slots::{Policy, Slots};
+use crate::speed::Speeds;
 use crate::target::Targets;
 use crate::version::Moves;
 
@@ -82,6 +83,8 @@
     pub(super) balance: Balance,
     pub(super) cold_targets: ColdTargets,
     pub(super) limits: Limits,
+    /// How fast targets read and answer.
+    pub(super) speeds: Speeds,
     pub(super) demand: Demand,
     pub(super) pace: Pace,
     /// The usual time to the start of an answer, against which paced targets are compared.
@@ -170,6 +173,7 @@
             balance: Balance::new(cfg.balance.clone()),
             cold_targets: ColdTargets::default(),
             limits: Limits::default(),
+            speeds: Speeds::default(),
             demand: Demand::default(),
             pace: Pace::default(),
             usual_starts: Usual::default(),
