Follow a store that was restored from an older copy

Cause: after a restore of the store a router took operators' records for old ones, and its registration and the fleet's key were missing.

Change: followers read the newest records of their topic in a new era, and a read that is held back ends. A router writes its registration and, in turn by id, the key of the fleet again if the store lacks them. A status recorded in an earlier era stands for the same version. The stand-in of the store restores a copy of a given age, states its era and delays answers.

--- a/crates/bulrushtrestled/src/control/follow.rs
+++ b/crates/bulrushtrestled/src/control/follow.rs
@@ -12,7 +12,7 @@
 use bulrushtrestle_platform::router;
 use bulrushtrestle_platform::store::{Appended, Batch, Record, Topic};
 use rand::{Rng, RngExt};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -172,8 +172,14 @@
             next = next.max(self.known());
             let asked = self.clock.now();
             self.asked = asked;
-            let batch = match self.store.read(self.topic, next, wait).await {
-                Ok(answer) => self.result(answer),
+            let read = tokio::select! {
+                read = self.store.read(self.topic, next, wait) => read.map(Some),
+                () = self.gate.wait_for_era_after(next.era()) => Ok(None),
+            };
+            let batch = match read {
+                Ok(Some(answer)) => self.result(answer),
+                // The store was restored, so the offset may belong to another record.
+                Ok(None) => Batch::Expired,
                 // The records read so far stay valid, so only repeated failures require reading all
                 // newest records again.
                 Err(error) if self.failures < READ_FAILURES_MAX => {
@@ -316,12 +322,30 @@
 /// The consecutive reads that may fail before the newest record of every key is read again.
 const READ_FAILURES_MAX: u32 = 8;
 
-/// Writes the record of this router, and retries until the store has accepted it.
-pub(super) async fn announce(store: Store, key: String, data_centre: String) {
+/// Writes the record of this router, and retries until the store has accepted it. Writes it again
+/// whenever `missing` is an era after the one in which it was written last.
+pub(super) async fn announce(
+    store: Store,
+    key: String,
+    data_centre: String,
+    missing: watch::Receiver<u64>,
+) {
     let value = router::encode(&data_centre);
-    while let Err(error) = store.append(Topic::Routers, &key, Some(&value), None).await {
-        log::warn!(target: "store", "announcement failed key={key} error={error}");
-        sleep(RETRY_DELAY).await;
+    let mut missing = missing;
+    loop {
+        let written = match store.append(Topic::Routers, &key, Some(&value), None).await {
+            Ok(answer) => answer.era,
+            Err(error) => {
+                log::warn!(target: "store", "announcement failed key={key} error={error}");
+                sleep(RETRY_DELAY).await;
+                continue;
+            }
+        };
+        // The sender is dropped only when the process ends.
+        let Ok(era) = missing.wait_for(|era| *era > written).await.map(|era| *era) else {
+            return;
+        };
+        log::info!(target: "store", "writing the lost announcement again key={key} era={era}");
     }
 }
 
@@ -331,6 +355,11 @@
     let mut bytes = [0; 32];
     rand::rng().fill_bytes(&mut bytes);
     let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    append_fleet_key(store, text, at).await;
+}
+
+/// Appends the fleet's key unless the topic holds one, of which the caller has read all below `at`.
+pub(super) async fn append_fleet_key(store: Store, text: String, at: Offset) {
     let mut at = at;
     for _ in 0..OFFER_TRIES {
         match try_offer(&store, &text, at).await {
@@ -427,6 +456,13 @@
 fn replaces(status: &Status, present: &Status) -> bool {
     let is_same = match (status.order, present.order) {
         (Some(order), Some(recorded)) if recorded > order => return false,
+        // Recorded before the store was restored: the same order had another offset then. Its final
+        // state stays, under the offset that the order has now.
+        (Some(order), Some(recorded))
+            if recorded.era() < order.era() && present.version == status.version =>
+        {
+            return present.state == State::Running || present.state == status.state;
+        }
         (Some(order), Some(recorded)) => recorded == order,
         _ => present.version == status.version,
     };
--- a/crates/bulrushtrestled/src/control/gate.rs
+++ b/crates/bulrushtrestled/src/control/gate.rs
@@ -21,6 +21,10 @@
     topics: [TopicGate; Topic::ALL.len()],
     /// Whether other routers rely on what this one reads.
     is_source: Cell<bool>,
+    /// The era of the store.
+    era: Cell<u64>,
+    /// Notifies followers of a new era.
+    restored: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -46,6 +50,19 @@
         }
     }
 
+    /// Ends the reads that were sent in an earlier era of the store.
+    pub(super) fn begin_era(&self, era: u64) {
+        self.0.era.set(era);
+        self.0.restored.notify_waiters();
+    }
+
+    /// Waits until the store is in a later era than this.
+    pub(super) async fn wait_for_era_after(&self, era: u64) {
+        while self.0.era.get() <= era {
+            self.0.restored.notified().await;
+        }
+    }
+
     /// Returns whether peers deliver the topic, so that it need not be read.
     pub(super) fn is_fed(&self, now: Time, topic: Topic) -> bool {
         self.at(topic).fed_until.get().is_some_and(|it| it > now)
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::catalogue::entry::{DataCentreState, Entry, Kind, Route, RouteRepeat};
-use bulrushtrestle_core::catalogue::{Catalogue, Scope};
+use bulrushtrestle_core::catalogue::{Catalogue, ConfigurationOrder, Scope};
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::feed::{self, Feed};
 use bulrushtrestle_core::input::{
@@ -61,15 +61,35 @@
 const KEY_OFFER_STEP: Duration = Duration::from_secs(1);
 const KEY_OFFER_MAX: Duration = Duration::from_secs(4);
 
+/// How much longer a router without a key waits if the store was restored: running routers that know
+/// the key write it again, and the first of them have read the topic by then.
+const KEY_OFFER_AFTER_RESTORE: Duration = Duration::from_secs(7);
+
+/// How long each router with a lower id is given to write the fleet's key again, and the pause before
+/// a router tries again.
+const KEY_RESTORE_STEP: Duration = Duration::from_millis(200);
+const KEY_RESTORE_RETRY: Duration = Duration::from_secs(2);
+
 /// Records of the store, or the news that none is missing, that are to be applied.
 #[derive(Debug)]
 pub(super) enum Delivery {
     /// New records, and the peer that passed them on unless this router read them.
     Records(feed::Topic, Vec<feed::Record>, Option<RouterId>),
+    /// What is to be done with records because the store was restored from an older copy.
+    Restored(feed::Topic, feed::Restored),
     /// No record below the offset is missing, nor was any other at this time.
     Complete(feed::Topic, Offset, Time),
 }
 
+/// Why records are applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// They were written.
+    Written,
+    /// They were lost when the store was restored; the records are removals.
+    Lost,
+}
+
 /// The control thread's state for a hosting platform.
 #[derive(Debug)]
 pub(crate) struct Hosting {
@@ -86,6 +106,10 @@
     targets: BTreeMap<TargetId, Vm>,
     /// Detects records of targets that are older than one already applied.
     record_order: RecordOrder,
+    /// Detects configurations that a restored store shows and that are older than the one applied.
+    configuration_order: ConfigurationOrder,
+    /// The highest era of the store in which this router's own record is missing.
+    own_record_missing: watch::Sender<u64>,
     limits: watch::Sender<Option<CallerLimits>>,
     metrics: Arc<Metrics>,
     clock: Clock,
@@ -96,6 +120,14 @@
     deliveries: VecDeque<Delivery>,
     /// Since when no key of the fleet was found where one is needed.
     key_missing_since: Option<Time>,
+    /// The key of this router's record in the store.
+    own_key: String,
+    /// The number of this router's VM.
+    own_id: u32,
+    /// The key of the fleet that this router uses.
+    fleet_key: Option<String>,
+    /// The era in which the store lacks the key of the fleet, and when this router writes it again.
+    next_key_write: Option<(u64, Time)>,
 }
 
 /// Waits for the next event of a topic of the store. Never returns without a hosting platform.
@@ -157,10 +189,13 @@
             );
             tokio::task::spawn_local(follow);
         }
+        let own_record_missing = watch::Sender::new(0);
+        let (key, own_id) = (own_key(&peers), peers.router);
         tokio::task::spawn_local(follow::announce(
             store.clone(),
-            own_key(&peers),
+            key.clone(),
             data_centre.to_owned(),
+            own_record_missing.subscribe(),
         ));
         Self {
             store,
@@ -171,6 +206,12 @@
             routers: BTreeMap::new(),
             targets: BTreeMap::new(),
             record_order: RecordOrder::default(),
+            configuration_order: ConfigurationOrder::default(),
+            own_key: key,
+            own_id,
+            own_record_missing,
+            fleet_key: None,
+            next_key_write: None,
             limits,
             metrics,
             clock,
@@ -211,6 +252,11 @@
             match operator::decode(record, &self.regions, now) {
                 Ok(Some(decoded)) => {
                     if let Some(limits) = decoded.limits {
+                        let version = limits.version;
+                        if !self.configuration_order.admits(record.offset, version) {
+                            log::warn!(target: "catalogue", "passed_over=older version={version} offset={}", record.offset);
+                            continue;
+                        }
                         log::info!(target: "catalogue", "version={} offset={}", limits.version, record.offset);
                         self.limits.send_replace(Some(limits));
                     }
@@ -248,7 +294,12 @@
 
     /// Decodes records of targets and updates the VM list. Records older than one already applied are
     /// skipped.
-    fn decode_targets(&mut self, catalogue: &Catalogue, records: &[Record]) -> Vec<Input> {
+    fn decode_targets(
+        &mut self,
+        catalogue: &Catalogue,
+        records: &[Record],
+        cause: Cause,
+    ) -> Vec<Input> {
         let mut changes = Vec::new();
         let mut states = Vec::new();
         for record in records {
@@ -288,7 +339,10 @@
                     states.push(described.state);
                 }
                 None => {
-                    self.record_order.on_removed(self.clock.now(), id);
+                    // A target whose record was lost may write the same record again.
+                    if cause == Cause::Written {
+                        self.record_order.on_removed(self.clock.now(), id);
+                    }
                     if self.targets.remove(&id).is_some() {
                         log::info!(target: "target", "name={} gone=true offset={}", record.key, record.offset);
                     }
@@ -337,13 +391,17 @@
 
     /// Returns whether this router offers a key for the fleet now: none is known, and the routers
     /// before it in the order of ids have had their time to offer one.
-    fn offers_key(&mut self, now: Time) -> bool {
+    fn offers_key(&mut self, now: Time, era: u64) -> bool {
         let Some(peers) = &self.peers else {
             return false;
         };
         let since = *self.key_missing_since.get_or_insert(now);
         let before = self.routers.range(..peers.router).count();
-        now.since(since) >= key_offer_wait(before)
+        let extra = match era {
+            0 => Duration::ZERO,
+            _ => KEY_OFFER_AFTER_RESTORE,
+        };
+        now.since(since) >= key_offer_wait(before) + extra
     }
 
     /// Counts and logs records that a peer passed on.
@@ -400,9 +458,11 @@
     }
 
     /// Makes answers of earlier eras errors, so that every topic is read again in the new one.
-    pub(super) fn on_new_era(&self, era: u64) {
-        if let Some(hosting) = &self.hosting {
+    pub(super) fn on_new_era(&mut self, era: u64) {
+        if let Some(hosting) = &mut self.hosting {
+            hosting.key_missing_since = None;
             hosting.store.raise_era(era);
+            hosting.gate.begin_era(era);
         }
     }
 
@@ -424,8 +484,9 @@
                     hosting.log_received(topic, &records, from);
                 }
                 let records: Vec<Record> = records.into_iter().map(from_feed).collect();
-                self.apply_records(topic, &records);
+                self.apply_records(topic, &records, Cause::Written);
             }
+            Delivery::Restored(topic, restored) => self.apply_restored(topic, restored),
             Delivery::Complete(feed::Topic::Operators, known, asked) => {
                 self.handle(Input::Store(StoreEvent::Current { known, asked }));
             }
@@ -434,11 +495,77 @@
             }
             Delivery::Complete(feed::Topic::Routers, end, _) => {
                 self.offer_fleet_key_if_missing(end);
+                self.restore_own_records(end);
             }
         }
     }
 
-    fn apply_records(&mut self, topic: feed::Topic, records: &[Record]) {
+    /// Applies what a restore of the store changed.
+    fn apply_restored(&mut self, topic: feed::Topic, restored: feed::Restored) {
+        let (again, lost) = (restored.again.len(), restored.lost.len());
+        let in_force = restored.in_force.len();
+        let name = topic.as_str();
+        log::info!(target: "store", "restored topic={name} again={again} lost={lost} in_force={in_force}");
+        if topic == feed::Topic::Operators {
+            for record in restored.again.into_iter().map(from_feed) {
+                if let Some(pool) = operator::ordered_pool(&record) {
+                    self.handle(Input::Store(StoreEvent::MoveRenumbered {
+                        pool: pool.to_owned(),
+                        revision: record.offset,
+                    }));
+                }
+            }
+        }
+        let changes = [
+            (restored.lost, Cause::Lost),
+            (restored.in_force, Cause::Written),
+        ];
+        for (records, cause) in changes {
+            let records: Vec<Record> = records.into_iter().map(from_feed).collect();
+            if !records.is_empty() {
+                self.apply_records(topic, &records, cause);
+            }
+        }
+    }
+
+    /// Writes again what this router wrote and the store lost when it was restored: its own record, and
+    /// the key of the fleet, of which the routers take turns in the order of their ids.
+    fn restore_own_records(&mut self, end: Offset) {
+        let now = self.clock.now();
+        let feed = self.node.feed();
+        let Some(hosting) = &mut self.hosting else {
+            return;
+        };
+        if feed.lacks(feed::Topic::Routers, &hosting.own_key) {
+            hosting.own_record_missing.send_replace(feed.era());
+        }
+        let Some(key) = hosting.fleet_key.clone() else {
+            return;
+        };
+        if !feed.lacks(feed::Topic::Routers, router::FLEET_KEY) {
+            hosting.next_key_write = None;
+            return;
+        }
+        let era = feed.era();
+        let due = match hosting.next_key_write {
+            Some((of, due)) if of == era => due,
+            _ => {
+                let before = hosting.routers.range(..hosting.own_id).count();
+                let steps = u32::try_from(before).unwrap_or(u32::MAX);
+                now + KEY_RESTORE_STEP.saturating_mul(steps)
+            }
+        };
+        if now < due {
+            hosting.next_key_write = Some((era, due));
+            return;
+        }
+        hosting.next_key_write = Some((era, now + KEY_RESTORE_RETRY));
+        log::info!(target: "store", "writing the lost key of the fleet again era={era}");
+        let store = hosting.store.clone();
+        tokio::task::spawn_local(follow::append_fleet_key(store, key, end));
+    }
+
+    fn apply_records(&mut self, topic: feed::Topic, records: &[Record], cause: Cause) {
         if topic == feed::Topic::Targets {
             let names = records.iter().map(|it| (Kind::Target, it.key.clone()));
             let names = names.collect();
@@ -453,7 +580,7 @@
                 self.handle(Input::Store(StoreEvent::Changed(changes)));
             }
             feed::Topic::Targets => {
-                for input in hosting.decode_targets(self.node.catalogue(), records) {
+                for input in hosting.decode_targets(self.node.catalogue(), records, cause) {
                     self.handle(input);
                 }
                 self.withdraw(records);
@@ -510,6 +637,12 @@
     }
 
     fn on_fleet_key(&mut self, text: &str) {
+        if let Some(hosting) = &mut self.hosting {
+            let used = hosting.fleet_key.get_or_insert_with(|| text.to_owned());
+            if used != text {
+                log::error!(target: "store", "the store holds another key of the fleet; this router goes on with the former one");
+            }
+        }
         let Some(peers) = self.hosting.as_mut().and_then(|h| h.peers.take()) else {
             return;
         };
@@ -526,8 +659,9 @@
     /// If several routers offer one, the first append wins.
     fn offer_fleet_key_if_missing(&mut self, end: Offset) {
         let now = self.clock.now();
+        let era = self.node.feed().era();
         if let Some(hosting) = &mut self.hosting
-            && hosting.offers_key(now)
+            && hosting.offers_key(now, era)
         {
             tokio::task::spawn_local(follow::offer_fleet_key(hosting.store.clone(), end));
         }
--- a/crates/bulrushtrestled/src/control/outputs.rs
+++ b/crates/bulrushtrestled/src/control/outputs.rs
@@ -49,6 +49,9 @@
                 as_of,
                 from: _,
             } => self.deliver(Delivery::Complete(topic, known, as_of)),
+            Output::Restored { topic, records } => {
+                self.deliver(Delivery::Restored(topic, records));
+            }
             Output::StoreEra(era) => self.on_new_era(era),
             Output::Order {
                 target,
--- a/crates/bulrushtrestled/src/process.rs
+++ b/crates/bulrushtrestled/src/process.rs
@@ -12,6 +12,7 @@
 use bulrushtrestle_core::key::{Incarnation, RouterId};
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
 use bulrushtrestle_core::{quarantine, slots};
+use bulrushtrestle_platform::operator;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::runtime;
@@ -251,6 +252,7 @@
 /// store.
 fn configure_hosting(config: &mut Config, hosting: &settings::Hosting) {
     config.log.source = CatalogueSource::Store;
+    config.feed.is_versioned = operator::is_versioned;
     config.log.targets_stale_after = hosting.leave_within * TARGETS_STALE_PERCENT / 100;
     config.feed.targets = hosting.leave_within * FED_TARGETS_PERCENT / 100;
     config.slots.policy = slots::Policy::Local;
--- a/crates/bulrushtrestled/tests/support/hosting.rs
+++ b/crates/bulrushtrestled/tests/support/hosting.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::body::{Body, Bytes};
@@ -21,16 +21,39 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// The records of a topic in order of offset: a key and its value, or `None` where the key is
-/// removed.
-type Topic = Vec<(String, Option<Vec<u8>>)>;
+/// The records of a topic in order of offset.
+type Topic = Vec<Written>;
+
+/// A record of a topic.
+#[derive(Debug, Clone)]
+struct Written {
+    at: Instant,
+    key: String,
+    /// `None` where the key is removed.
+    value: Option<Vec<u8>>,
+}
+
+/// A record that an operator or a target wrote, and that a restore of the store lost.
+#[derive(Debug, Clone)]
+pub(crate) struct Lost {
+    topic: String,
+    pub(crate) key: String,
+    value: Option<Vec<u8>>,
+}
+
 type Params = BTreeMap<String, String>;
 
-/// A store that keeps everything in memory.
+/// A store that keeps everything in memory. It states its era once it has been restored.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     topics: Mutex<BTreeMap<String, Topic>>,
     down: AtomicBool,
+    /// The number of times that the store has been restored. Changed only while `topics` is locked.
+    era: AtomicU64,
+    /// How much later than they are made answers to reads and appends arrive, in milliseconds.
+    delay_ms: AtomicU64,
+    /// The calls that were answered.
+    calls: AtomicUsize,
 }
 
 impl Store {
@@ -68,7 +91,70 @@
         let value = value.map(|value| value.to_string().into_bytes());
         let mut topics = self.lock();
         let topic = topics.entry(topic.to_owned()).or_default();
-        topic.push((key.to_owned(), value));
+        topic.push(Written::now(key.to_owned(), value));
+    }
+
+    /// Restores the store from a copy that is as old as stated: later records are gone, and their
+    /// offsets are given out again. Returns the lost records of operators and targets in the order of
+    /// each topic, which [`write_again`](Self::write_again) writes again.
+    pub(crate) fn restore(&self, age: Duration) -> Vec<Lost> {
+        let now = Instant::now();
+        let mut topics = self.lock();
+        let mut lost = Vec::new();
+        for (name, records) in topics.iter_mut() {
+            let kept = records.partition_point(|it| now.duration_since(it.at) >= age);
+            let gone = records.split_off(kept);
+            if matches!(name.as_str(), "keyed.op" | "keyed.servers") {
+                lost.extend(gone.into_iter().map(|it| Lost {
+                    topic: name.clone(),
+                    key: it.key,
+                    value: it.value,
+                }));
+            }
+        }
+        self.era.fetch_add(1, Ordering::Relaxed);
+        lost
+    }
+
+    /// Writes lost records again, as operators and targets do.
+    pub(crate) fn write_again(&self, lost: &[Lost]) {
+        let mut topics = self.lock();
+        for Lost { topic, key, value } in lost {
+            let topic = topics.entry(topic.clone()).or_default();
+            topic.push(Written::now(key.clone(), value.clone()));
+        }
+    }
+
+    /// Lets answers arrive later than they are made, so that a restore can come between.
+    pub(crate) fn set_delay(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
+    /// Returns the number of calls that were answered.
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Adds the era to an answer. The caller holds the lock on `topics`, so that the answer is of this
+    /// era.
+    fn stated(&self, answer: impl IntoResponse) -> Response {
+        let mut answer = answer.into_response();
+        let era = self.era.load(Ordering::Relaxed);
+        if era > 0 {
+            answer.headers_mut().insert("store-era", era.into());
+        }
+        answer
+    }
+
+    /// Counts an answer and sends it with the delay.
+    async fn send(&self, answer: Response) -> Response {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let delay = self.delay_ms.load(Ordering::Relaxed);
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        answer
     }
 
     /// Publishes the operators' configuration.
@@ -96,7 +182,7 @@
     pub(crate) fn count(&self, topic: &str, key: &str) -> usize {
         let topics = self.lock();
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
-        records.iter().filter(|(name, _)| name == key).count()
+        records.iter().filter(|it| it.key == key).count()
     }
 
     /// Returns the newest value of a key of a topic.
@@ -109,10 +195,16 @@
     /// Returns the newest value of each key of a topic with its offset, and the end offset
     /// of the topic.
     fn newest(&self, topic: &str) -> (Vec<(String, Vec<u8>, usize)>, usize) {
-        let topics = self.lock();
+        Self::newest_of(&self.lock(), topic)
+    }
+
+    fn newest_of(
+        topics: &BTreeMap<String, Topic>,
+        topic: &str,
+    ) -> (Vec<(String, Vec<u8>, usize)>, usize) {
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
         let mut newest = BTreeMap::new();
-        for (offset, (key, value)) in records.iter().enumerate() {
+        for (offset, Written { key, value, .. }) in records.iter().enumerate() {
             match value {
                 Some(value) => newest.insert(key.clone(), (value.clone(), offset)),
                 None => newest.remove(key),
@@ -136,14 +228,16 @@
     if store.is_down() {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    let (items, end) = store.newest(&params["topic"]);
-    let items: Vec<_> = items
-        .into_iter()
-        .map(|(key, value, offset)| json!({"key": key, "value": base64(&value), "offset": offset}))
-        .collect();
-    json!({"items": items, "more_pages": false, "end": end})
-        .to_string()
-        .into_response()
+    let answer = {
+        let topics = store.lock();
+        let (items, end) = Store::newest_of(&topics, &params["topic"]);
+        let items: Vec<_> = items
+            .into_iter()
+            .map(|(key, value, offset)| json!({"key": key, "value": base64(&value), "offset": offset}))
+            .collect();
+        store.stated(json!({"items": items, "more_pages": false, "end": end}).to_string())
+    };
+    store.send(answer).await
 }
 
 async fn read(State(store): State<Arc<Store>>, Query(params): Query<Params>) -> Response {
@@ -155,23 +249,9 @@
         if store.is_down() {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
-        let body = {
-            let topics = store.lock();
-            let records = topics.get(&params["topic"]).map_or(&[][..], Vec::as_slice);
-            let mut body = (records.len() as u64).to_be_bytes().to_vec();
-            body.extend(0_u64.to_be_bytes());
-            for (key, value) in records.iter().skip(from) {
-                let value = value.as_deref().unwrap_or_default();
-                let length = u32::try_from(1 + key.len() + value.len()).unwrap_or(0);
-                body.extend(length.to_be_bytes());
-                body.push(u8::try_from(key.len()).unwrap_or(0));
-                body.extend(key.as_bytes());
-                body.extend(value);
-            }
-            body
-        };
-        if body.len() > 16 || began.elapsed() >= wait {
-            return body.into_response();
+        let (is_due, answer) = store.read(&params["topic"], from);
+        if is_due || began.elapsed() >= wait {
+            return store.send(answer).await;
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
@@ -185,20 +265,52 @@
     if store.is_down() {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    let mut topics = store.lock();
-    let topic = topics.entry(params["topic"].clone()).or_default();
-    let end = topic.len();
-    if params.get("at").is_some_and(|at| *at != end.to_string()) {
-        let end = json!({"end": end}).to_string();
-        return (StatusCode::PRECONDITION_FAILED, end).into_response();
-    }
-    let key_end = 5 + usize::from(body[4]);
-    let key = String::from_utf8_lossy(&body[5..key_end]).into_owned();
-    let value = body[key_end..].to_vec();
-    topic.push((key, (!value.is_empty()).then_some(value)));
-    json!({"offset": end, "end": end + 1})
-        .to_string()
-        .into_response()
+    let answer = store.append(&params, &body);
+    store.send(answer).await
+}
+
+impl Written {
+    fn now(key: String, value: Option<Vec<u8>>) -> Self {
+        let at = Instant::now();
+        Self { at, key, value }
+    }
+}
+
+impl Store {
+    /// Returns the answer to a read, and whether it is not to be held back.
+    fn read(&self, topic: &str, from: usize) -> (bool, Response) {
+        let topics = self.lock();
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        if from > records.len() {
+            return (true, self.stated(StatusCode::GONE));
+        }
+        let mut body = (records.len() as u64).to_be_bytes().to_vec();
+        body.extend(0_u64.to_be_bytes());
+        for Written { key, value, .. } in &records[from..] {
+            let value = value.as_deref().unwrap_or_default();
+            let length = u32::try_from(1 + key.len() + value.len()).unwrap_or(0);
+            body.extend(length.to_be_bytes());
+            body.push(u8::try_from(key.len()).unwrap_or(0));
+            body.extend(key.as_bytes());
+            body.extend(value);
+        }
+        (body.len() > 16, self.stated(body))
+    }
+
+    fn append(&self, params: &Params, body: &[u8]) -> Response {
+        let mut topics = self.lock();
+        let topic = topics.entry(params["topic"].clone()).or_default();
+        let end = topic.len();
+        if params.get("at").is_some_and(|at| *at != end.to_string()) {
+            let end = json!({"end": end}).to_string();
+            return self.stated((StatusCode::PRECONDITION_FAILED, end));
+        }
+        let key_end = 5 + usize::from(body[4]);
+        let key = String::from_utf8_lossy(&body[5..key_end]).into_owned();
+        let value = body[key_end..].to_vec();
+        topic.push(Written::now(key, (!value.is_empty()).then_some(value)));
+        self.stated(json!({"offset": end, "end": end + 1}).to_string())
+    }
 }
 
 /// How a target treats requests.
