Metrics of desired and present targets by service and zone

Cause: operators see what is ordered. Change: two gauges, set once a second where the wall clock is read.

--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -477,6 +477,7 @@
         let wall_clock = self.duty.as_mut().and_then(DutyClient::wall_clock_due);
         if let Some(wall_clock) = wall_clock {
             self.handle(Input::WallClock(wall_clock));
+            self.metrics.scaled(&self.node.scale_status());
         }
         let time = self.clock.now();
         if self.wake_times.first().is_some_and(|&wake| wake <= time) {
--- a/crates/bulrushtrestled/src/metrics/mod.rs
+++ b/crates/bulrushtrestled/src/metrics/mod.rs
@@ -12,13 +12,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bulrushtrestle_core::autoscale::ScaleStatus;
 use bulrushtrestle_core::counter::Counter;
 use bulrushtrestle_core::output::Basis;
 use bulrushtrestle_core::verdict::Reason;
 use bulrushtrestle_wire::Refused;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 pub(crate) use self::busy::{Busy, IntervalStats, Stage};
@@ -57,6 +58,8 @@
     read: Histogram,
     handed: Histogram,
     memory: IntGauge,
+    targets_desired: IntGaugeVec,
+    targets_present: IntGaugeVec,
     /// The running time of threads, by stage.
     pub(crate) busy: Busy,
     /// Open connections of callers.
@@ -179,6 +182,16 @@
                 "bulrushtrestle_resident_bytes",
                 "Resident memory.",
             ),
+            targets_desired: targets(
+                &registry,
+                "bulrushtrestle_targets_desired",
+                "Targets that this router orders, or would order as the holder of the duties.",
+            ),
+            targets_present: targets(
+                &registry,
+                "bulrushtrestle_targets_present",
+                "Targets that serve, of the services whose targets are ordered.",
+            ),
             connections: gauge(
                 &registry,
                 "bulrushtrestle_caller_connections",
@@ -284,6 +297,20 @@
         }
     }
 
+    /// Sets the numbers of targets of the services whose targets are ordered. Only the holder of the
+    /// duties and the next candidate know them.
+    pub(crate) fn scaled(&self, scaled: &[ScaleStatus]) {
+        self.targets_desired.reset();
+        self.targets_present.reset();
+        for it in scaled {
+            let labels = [it.pool.as_str(), it.data_centre.as_str()];
+            let desired = self.targets_desired.with_label_values(&labels);
+            desired.set(i64::from(it.desired));
+            let present = self.targets_present.with_label_values(&labels);
+            present.set(i64::from(it.present));
+        }
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn render(&self) -> String {
         self.memory.set(memory::resident_bytes());
@@ -311,6 +338,15 @@
     gauge
 }
 
+fn targets(registry: &Registry, name: &str, help: &str) -> IntGaugeVec {
+    let opts = Opts::new(name, help);
+    let vec = IntGaugeVec::new(opts, &["service", "zone"]).expect("the name is valid");
+    registry
+        .register(Box::new(vec.clone()))
+        .expect("names are registered once");
+    vec
+}
+
 fn histograms(registry: &Registry, name: &str, help: &str, label: &str) -> HistogramVec {
     let opts = HistogramOpts::new(name, help).buckets(REQUEST_BOUNDS.to_vec());
     let histograms = HistogramVec::new(opts, &[label]).expect("the name is valid");
--- a/crates/bulrushtrestled/src/metrics/tests.rs
+++ b/crates/bulrushtrestled/src/metrics/tests.rs
@@ -4,6 +4,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bulrushtrestle_core::autoscale::ScaleStatus;
+
 use super::{IntervalStats, Metrics, Stage};
 
 const STEP: Duration = Duration::from_millis(20);
@@ -43,3 +45,25 @@
     assert!(relay < 10 * step, "{line}");
     assert!(!stats.log_fields().contains("refuse_ms="), "logged twice");
 }
+
+/// Guards against numbers of targets that stay in the metrics of a router which no longer knows them.
+#[test]
+fn numbers_of_targets_are_those_of_the_last_status() {
+    let metrics = Metrics::new();
+    assert!(!metrics.render().contains("bulrushtrestle_targets_"));
+    metrics.scaled(&[ScaleStatus {
+        pool: "m".to_owned(),
+        data_centre: "a".to_owned(),
+        desired: 6,
+        present: 5,
+    }]);
+    let text = metrics.render();
+    for line in [
+        "bulrushtrestle_targets_desired{service=\"m\",zone=\"a\"} 6",
+        "bulrushtrestle_targets_present{service=\"m\",zone=\"a\"} 5",
+    ] {
+        assert!(text.contains(line), "{text}");
+    }
+    metrics.scaled(&[]);
+    assert!(!metrics.render().contains("bulrushtrestle_targets_"));
+}
