Duties: the topic's end after an append is that of the record, not one more than last known

Cause: a waiting read may show an own record before the append is answered; counting it twice made the router append past a claim that it had not read. Change: the offset of the append decides. A holder with a lower number is taken over if the known one has lapsed (a store that lost its records and states no era).

--- a/crates/core/src/duty/state.rs
+++ b/crates/core/src/duty/state.rs
@@ -109,6 +109,8 @@
 struct Writing {
     key: String,
     value: Vec<u8>,
+    /// Where the record stands if the append takes effect.
+    at: Option<Offset>,
     /// The content of the value, if it is the record of the lease.
     holder: Option<HolderRecord>,
 }
@@ -476,7 +478,9 @@
             self.read_anew(cx.now);
             return Vec::new();
         }
-        self.end = self.end.map(|end| Offset(end.0 + 1));
+        // A read may have shown the record before.
+        let end = writing.at.map(|at| Offset(at.0 + 1));
+        self.end = self.end.max(end);
         match writing.holder {
             Some(record) => {
                 self.on_holder(cx, record);
@@ -590,6 +594,7 @@
         self.writing = Some(Writing {
             key: key.to_owned(),
             value,
+            at: self.end,
             holder,
         });
     }
@@ -624,8 +629,11 @@
             self.known = Some(news);
             return;
         };
+        let lapses = known.as_of + self.cfg.term + self.cfg.margin;
         match news.fence.cmp(&known.fence) {
             core::cmp::Ordering::Greater => *known = news,
+            // The store has lost its records and states no era.
+            core::cmp::Ordering::Less if news.as_of >= lapses => *known = news,
             core::cmp::Ordering::Equal => {
                 known.as_of = known.as_of.max(news.as_of);
                 known.since = known.since.min(news.since);
--- a/crates/core/src/duty/tests.rs
+++ b/crates/core/src/duty/tests.rs
@@ -283,7 +283,8 @@
                         let event = self.append(key, value, at);
                         match core::mem::take(&mut self.routers[index].loses_answer) {
                             true => lost,
-                            false => (later, Event::Topic(event)),
+                            // A waiting read may show the record before.
+                            false => (now + 4 * STEP_MS, Event::Topic(event)),
                         }
                     }
                 };
