Spread choices over nearly equal targets and compare answers with like answers

Cause: routers that know the same figures all choose the target with one request fewer until the next report.

Change: where time counts, scores are spread by the hash of request and target by up to one step of an engine (2048 tokens) or half a call. Work counts in steps of ten hundredths. Answers are compared with the median of all answers, and count for the choice only in pools with a pause objective. Targets that state that they are slow come first among those that are reserved for light requests in such pools.

--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -16,6 +16,13 @@
 /// by this number.
 const HEAVY_SLOTS_DIVISOR: u32 = 16;
 
+/// The tokens by which the scores of targets are spread at random: one step of an engine, so that a
+/// difference that the prompt of a request does not notice decides nothing. Without it all routers
+/// that know the same figures choose the same target until the next report.
+const SPREAD_TOKENS: u64 = 2_048;
+/// The score of calls of plain services that use all slots of a target.
+const CALL_SCORE: u64 = 1_000;
+
 /// A target that may take a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -184,9 +191,9 @@
     ) -> Option<Choice> {
         let coverage = self.coverage(now, profile, candidates.clone());
         let is_divided = candidates.clone().any(|place| place.permits.is_none());
-        let is_uneven = candidates
+        let is_timed = candidates
             .clone()
-            .any(|place| place.speed.work != WORK_USUAL);
+            .any(|place| place.speed.unread_max.is_some());
         let choices = candidates.filter_map(|&place| {
             let CandidateLoad {
                 candidate,
@@ -215,14 +222,13 @@
                 let is_too_long = speed
                     .unread_max
                     .is_some_and(|most| u64::from(unread) > most);
-                let score = self.score(profile, place, to_read, is_uneven);
-                (
-                    is_too_long,
-                    score,
-                    tie_breaker(candidate.target, profile),
-                    candidate.target,
-                    is_idle,
-                )
+                let hash = tie_breaker(candidate.target, profile);
+                let spread = match is_timed {
+                    true => spread(hash, profile, candidate),
+                    false => 0,
+                };
+                let score = self.score(profile, place, to_read, is_timed) + spread;
+                (is_too_long, score, hash, candidate.target, is_idle)
             })
         });
         let (_, _, _, target, is_idle) = choices.min()?;
@@ -295,8 +301,8 @@
     }
 
     /// Returns the cost of sending a request to a target that has to read `to_read` tokens for it, in
-    /// hundredths of the time in which a usual target reads a token. `is_uneven` says whether the
-    /// speeds of the candidates differ.
+    /// hundredths of the time in which a usual target reads a token. `is_timed` says whether time counts
+    /// in the pool, rather than tokens alone.
     fn score(
         &self,
         profile: RequestProfile<'_>,
@@ -307,7 +313,7 @@
             speed,
         }: CandidateLoad,
         to_read: u32,
-        is_uneven: bool,
+        is_timed: bool,
     ) -> u64 {
         let cfg = &self.cfg;
         let distance = match candidate.distance {
@@ -321,8 +327,8 @@
         let running = match profile.prompt_tokens {
             0 => {
                 // Where speeds differ, the request itself takes longer at a slow target.
-                let requests = u64::from(load.requests) + u64::from(is_uneven);
-                requests * 1_000 / u64::from(candidate.slots.max(1))
+                let requests = u64::from(load.requests) + u64::from(is_timed);
+                requests * CALL_SCORE / u64::from(candidate.slots.max(1))
             }
             _ => u64::from(load.requests) * u64::from(cfg.running_tokens),
         };
@@ -384,3 +390,13 @@
     let unshared = profile.parts.last().map_or(0, |part| part.content.0);
     xxh3_64_with_seed(&target.0.to_le_bytes(), unshared)
 }
+
+/// Returns what is added to the score of a target where time counts, by the hash of the target and the
+/// request: up to [`SPREAD_TOKENS`], or half of a call.
+fn spread(hash: u64, profile: RequestProfile<'_>, candidate: Candidate) -> u64 {
+    let most = match profile.prompt_tokens {
+        0 => CALL_SCORE / u64::from(candidate.slots.max(1)) / 2,
+        _ => SPREAD_TOKENS,
+    };
+    (hash >> 32) * most * u64::from(WORK_USUAL) >> 32
+}
--- a/crates/core/src/balance/tests/speed.rs
+++ b/crates/core/src/balance/tests/speed.rs
@@ -164,3 +164,51 @@
         assert_eq!(chosen, case.chosen, "{}", case.name);
     }
 }
+
+/// Guards against all routers choosing the same target until the next report, because one has a
+/// request fewer than the others.
+#[test]
+fn routers_with_the_same_figures_choose_different_targets() {
+    const ROUTERS: u32 = 120;
+    const TARGETS: u32 = 40;
+    struct Case {
+        name: &'static str,
+        /// The prompt, or 0 for calls of a plain service.
+        prompt: u32,
+        /// The most requests at one target, four times an even share.
+        most: usize,
+    }
+    let cases = [
+        Case {
+            name: "prompts",
+            prompt: 6_000,
+            most: 12,
+        },
+        Case {
+            name: "calls",
+            prompt: 0,
+            most: 12,
+        },
+    ];
+    for case in cases {
+        let balance = Balance::new(Config::default());
+        let places: Vec<CandidateLoad> = (1..=TARGETS)
+            .map(|id| {
+                let mut place = at_speed(id, FAST_WORK, 0, true);
+                place.load.requests = match case.prompt {
+                    0 => 2,
+                    _ => 2 + id % 5,
+                };
+                place
+            })
+            .collect();
+        let mut chosen = [0; TARGETS as usize + 1];
+        for router in 0..ROUTERS {
+            let parts = [part(u64::from(router), case.prompt)];
+            let choice = balance.choose(NOW, profile(&parts, false), places.iter());
+            chosen[choice.expect("all are idle").target.0 as usize] += 1;
+        }
+        let most = chosen.into_iter().max().unwrap_or_default();
+        assert!(most <= case.most, "{}: {most} at one target", case.name);
+    }
+}
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -13,7 +13,7 @@
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::slots::Policy;
-use crate::speed::WORK_USUAL;
+use crate::speed::{self, WORK_USUAL};
 use crate::version::Arm;
 
 /// How many requests of an organisation may always wait at a router, however long the expected
@@ -36,6 +36,10 @@
 /// long.
 const SCAN_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The time after which the targets for light requests are determined again, where that depends on
+/// their speeds. Slow machines stay slow.
+const LIGHT_TARGETS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A pool's targets as the catalogue lists them, cached because looking up each target for every
 /// event would be most of the work of a router with many targets.
 #[derive(Debug)]
@@ -47,6 +51,8 @@
     targets: Vec<ListedTarget>,
     /// The least pause objective of the routes to the pool.
     gap_aim: Option<Duration>,
+    /// When the targets for light requests were determined.
+    light_at: Time,
 }
 
 #[derive(Debug)]
@@ -452,7 +458,11 @@
         let loads = self.balance.loads(now, open.iter().map(|it| it.target));
         let unread_max = self.unread_max(pool, target_list.gap_aim);
         let is_bound = target_list.gap_aim.is_some();
-        let mut work = self.speeds.work_each(now);
+        let basis = match is_bound {
+            true => speed::Basis::Answers,
+            false => speed::Basis::Stated,
+        };
+        let mut work = self.speeds.work_each(now, basis);
         let places = open.iter().zip(loads);
         places
             .map(|(&candidate, load)| {
@@ -491,15 +501,41 @@
     fn take_target_list(&mut self, pool: PoolId) -> TargetList {
         let changes = self.catalogue.changes();
         match self.target_lists.remove(&pool) {
-            Some(target_list) if target_list.changes == changes => target_list,
-            _ => self.target_list(pool, changes),
+            Some(mut target_list) if target_list.changes == changes => {
+                self.update_light_targets(pool, &mut target_list);
+                target_list
+            }
+            _ => {
+                let catalogue = &self.catalogue;
+                self.speeds.retain_known(
+                    |target| catalogue.target(target).is_some(),
+                    |pool| catalogue.pool(pool).is_some(),
+                );
+                self.target_list(pool, changes)
+            }
+        }
+    }
+
+    /// Determines again which targets are reserved for light requests, where that depends on their
+    /// speeds.
+    fn update_light_targets(&self, pool: PoolId, target_list: &mut TargetList) {
+        let now = self.cx.now;
+        if target_list.gap_aim.is_none() || now.since(target_list.light_at) < LIGHT_TARGETS_INTERVAL
+        {
+            return;
+        }
+        target_list.light_at = now;
+        let ids = target_list.targets.iter().map(|it| it.candidate.target);
+        let light = self.targets_for_light_requests(pool, ids);
+        for listed in &mut target_list.targets {
+            listed.candidate.prefers_light = light.contains(&listed.candidate.target);
         }
     }
 
     fn target_list(&self, pool: PoolId, changes: u64) -> TargetList {
         let mut views: Vec<TargetView<'_>> = self.catalogue.targets_of(pool).collect();
         views.sort_unstable_by_key(|view| view.id);
-        let quiet = self.targets_for_light_requests(pool, &views);
+        let quiet = self.targets_for_light_requests(pool, views.iter().map(|view| view.id));
         let entry = self.catalogue.pool(pool);
         let listed = |view: &TargetView<'_>| ListedTarget {
             candidate: Candidate {
@@ -514,6 +550,7 @@
         };
         TargetList {
             changes,
+            light_at: self.cx.now,
             gap_aim: entry.and_then(|pool| self.catalogue.gap_aim(&pool.name)),
             targets: views.iter().map(listed).collect(),
         }
@@ -565,17 +602,23 @@
 
     /// Returns the targets of a pool that are reserved for light requests: the first ones by id, an
     /// order that all routers share, so that adding or removing a target changes at most one of
-    /// them.
-    fn targets_for_light_requests(&self, pool: PoolId, views: &[TargetView<'_>]) -> Vec<TargetId> {
+    /// them. Targets that state that they are slow come first, because reading long prompts there
+    /// makes streams late.
+    fn targets_for_light_requests(
+        &self,
+        pool: PoolId,
+        targets: impl Iterator<Item = TargetId>,
+    ) -> Vec<TargetId> {
         let is_model = |pool: &Pool| pool.service == Service::Model;
         if !self.catalogue.pool(pool).is_some_and(is_model) {
             return Vec::new();
         }
-        let mut targets: Vec<TargetId> = views.iter().map(|view| view.id).collect();
+        let is_fast = |id| !self.speeds.is_slow(self.cx.now, id);
+        let mut targets: Vec<(bool, TargetId)> = targets.map(|id| (is_fast(id), id)).collect();
         let count = targets.len() * self.balance.cfg().light_percent as usize / 100;
         targets.sort_unstable();
         targets.truncate(count);
-        targets
+        targets.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Returns how many requests per second the fleet may send to a cold target of a pool, and the
--- a/crates/core/src/speed/mod.rs
+++ b/crates/core/src/speed/mod.rs
@@ -18,7 +18,8 @@
 //!
 //! A router also compares the time that a prompt took to be read with the usual time in the pool
 //! ([`Speeds::on_read`]), as a slow mean that single answers move little. The usual time itself
-//! follows the median of answers of targets that had nothing else to read.
+//! follows the median of all answers. Among targets that state nothing the means count only in pools
+//! with a pause objective ([`Basis`]), since times of answers vary also among equal targets.
 //!
 //! In a large fleet a router sees few answers of each target. Routers report stated figures that
 //! differ by a tenth from what they knew to each other with their loads ([`message::SpeedRow`]).
@@ -33,7 +34,7 @@
 use crate::prelude::*;
 
 pub use self::rate::ReadRate;
-pub use self::state::{Reading, Speeds};
+pub use self::state::{Basis, Reading, Speeds};
 
 /// The work of a target of usual speed.
 pub const WORK_USUAL: u32 = 100;
--- a/crates/core/src/speed/rate.rs
+++ b/crates/core/src/speed/rate.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Returns whether enough answers were seen for the median.
+    pub const fn is_known(&self) -> bool {
+        self.answers >= LARGE_STEP_ANSWERS
+    }
+
     /// Returns the rate in hundredths of a token per millisecond.
     pub const fn per_ms(&self) -> u32 {
         match self.answers < ANSWERS_MIN {
--- a/crates/core/src/speed/state.rs
+++ b/crates/core/src/speed/state.rs
@@ -28,18 +28,41 @@
 /// The difference from the usual that answers have to show, in hundredths. Their times depend also on
 /// requests that this router does not know of yet.
 const LEARNT_DIFFERENCE_MIN: u32 = 25;
-/// The difference from the usual from which a stated figure counts, in hundredths.
-const STATED_DIFFERENCE_MIN: u32 = 5;
+/// The step in which work counts, in hundredths, so that targets of nearly equal speed are equal.
+const WORK_STEP: u32 = 10;
 /// How many times as fast as its answers show a target may state that it is, and how many times as
 /// slow. Neighbours slow a machine for short times, so it is often slower than most answers show.
 const STATED_FASTER_MAX: u32 = 2;
 const STATED_SLOWER_MAX: u32 = 4;
 
+/// The work from which a target is slow.
+const SLOW_WORK: u32 = 130;
+
 /// What is known of the speed of targets and pools.
 #[derive(Debug, Default)]
 pub struct Speeds {
     targets: BTreeMap<TargetId, TargetSpeed>,
-    rates: BTreeMap<PoolId, ReadRate>,
+    rates: BTreeMap<PoolId, PoolRates>,
+}
+
+/// The median rates of a pool.
+#[derive(Debug, Clone, Copy)]
+struct PoolRates {
+    /// The rate of targets of usual work that had nothing else to read.
+    alone: ReadRate,
+    /// The rate of all targets, whatever they had to read. Routers know of requests of others late, so
+    /// answers are compared with others that were seen in the same way.
+    all: ReadRate,
+}
+
+/// What counts of what is known of the speed of targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Basis {
+    /// What targets state.
+    Stated,
+    /// What targets state, and for those that state nothing what their answers show. Times of answers
+    /// vary also among equal targets.
+    Answers,
 }
 
 /// A prompt that was read, as known to the router that sent it.
@@ -106,8 +129,7 @@
 
 impl TargetSpeed {
     fn stated(&self, now: Time) -> Option<u32> {
-        let work = self.stated?.work(now);
-        Some(counted(work, STATED_DIFFERENCE_MIN))
+        Some(self.stated?.work(now))
     }
 
     fn learnt(&self, now: Time) -> Option<u32> {
@@ -115,40 +137,37 @@
         Some(worn(learnt.work, now.since(learnt.at)))
     }
 
-    fn work(&self, now: Time) -> u32 {
+    fn work(&self, now: Time, basis: Basis) -> u32 {
         let work = match (self.stated(now), self.learnt(now)) {
             (Some(stated), Some(learnt)) => stated.clamp(
                 learnt / STATED_FASTER_MAX,
                 learnt.saturating_mul(STATED_SLOWER_MAX),
             ),
             (Some(stated), None) => stated,
-            (None, Some(learnt)) => counted(learnt, LEARNT_DIFFERENCE_MIN),
-            (None, None) => WORK_USUAL,
+            (None, _) if basis == Basis::Stated => WORK_USUAL,
+            (None, Some(learnt)) if learnt.abs_diff(WORK_USUAL) >= LEARNT_DIFFERENCE_MIN => learnt,
+            (None, _) => WORK_USUAL,
         };
+        let work = (work + WORK_STEP / 2) / WORK_STEP * WORK_STEP;
         work.clamp(*WORK_RANGE.start(), *WORK_RANGE.end())
     }
 }
 
 impl Speeds {
-    /// Returns the work of a target.
-    pub fn work(&self, now: Time, target: TargetId) -> u32 {
-        let known = self.targets.get(&target);
-        known.map_or(WORK_USUAL, |known| known.work(now))
-    }
-
     /// Returns a lookup of the work of targets, which takes one pass over targets in ascending order.
-    pub fn work_each(&self, now: Time) -> impl FnMut(TargetId) -> u32 {
+    /// `basis` says what counts.
+    pub fn work_each(&self, now: Time, basis: Basis) -> impl FnMut(TargetId) -> u32 {
         let mut known = AscendingLookup::new(&self.targets);
         move |target| {
             let known = known.get(target);
-            known.map_or(WORK_USUAL, |known| known.work(now))
+            known.map_or(WORK_USUAL, |known| known.work(now, basis))
         }
     }
 
     /// Returns the rate at which the targets of a pool usually read; `assumed` is the rate in tokens
     /// per millisecond without any answer.
     pub fn rate(&self, pool: PoolId, assumed: u32) -> ReadRate {
-        let known = self.rates.get(&pool).copied();
+        let known = self.rates.get(&pool).map(|rates| rates.alone);
         known.unwrap_or_else(|| ReadRate::new(assumed))
     }
 
@@ -190,11 +209,22 @@
         let took = reading.took.saturating_sub(START_OVERHEAD);
         let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX).max(1);
         let known = self.targets.entry(target).or_default();
-        let rate = self
-            .rates
-            .entry(pool)
-            .or_insert_with(|| ReadRate::new(assumed));
-        let usual = u64::from(rate.per_ms());
+        let rates = self.rates.entry(pool).or_insert_with(|| PoolRates {
+            alone: ReadRate::new(assumed),
+            all: ReadRate::new(assumed),
+        });
+        let stated = known.stated(now).unwrap_or(WORK_USUAL);
+        // What the target states explains a part of the time; the rates are those of usual work.
+        let per_ms = reading.tokens.saturating_mul(u64::from(stated) * 1_000) / micros;
+        let per_ms = u32::try_from(per_ms).unwrap_or(u32::MAX);
+        rates.all.observe(per_ms);
+        if reading.is_alone {
+            rates.alone.observe(per_ms);
+        }
+        if !rates.all.is_known() {
+            return;
+        }
+        let usual = u64::from(rates.all.per_ms());
         // The rate is in hundredths of a token per millisecond, the work in hundredths as well.
         let work = usual.saturating_mul(micros) / 1_000 / reading.tokens;
         let work = work.clamp(*ANSWER_RANGE.start(), *ANSWER_RANGE.end());
@@ -207,12 +237,6 @@
         learnt.work = learnt.work.saturating_add_signed(step as i32);
         learnt.at = now;
         learnt.answers = learnt.answers.saturating_add(1);
-        if reading.is_alone {
-            // What the target states explains a part of the time; the rate is that of usual work.
-            let work = u64::from(known.stated(now).unwrap_or(WORK_USUAL));
-            let per_ms = reading.tokens.saturating_mul(work * 1_000) / micros;
-            rate.observe(u32::try_from(per_ms).unwrap_or(u32::MAX));
-        }
     }
 
     /// Forgets targets and pools that are no longer known.
@@ -225,9 +249,16 @@
         self.rates.retain(|&id, _| pool(id));
     }
 
+    /// Returns whether a target is slow for most of the time, by what it states.
+    pub fn is_slow(&self, now: Time, target: TargetId) -> bool {
+        let stated = self.targets.get(&target).and_then(|known| known.stated);
+        stated.is_some_and(|it| worn(it.level, now.since(it.at)) >= SLOW_WORK)
+    }
+
     /// Returns how many targets count as faster and as slower than usual.
     pub fn uneven(&self, now: Time) -> (usize, usize) {
-        let each = self.targets.values().map(|it| it.work(now));
+        let each = self.targets.values();
+        let each = each.map(|it| it.work(now, Basis::Answers));
         each.fold((0, 0), |(faster, slower), work| match work {
             ..WORK_USUAL => (faster + 1, slower),
             WORK_USUAL => (faster, slower),
@@ -236,14 +267,6 @@
     }
 }
 
-/// Returns the usual work for one that differs by less than `least`.
-const fn counted(work: u32, least: u32) -> u32 {
-    match work.abs_diff(WORK_USUAL) < least {
-        true => WORK_USUAL,
-        false => work,
-    }
-}
-
 /// Returns what counts of a figure of some age.
 fn worn(work: u32, age: Duration) -> u32 {
     match age.checked_sub(KEPT) {
