Treat cut-off early answers and statuses from 600 on as broken

Cause: the HTTP client takes an answer without a length as complete when the target ends its side, even if the connection had not taken the whole request and is reset right after. It refuses statuses below 100 but accepts 600 to 999.

Change: connections record whether their last write left something unwritten. An answer without length and chunks that ends then is truncated, so callers get 502 or a broken stream. An answer with a status of 600 or above is a failed attempt.

--- a/crates/bulrushtrestled/src/traffic/hosted/connections.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/connections.rs
@@ -5,14 +5,21 @@
 //! yet written to the connection.
 
 use std::collections::HashMap;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -30,7 +37,85 @@
 const IDLE_MAX: usize = 32;
 
 /// The sending side of a connection, which carries one request at a time.
-pub(super) type Sender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(super) struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    /// Whether the connection did not take all that was last to be written.
+    is_blocked: Arc<AtomicBool>,
+}
+
+impl Sender {
+    /// Sends a request, and returns its answer once the head has arrived.
+    pub(super) async fn send_request(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.requests.send_request(req).await
+    }
+
+    /// Returns whether the connection has taken the whole request. A part of it may still be on its
+    /// way to the target.
+    pub(super) fn has_sent_all(&self) -> bool {
+        !self.is_blocked.load(Ordering::Acquire)
+    }
+}
+
+/// A stream that records whether its last write left something unwritten. An HTTP client writes on
+/// until all is written or nothing more is taken.
+struct Watched {
+    stream: TcpStream,
+    is_blocked: Arc<AtomicBool>,
+}
+
+impl Watched {
+    fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let is_written = matches!(written, Poll::Ready(Ok(_)));
+        self.is_blocked.store(!is_written, Ordering::Release);
+        written
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
 
 /// Idle connections to targets.
 #[derive(Debug)]
@@ -85,7 +170,7 @@
         let keep = keep_alive
             .unwrap_or(KEEP_DEFAULT)
             .saturating_sub(KEEP_MARGIN);
-        if keep.is_zero() || sender.is_closed() {
+        if keep.is_zero() || sender.requests.is_closed() {
             return;
         }
         let since = Instant::now();
@@ -110,7 +195,7 @@
         let now = Instant::now();
         let mut idle = self.lock();
         let of_target = idle.get_mut(&address)?;
-        of_target.retain(|idle| idle.until > now && idle.sender.is_ready());
+        of_target.retain(|idle| idle.until > now && idle.sender.requests.is_ready());
         if of_target.is_empty() {
             idle.remove(&address);
             return None;
@@ -134,7 +219,12 @@
         .map_err(|_| NotConnected)?;
     // The option only reduces latency, so a failure is ignored.
     drop(stream.set_nodelay(true));
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let is_blocked = Arc::new(AtomicBool::new(false));
+    let watched = Watched {
+        stream,
+        is_blocked: Arc::clone(&is_blocked),
+    };
+    let (requests, connection) = http1::handshake(TokioIo::new(watched))
         .await
         .map_err(|_| NotConnected)?;
     let busy = busy.clone();
@@ -142,5 +232,8 @@
         // A failure of the connection is reported by the request that uses it.
         drop(busy.run(Stage::Target, connection).await);
     });
-    Ok(sender)
+    Ok(Sender {
+        requests,
+        is_blocked,
+    })
 }
--- a/crates/bulrushtrestled/src/traffic/hosted/relay.rs
+++ b/crates/bulrushtrestled/src/traffic/hosted/relay.rs
@@ -17,7 +17,7 @@
 use bulrushtrestle_platform::answer::{self, AnswerInfo, Outcome};
 use bulrushtrestle_platform::request::{self, AddedHeaders};
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -34,6 +34,8 @@
 
 /// The largest body of a failed request that is kept for the caller.
 const FAILURE_BYTES_MAX: usize = 64 * 1024;
+/// The first number that is not the status of an answer. The client refuses those below 100.
+const STATUS_END: u16 = 600;
 
 /// One dispatch of a request to a target.
 #[derive(Debug, Clone, Copy)]
@@ -287,6 +289,9 @@
             }
         })?;
         let (head, mut body) = answer.into_parts();
+        if head.status.as_u16() >= STATUS_END {
+            return Err(Ended::failed(FailureKind::Error));
+        }
         let info = answer::decode(head.status, &head.headers, &call.info.attempt);
         if !info.notice.is_empty() {
             hosted.traffic.control.notice(dispatch.target, info.notice);
@@ -311,6 +316,7 @@
         };
         if head.status.is_server_error() {
             let body = read_limited(&mut body, FAILURE_BYTES_MAX).await?;
+            check_end(&head, &sender)?;
             keep(sender);
             let head = for_caller(&head);
             return Err(Ended::Failed {
@@ -323,10 +329,10 @@
             return Err(report_not_resumed(hosted, call, dispatch, &head));
         }
         if dispatch.plan.streams && head.status.is_success() {
-            self.forward_stream(hosted, call, dispatch, &head, body)
+            self.forward_stream(hosted, call, (dispatch, &sender), &head, body)
                 .await?;
         } else {
-            self.forward_buffered(hosted, call, dispatch, &head, body)
+            self.forward_buffered(hosted, call, (dispatch, &sender), &head, body)
                 .await?;
         }
         keep(sender);
@@ -338,7 +344,7 @@
         &mut self,
         hosted: &Hosted,
         call: &Call,
-        dispatch: &Dispatch<'_>,
+        (dispatch, sender): (&Dispatch<'_>, &Sender),
         head: &response::Parts,
         mut body: Incoming,
     ) -> Result<(), Ended> {
@@ -353,6 +359,7 @@
                 self.send(held.split().freeze()).await?;
             }
         }
+        check_end(head, sender)?;
         if self.forwarded == Forwarded::Nothing {
             let length = match has_body(&call.method, head.status) {
                 true => Some(HeaderValue::from(held.len())),
@@ -373,7 +380,7 @@
         &mut self,
         hosted: &Hosted,
         call: &Call,
-        dispatch: &Dispatch<'_>,
+        (dispatch, sender): (&Dispatch<'_>, &Sender),
         head: &response::Parts,
         mut body: Incoming,
     ) -> Result<(), Ended> {
@@ -395,6 +402,7 @@
                 return Err(report_disorder(hosted, call, dispatch, error));
             }
         }
+        check_end(head, sender)?;
         if splitter.has_partial_event() {
             return Err(Ended::failed(FailureKind::Truncated));
         }
@@ -617,6 +625,17 @@
     }
 }
 
+/// Checks that an answer of which no more arrives is complete. If it has neither a length nor chunks, it
+/// ends with its connection, which shows nothing if the target closed it before it had the request.
+fn check_end(head: &response::Parts, sender: &Sender) -> Result<(), Ended> {
+    let is_delimited =
+        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    match is_delimited || sender.has_sent_all() {
+        true => Ok(()),
+        false => Err(Ended::failed(FailureKind::Truncated)),
+    }
+}
+
 /// Reads a body of at most `max` bytes.
 async fn read_limited(body: &mut Incoming, max: usize) -> Result<Bytes, Ended> {
     let mut bytes = BytesMut::new();
