--- a/crates/bulrushtrestled/src/control/run.rs
+++ b/crates/bulrushtrestled/src/control/run.rs
@@ -480,6 +480,11 @@
             self.metrics.scaled(&self.node.scale_status());
         }
         let time = self.clock.now();
+        if let Some(duties) = self.node.duties() {
+            let fence = duties.held(time).map_or(0, |fence| fence.0);
+            let fence = i64::try_from(fence).unwrap_or(i64::MAX);
+            self.metrics.duty_fence.set(fence);
+        }
         if self.wake_times.first().is_some_and(|&wake| wake <= time) {
             self.wake_times = self
                 .wake_times
--- a/crates/core/src/duty/tests.rs
+++ b/crates/core/src/duty/tests.rs
@@ -283,7 +283,8 @@
                         let event = self.append(key, value, at);
                         match core::mem::take(&mut self.routers[index].loses_answer) {
                             true => lost,
-                            false => (later, Event::Topic(event)),
+                            // A waiting read may show the record before.
+                            false => (now + 4 * STEP_MS, Event::Topic(event)),
                         }
                     }
                 };
@@ -388,7 +389,7 @@
     gap_max: u64,
 }
 
-const CASES: [Case; 20] = [
+const CASES: [Case; 21] = [
     Case {
         name: "nothing fails",
         acts: &[],
@@ -471,6 +472,17 @@
         holders: &[0, 1],
         gap_max: 8_000,
     },
+    Case {
+        name: "the store forgets all claims; a new router waits for the holder that still acts",
+        acts: &[
+            (20_000, Act::CutFromStore(0)),
+            (20_000, Act::Restore(99)),
+            (20_000, Act::Restart(1)),
+            (20_000, Act::Kill(2)),
+        ],
+        holders: &[0, 1],
+        gap_max: 7_000,
+    },
     Case {
         name: "the answer of the first claim is lost",
         acts: &[(0, Act::LoseAnswer(0))],
