--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -77,6 +77,8 @@
     TargetUnlimited = "target_unlimited";
     /// A target stated a limit that cannot be read.
     TargetLimitUnreadable = "target_limit_unreadable";
+    /// A target stated a speed that differs by a tenth from what was known.
+    TargetSpeedChanged = "target_speed_changed";
     /// A target was classified as cold.
     TargetCold = "target_cold";
     /// A version move was found to be finished.
--- a/crates/core/src/node/limit.rs
+++ b/crates/core/src/node/limit.rs
@@ -45,6 +45,7 @@
             && let Some(row) = self.speeds.on_stated(now, target, work)
         {
             self.balance.report_speed(row);
+            self.cx.count(Counter::TargetSpeedChanged);
         }
         if self.limits.limit(target).is_none() && matches!(head.limit, StatedLimit::PerSecond(_)) {
             self.rank_for_limits();
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -72,6 +72,9 @@
     pub stated_limit_millis: Option<u64>,
     /// This router's part of that limit.
     pub part_millis: Option<u64>,
+    /// The time that work takes at the target, in hundredths of the usual time, as far as this router
+    /// knows from what targets state and from their answers.
+    pub work: u32,
 }
 
 impl Node {
@@ -121,6 +124,7 @@
             owner: self.targets.owner(view.id),
             stated_limit_millis: stated(view.id).map(|(limit, _)| limit.as_millis()),
             part_millis: stated(view.id).map(|(_, part)| part.as_millis()),
+            work: self.speeds.work(now, view.id),
         };
         self.catalogue.targets().map(status).collect()
     }
--- a/crates/core/src/speed/state.rs
+++ b/crates/core/src/speed/state.rs
@@ -154,6 +154,12 @@
 }
 
 impl Speeds {
+    /// Returns the work of a target.
+    pub fn work(&self, now: Time, target: TargetId) -> u32 {
+        let known = self.targets.get(&target);
+        known.map_or(WORK_USUAL, |known| known.work(now, Basis::Answers))
+    }
+
     /// Returns a lookup of the work of targets, which takes one pass over targets in ascending order.
     /// `basis` says what counts.
     pub fn work_each(&self, now: Time, basis: Basis) -> impl FnMut(TargetId) -> u32 {
@@ -254,17 +260,6 @@
         let stated = self.targets.get(&target).and_then(|known| known.stated);
         stated.is_some_and(|it| worn(it.level, now.since(it.at)) >= SLOW_WORK)
     }
-
-    /// Returns how many targets count as faster and as slower than usual.
-    pub fn uneven(&self, now: Time) -> (usize, usize) {
-        let each = self.targets.values();
-        let each = each.map(|it| it.work(now, Basis::Answers));
-        each.fold((0, 0), |(faster, slower), work| match work {
-            ..WORK_USUAL => (faster + 1, slower),
-            WORK_USUAL => (faster, slower),
-            _ => (faster, slower + 1),
-        })
-    }
 }
 
 /// Returns what counts of a figure of some age.
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -20,7 +20,7 @@
 };
 use bulrushtrestle_core::input::{
     AnswerHead, AttemptEvent, Failure, FailureKind, Input, StatedLimit, StoreChange, StoreEvent,
-    TargetState, Vm, VmRole,
+    TargetLoad, TargetState, Vm, VmRole,
 };
 use bulrushtrestle_core::limit::Rate;
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
@@ -232,6 +232,8 @@
     pub(crate) runs_max: u32,
     /// The limits that targets name in their answers, in thousandths of a request a second.
     pub(crate) limits: BTreeMap<TargetId, u64>,
+    /// The work that targets state in their answers, in hundredths of the usual time.
+    pub(crate) work: BTreeMap<TargetId, u16>,
     /// What `limits` held, each from a time on.
     pub(crate) limit_changes: Vec<(Time, BTreeMap<TargetId, u64>)>,
     /// The heads of answers that arrived at routers.
@@ -389,6 +391,7 @@
             failed: Vec::new(),
             runs_max: 1,
             limits: BTreeMap::new(),
+            work: BTreeMap::new(),
             limit_changes: Vec::new(),
             heads: Vec::new(),
             head_delays: BTreeMap::new(),
@@ -822,7 +825,12 @@
         if !self.dead.contains(&head.at) {
             self.heads.push(head);
         }
-        let answer = AnswerHead { load: None, limit };
+        let load = self.work.get(&head.target).map(|&work| TargetLoad {
+            running: 1,
+            waiting: 0,
+            work: Some(work),
+        });
+        let answer = AnswerHead { load, limit };
         self.input(head.at, Input::Head(head.attempt, answer));
     }
 
