Design note on speed of targets and pauses of streams

Cause: the ways that were weighed, the behaviour on failure and what is not known were not written down; clippy asked for a parenthesis in the spread of scores.

Tests: clippy on core, platform and the daemon without warnings.

--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -24,6 +24,11 @@
 //! prefix, so that routers agree without a message. The score of a target adds up its unread
 //! tokens, the tokens that it would have to read again, its running requests, and the cost of
 //! distance; the target with the lowest score is chosen. See `docs/design/0031-balance.md`.
+//!
+//! Where targets differ in speed, or routes state how long streams may pause, work is compared in
+//! time, and the unread tokens at a target are bounded by the pauses that they cause ([`ReadSpeed`],
+//! [`speed`](crate::speed)). Scores are then spread by a hash, because routers that know the same
+//! figures would all choose the same target. See `docs/design/0041-speed-and-pauses.md`.
 
 mod config;
 mod fleet_view;
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -398,5 +398,5 @@
         0 => CALL_SCORE / u64::from(candidate.slots.max(1)) / 2,
         _ => SPREAD_TOKENS,
     };
-    (hash >> 32) * most * u64::from(WORK_USUAL) >> 32
+    ((hash >> 32) * most * u64::from(WORK_USUAL)) >> 32
 }
