--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -87,6 +87,8 @@
     TargetPaceHalved = "target_pace_halved";
     /// The pace of a target is no bound any more.
     TargetPaceEnded = "target_pace_ended";
+    /// A target stated a speed that differs by a tenth from what was known.
+    TargetSpeedChanged = "target_speed_changed";
     /// A target was classified as cold.
     TargetCold = "target_cold";
     /// A version move was found to be finished.
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -76,6 +76,9 @@
     /// The requests per second at which all routers use the target, in thousandths, while it is paced
     /// after a start or a failure.
     pub pace_millis: Option<u64>,
+    /// The time that work takes at the target, in hundredths of the usual time, as far as this router
+    /// knows from what targets state and from their answers.
+    pub work: u32,
 }
 
 impl Node {
@@ -126,6 +129,7 @@
             stated_limit_millis: stated(view.id).map(|(limit, _)| limit.as_millis()),
             part_millis: stated(view.id).map(|(_, part)| part.as_millis()),
             pace_millis: self.pace.pace(view.id).map(Rate::as_millis),
+            work: self.speeds.work(now, view.id),
         };
         self.catalogue.targets().map(status).collect()
     }
