Bound what may be lent of the allowance of a cold target

Cause: the steady clock of a borrower stops while its VM is suspended. When it goes on, its loan is used twice, so lending the whole allowance could send a cold target twice the allowance, above the bound for allowances over 7.

Change: at most half of the allowance and three requests per second are lent, by the routers that rank first.

--- a/crates/core/src/cold_start/state.rs
+++ b/crates/core/src/cold_start/state.rs
@@ -17,6 +17,8 @@
 /// The time after a break within which a state that arrives may have been written before the break:
 /// the delay of the platform's store plus that of its heartbeats.
 const STATE_LAG_MAX: Duration = Duration::from_secs(2);
+/// The requests per second beyond half of an allowance that may be lent.
+const LENDABLE_BEYOND_HALF: u32 = 3;
 /// How long a target that may have restarted counts as cold if no state of it arrives.
 const UNCONFIRMED_TERM: Duration = Duration::from_secs(10);
 
@@ -37,6 +39,14 @@
         now.since(started) < LOANS_OF_FORMER_RUN
     }
 
+    /// Returns how many requests per second of the allowance may be lent. The clock of a borrower
+    /// whose VM is suspended stops, and what it borrowed is used twice when it goes on. One and a half
+    /// times the allowance and three more may arrive at a target in that case.
+    fn lendable(&self) -> u32 {
+        self.per_second
+            .min(self.per_second / 2 + LENDABLE_BEYOND_HALF)
+    }
+
     /// Returns the requests per second that the routers with a fixed share divide.
     const fn divided(&self) -> u32 {
         match self.is_former_run_recent {
@@ -48,7 +58,7 @@
     /// Returns the other routers that have a share of the allowance for a target.
     fn lenders(&self, target: TargetId, me: RouterId) -> Vec<RouterId> {
         let mut ranked = ranking(u64::from(target.0), self.routers.iter().copied());
-        ranked.truncate(usize::try_from(self.per_second).unwrap_or(usize::MAX));
+        ranked.truncate(usize::try_from(self.lendable()).unwrap_or(usize::MAX));
         ranked.retain(|&router| router != me);
         ranked
     }
@@ -216,12 +226,14 @@
         let Some(cold) = self.cold.get(&target) else {
             return;
         };
-        let fixed = router_share(allowance, target, me);
-        let used = self.loans.lent(now, target) + cold.sent_in_window(now);
+        let lent = self.loans.lent(now, target);
+        let free =
+            router_share(allowance, target, me).saturating_sub(lent + cold.sent_in_window(now));
+        let lendable = even_share(allowance.lendable(), allowance, target, me);
         let asking = wanted.values().map(|req| u64::from(req.demand));
         let total = demand + asking.sum::<u64>();
         let mut more: BTreeMap<RouterId, usize> = BTreeMap::new();
-        for _ in used..fixed {
+        for _ in 0..free.min(lendable.saturating_sub(lent)) {
             let mut drawn = cx.rng.random_range(0..total.max(1));
             let to = wanted.iter().find(|(_, req)| {
                 let is_drawn = drawn < u64::from(req.demand);
@@ -295,11 +307,15 @@
     }
 }
 
-/// Returns this router's fixed share of the allowance of a cold target. The remainder of an
-/// even split goes to the routers that rank first for the target's rendezvous key, one request
-/// each.
+/// Returns this router's fixed share of the allowance of a cold target.
 fn router_share(allowance: &Allowance, target: TargetId, me: RouterId) -> usize {
-    let per_second = usize::try_from(allowance.divided()).unwrap_or(usize::MAX);
+    even_share(allowance.divided(), allowance, target, me)
+}
+
+/// Returns this router's part of `per_second`. The remainder of an even split goes to the routers that
+/// rank first for the target's rendezvous key, one request each.
+fn even_share(per_second: u32, allowance: &Allowance, target: TargetId, me: RouterId) -> usize {
+    let per_second = usize::try_from(per_second).unwrap_or(usize::MAX);
     let routers = allowance.routers.len().max(1);
     let ranked = ranking(u64::from(target.0), allowance.routers.iter().copied());
     let mut first = ranked.iter().take(per_second % routers);
