Allow targets to state up to three times the speed that answers show

Cause: two late answers move the mean of a target to 220 hundredths, and a limit of twice the speed then makes a fast target that states 83 count as slow.

Change: the limit is three times.

Tests: core lib tests of speed and balance (28 passed), pauses (1 passed).

--- a/crates/core/src/speed/state.rs
+++ b/crates/core/src/speed/state.rs
@@ -31,8 +31,9 @@
 /// The step in which work counts, in hundredths, so that targets of nearly equal speed are equal.
 const WORK_STEP: u32 = 10;
 /// How many times as fast as its answers show a target may state that it is, and how many times as
-/// slow. Neighbours slow a machine for short times, so it is often slower than most answers show.
-const STATED_FASTER_MAX: u32 = 2;
+/// slow. Neighbours slow a machine for short times, so it is often slower than most answers show; and a
+/// few late answers must not make a fast target count as slow.
+const STATED_FASTER_MAX: u32 = 3;
 const STATED_SLOWER_MAX: u32 = 4;
 
 /// The work from which a target is slow.
