Bound unread prompts by pauses only where reading can exceed them

Change: the bound applies where reading during one event takes longer than the objective; pools that read clearly slower than assumed have fewer unread tokens; the choice counts only speeds that targets state.

--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -33,6 +33,16 @@
 /// The shortest wait allowed for a request, however short its objective is.
 const WAIT_MIN: Duration = Duration::from_millis(30);
 
+/// The most prompt tokens that an engine reads in one step, in which it also generates a token for each
+/// of its requests.
+const STEP_TOKENS: u64 = 2_048;
+/// The part of the assumed rate of reading below which the targets of a pool count as slow, in
+/// hundredths. The median of answers varies by less among pools that read at the assumed rate.
+const SLOW_POOL_PERCENT: u64 = 75;
+/// The part of a pause objective that a target may spend reading, in hundredths. The rest is left for
+/// generating the event's tokens.
+const READING_PERCENT: u32 = 90;
+
 /// The time between two scans of a pool's queues if the last scan could dispatch nothing. A target
 /// takes about as long to read a short prompt, and the shortest objective in use is thirty times as
 /// long.
@@ -53,6 +63,8 @@
     targets: Vec<ListedTarget>,
     /// The least pause objective of the routes to the pool.
     gap_aim: Option<Duration>,
+    /// The most prompt tokens that a target reads during one event of a stream.
+    event_tokens: u64,
     /// When the targets for light requests were determined.
     light_at: Time,
 }
@@ -460,13 +472,11 @@
             .map(|listed| listed.candidate)
             .collect();
         let loads = self.balance.loads(now, open.iter().map(|it| it.target));
-        let unread_max = self.unread_max(pool, target_list.gap_aim);
-        let is_bound = target_list.gap_aim.is_some();
-        let basis = match is_bound {
-            true => speed::Basis::Answers,
-            false => speed::Basis::Stated,
-        };
-        let mut work = self.speeds.work_each(now, basis);
+        let unread_max = target_list.gap_aim.and_then(|_| self.slow_unread_max(pool));
+        let pause_bound = target_list
+            .gap_aim
+            .map(|gap| self.pause_bound(pool, gap, target_list.event_tokens));
+        let mut work = self.speeds.work_each(now, speed::Basis::Stated);
         let places = open.iter().zip(loads);
         places
             .map(|(&candidate, load)| {
@@ -480,23 +490,53 @@
                     },
                     load,
                     permits,
-                    speed: read_speed(work(candidate.target), unread_max, is_bound),
+                    speed: self.read_speed(work(candidate.target), unread_max, pause_bound),
                 }
             })
             .collect()
     }
 
-    /// Returns the most unread tokens at a target of usual speed, so that prompts begin to be answered
-    /// soon and streams with this pause objective are on time.
-    fn unread_max(&self, pool: PoolId, gap_aim: Option<Duration>) -> u64 {
+    /// Returns the most unread tokens at a target of usual speed, if the targets of the pool are known to
+    /// read clearly slower than assumed.
+    fn slow_unread_max(&self, pool: PoolId) -> Option<u64> {
         let cfg = self.balance.cfg();
-        match gap_aim {
-            Some(gap) => {
-                let time = (gap * cfg.pause_percent / 100).min(cfg.max_unread);
-                let rate = self.speeds.rate(pool, cfg.read_per_ms);
-                rate.tokens_in(time)
-            }
-            None => cfg.max_unread_tokens(),
+        let most = self
+            .speeds
+            .rate(pool, cfg.read_per_ms)
+            .tokens_in(cfg.max_unread);
+        let is_slow = most * 100 < cfg.max_unread_tokens() * SLOW_POOL_PERCENT;
+        is_slow.then_some(most)
+    }
+
+    /// Returns how fast a target of this work reads, and how much may be unread there: `unread_max` at
+    /// usual speed, or less where streams would pause for too long.
+    fn read_speed(
+        &self,
+        work: u32,
+        unread_max: Option<u64>,
+        pause: Option<PauseBound>,
+    ) -> ReadSpeed {
+        let at_work = |tokens: u64| tokens * u64::from(WORK_USUAL) / u64::from(work);
+        let unread_max = match pause.filter(|pause| pause.applies(work)) {
+            Some(pause) => Some(at_work(pause.unread_max)),
+            None if work == WORK_USUAL => unread_max,
+            None => Some(at_work(
+                unread_max.unwrap_or_else(|| self.balance.cfg().max_unread_tokens()),
+            )),
+        };
+        ReadSpeed { work, unread_max }
+    }
+
+    /// Returns what targets of a pool may have unread so that streams with this pause objective are on
+    /// time. `event_tokens` is what a target reads during one event of a stream at most.
+    fn pause_bound(&self, pool: PoolId, gap: Duration, event_tokens: u64) -> PauseBound {
+        let cfg = self.balance.cfg();
+        let rate = self.speeds.rate(pool, cfg.read_per_ms);
+        let time = (gap * cfg.pause_percent / 100).min(cfg.max_unread);
+        PauseBound {
+            unread_max: rate.tokens_in(time),
+            event_tokens,
+            borne_tokens: rate.tokens_in(gap * READING_PERCENT / 100),
         }
     }
 
@@ -556,6 +596,9 @@
             changes,
             light_at: self.cx.now,
             gap_aim: entry.and_then(|pool| self.catalogue.gap_aim(&pool.name)),
+            event_tokens: entry.map_or(0, |pool| {
+                u64::from(pool.bounds.tokens_per_event) * STEP_TOKENS
+            }),
             targets: views.iter().map(listed).collect(),
         }
     }
@@ -707,13 +750,20 @@
     }
 }
 
-/// Returns how fast a target of this work reads, where a usual one may have `unread_max` unread
-/// tokens. `is_bound` says whether the pool has a pause objective.
-fn read_speed(work: u32, unread_max: u64, is_bound: bool) -> ReadSpeed {
-    let unread_max = match (work, is_bound) {
-        (WORK_USUAL, false) => None,
-        (WORK_USUAL, true) => Some(unread_max),
-        (work, _) => Some(unread_max * u64::from(WORK_USUAL) / u64::from(work)),
-    };
-    ReadSpeed { work, unread_max }
+/// What targets of usual speed may have unread so that streams there are on time.
+#[derive(Debug, Clone, Copy)]
+struct PauseBound {
+    /// The most unread tokens where reading can make streams late.
+    unread_max: u64,
+    /// The most tokens that a target reads during one event of a stream.
+    event_tokens: u64,
+    /// The tokens that a target of usual speed reads within the pause that streams bear.
+    borne_tokens: u64,
+}
+
+impl PauseBound {
+    /// Returns whether a target of this work makes streams late while it reads without interruption.
+    const fn applies(&self, work: u32) -> bool {
+        self.event_tokens * work as u64 > self.borne_tokens * WORK_USUAL as u64
+    }
 }
