--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -332,7 +332,6 @@
             }
             _ => u64::from(load.requests) * u64::from(cfg.running_tokens),
         };
-        let read = u64::from(to_read) * u64::from(cfg.reread_weight);
         // Prompts that a target reads for other requests delay a light one.
         let interference = match profile.is_light() && !candidate.prefers_light {
             true => cfg.max_unread_tokens(),
@@ -344,8 +343,13 @@
                 cfg.max_unread_tokens()
             }
         };
-        let work = load.unread + read + running;
-        work * u64::from(speed.work) + (distance + interference + permit) * u64::from(WORK_USUAL)
+        // Reading a prompt again costs more than its time, and that does not depend on the target's
+        // speed at this moment: a machine that is slow for half a second would lose all its prompts.
+        let read = u64::from(to_read);
+        let reread = read * u64::from(cfg.reread_weight.saturating_sub(1));
+        let timed = load.unread + read + running;
+        let untimed = reread + distance + interference + permit;
+        timed * u64::from(speed.work) + untimed * u64::from(WORK_USUAL)
     }
 }
 
--- a/crates/core/src/speed/mod.rs
+++ b/crates/core/src/speed/mod.rs
@@ -18,8 +18,9 @@
 //!
 //! A router also compares the time that a prompt took to be read with the usual time in the pool
 //! ([`Speeds::on_read`]), as a slow mean that single answers move little. The usual time itself
-//! follows the median of all answers. Among targets that state nothing the means count only in pools
-//! with a pause objective ([`Basis`]), since times of answers vary also among equal targets.
+//! follows the median of all answers. The means bound what targets state; for targets that state
+//! nothing they are shown to operators only, since times of answers vary also among equal targets
+//! ([`Basis`]).
 //!
 //! In a large fleet a router sees few answers of each target. Routers report stated figures that
 //! differ by a tenth from what they knew to each other with their loads ([`message::SpeedRow`]).
