--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -37,7 +37,7 @@
 /// of its requests.
 const STEP_TOKENS: u64 = 2_048;
 /// The part of the assumed rate of reading below which the targets of a pool count as slow, in
-/// hundredths. The median of answers varies by less among pools that read at the assumed rate.
+/// hundredths. Pools that read at about the assumed rate keep the assumed bound.
 const SLOW_POOL_PERCENT: u64 = 75;
 /// The part of a pause objective that a target may spend reading, in hundredths. The rest is left for
 /// generating the event's tokens.
