--- a/review/second/fleet.rs
+++ b/review/second/fleet.rs
@@ -40,7 +40,7 @@
     if NEXT.load(Ordering::Relaxed) == 0 {
         // Scripts that run at the same time begin far from each other.
         NEXT.store(
-            10_000 + (std::process::id() * 97 % 20_000) as u16,
+            10_000 + (std::process::id() * 1_009 % 20_000) as u16,
             Ordering::Relaxed,
         );
     }
--- a/review/second/herd.rs
+++ b/review/second/herd.rs
@@ -9,12 +9,14 @@
 use crate::fleet::Router;
 use crate::http;
 use crate::rollout;
-use crate::setup::{self, Record, STABLE, ZONES, sleep_s};
+use crate::setup::{self, Record, ZONES, sleep_s};
 use crate::store::Store;
 
 const MACHINES: u8 = 30;
 /// The machines that are left, four in each zone.
 const LEFT: usize = 12;
+/// `stable_ms` of the grown sites.
+const STABLE: Duration = Duration::from_millis(4_000);
 /// How much longer than `stable_ms` the directory may name a machine that is gone.
 const NAMED: Duration = Duration::from_secs(3);
 /// The answers that the rule allows.
