Withdraw cases 9 and 10 of the second review, and bring the others into form

The other three have their script and check in their own folder; case 8 counts only answers that name a running machine as well; the claims quote the limits.

--- a/review/second/herd.rs
+++ b/review/8/case.rs
@@ -8,7 +8,6 @@
 use crate::client::HOST;
 use crate::fleet::Router;
 use crate::http;
-use crate::rollout;
 use crate::setup::{self, Record, ZONES, sleep_s};
 use crate::store::Store;
 
@@ -27,7 +26,7 @@
     let mut out = Record::begin();
     let (store, address) = Store::start();
     store.put("keyed.op", "config", Some(&setup::configuration()));
-    let _servers = rollout::start_servers(&store, "i", "v1", 0);
+    let _servers = setup::start_servers(&store, "i", "v1");
     let Some(mut routers) = setup::start_routers(folder, 1, MACHINES, address) else {
         out.line("a router is not ready");
         out.write(record);
@@ -44,6 +43,7 @@
             lost_at.len()
         ));
     }
+    let running: Vec<String> = routers.iter().map(|it| it.callers.to_string()).collect();
     let killed = Instant::now();
     let bound = killed + STABLE + NAMED;
     std::thread::sleep(bound.saturating_duration_since(Instant::now()) + Duration::from_secs(1));
@@ -60,7 +60,9 @@
                     .map(SocketAddr::to_string)
                     .filter(|it| trouble && named.contains(&format!("\"{it}\"")))
                     .collect();
-                if !gone.is_empty() {
+                // The rule is about answers that name a running machine as well.
+                let beside = running.iter().any(|it| named.contains(&format!("\"{it}\"")));
+                if beside && !gone.is_empty() {
                     wrong += 1;
                     if round == 0 {
                         out.line(format!(
@@ -78,7 +80,7 @@
         0 => 2,
         _ => u8::from(wrong > ANSWERS_MAX),
     };
-    out.line(format!("DRAIN: {wrong} of {answers} answers name a machine that is gone, {ANSWERS_MAX} are allowed; exit code {code}"));
+    out.line(format!("DRAIN: {wrong} of {answers} answers name a machine that is gone beside a running one, {ANSWERS_MAX} are allowed; exit code {code}"));
     out.write(record);
     code
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/review-2 review/second/main.rs
+rustc --edition 2024 -O -o target/review-2/review-2 review/second.rs
--- a/review/second/main.rs
+++ b/review/second.rs
@@ -2,17 +2,23 @@
 
 #![allow(dead_code, reason = "each case uses a part")]
 
-mod client;
-mod drill;
+#[path = "6/case.rs"]
+mod replaced;
+#[path = "7/case.rs"]
 mod evacuate;
-mod fleet;
+#[path = "8/case.rs"]
 mod herd;
+#[path = "second_client.rs"]
+mod client;
+#[path = "second_fleet.rs"]
+mod fleet;
+#[path = "second_http.rs"]
 mod http;
-mod outage;
-mod replaced;
-mod rollout;
+#[path = "second_server.rs"]
 mod server;
+#[path = "second_setup.rs"]
 mod setup;
+#[path = "second_store.rs"]
 mod store;
 
 use std::path::Path;
@@ -29,9 +35,7 @@
     let code = match case.as_str() {
         "evacuate" => evacuate::run(folder, record, trouble),
         "herd" => herd::run(folder, record, trouble),
-        "outage" => outage::run(folder, record, trouble),
         "replaced" => replaced::run(folder, record, trouble),
-        "drill" => drill::run(folder, record, trouble),
         _ => 2,
     };
     ExitCode::from(code)
--- a/review/second/setup.rs
+++ b/review/second_setup.rs
@@ -9,6 +9,7 @@
 use crate::client::{Load, Seen};
 use crate::fleet::{Machine, Router};
 use crate::server::{Entry, Server};
+use crate::store::Store;
 
 /// The figures of a `front` machine of the smaller site.
 pub const MACHINE: Machine = Machine {
@@ -31,6 +32,14 @@
     r#"{"version":7,"routes":[{"name":"r-stock","host":"host.example","path_prefix":"/stock/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":1000,"priority":1,"service":"booking","max_attempts":2,"anonymous":false,"sticky":false,"resumable":false},{"name":"r-reserve","host":"host.example","path_prefix":"/reserve/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":1000,"priority":1,"service":"booking","max_attempts":2,"anonymous":false,"sticky":false,"resumable":false}],"services":[{"name":"booking","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false,"cold_s":0.0,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t1","api_keys":["key-1"],"priority":1}]}"#.to_owned()
 }
 
+/// Starts the servers of a version, one in each zone.
+pub fn start_servers(store: &Arc<Store>, prefix: &str, version: &'static str) -> Vec<Arc<Server>> {
+    let start = |zone: &&'static str| {
+        Server::start(store, entry(&format!("{prefix}-{zone}"), zone, version), 0)
+    };
+    ZONES.iter().map(start).collect()
+}
+
 pub fn entry(id: &str, zone: &'static str, version: &'static str) -> Entry {
     Entry {
         id: id.to_owned(),
