Replace partners that are lost, so that losses reach all routers that are left

Cause: partners were chosen among all listed routers, lost ones included. The links between the 12 that were left fell apart into several groups. Rows say that a router is live until some other row says that it is down, and such rows did not pass from one group to another.

So it is the way of the reports first, and who notices second.

Fix: the same choice is made a second time among the routers that are not known to be lost, which keeps those that are left connected and gives each lost router one of them that notices. A new partner is asked for its rows at once and is lost as well if it does not answer within 2 s. A router that hears nobody reports nobody. Routers that were listed and never heard become down too, so that they can be replaced. Deciders, relays, duties and names follow from the same rows.

--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -42,6 +42,26 @@
     pub capacity: u32,
 }
 
+impl Row {
+    /// Returns the row of a router that is on the VM list and was never heard. Any row of the router
+    /// itself is newer.
+    pub(super) const fn never_heard(router: RouterId) -> Self {
+        Self {
+            router,
+            incarnation: Incarnation(0),
+            version: 0,
+            condition: Condition::Unready,
+            address: String::new(),
+            capacity: 0,
+        }
+    }
+
+    /// Returns whether the row shows the router as down.
+    pub fn is_down(&self) -> bool {
+        self.condition == Condition::Down
+    }
+}
+
 /// The condition of a router. A worse condition is a greater value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Condition {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -20,12 +20,20 @@
 //! the number of its partners and not with the size of the fleet. A router that receives a row in
 //! which it is down raises the version of its own row, which overrides the report.
 //!
+//! Many routers may be lost at once, and with them most partners of those that are left. The same
+//! choice is therefore made a second time among the routers that are not known to be lost, and
+//! gives the substitutes (see `links`). A new partner is asked for its rows at once, so that each
+//! learns what the other knows; if it does not answer it is lost too, and replaced in turn.
+//!
 //! A router that receives no heartbeats from a partner considers the partner down even if the rows
-//! show it as live. It reports one run of a partner as down only once, so that a single broken link
-//! cannot make a router alternate between live and down for the entire fleet.
+//! show it as live. It reports one run of a partner as down only once, so that a single broken
+//! link cannot make a router alternate between live and down for the entire fleet. A router
+//! that hears nobody reports nobody: it may itself be cut off. It looks for other partners, and
+//! checks those it missed again once it hears any router.
 //!
 //! Figures and rejected alternatives are in `docs/design/0004-membership.md`.
 
+mod links;
 pub mod message;
 mod rendezvous;
 mod state;
--- a/crates/core/src/membership/rendezvous.rs
+++ b/crates/core/src/membership/rendezvous.rs
@@ -38,6 +38,21 @@
     best.into_iter().map(|(_, router)| router).collect()
 }
 
+/// Returns whether `router` is among the `count` highest-ranked `routers` for `key`. Stops as soon as
+/// enough others rank higher, after a number of routers that hardly depends on how many there are.
+pub(super) fn is_among_best(
+    key: u64,
+    router: RouterId,
+    routers: impl IntoIterator<Item = RouterId>,
+    count: usize,
+) -> bool {
+    let own = (score(key, router), router);
+    let higher = routers
+        .into_iter()
+        .filter(|&other| (score(key, other), other) > own);
+    higher.take(count).count() < count
+}
+
 fn score(key: u64, router: RouterId) -> u64 {
     xxh3_64_with_seed(&router.0.to_le_bytes(), key)
 }
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -1,9 +1,10 @@
 //! The state of the other routers as known to this router.
 
 use core::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::input::{Vm, VmRole};
+use crate::membership::links::{Choice, Links, Standing};
 use crate::membership::message::{Condition, Heartbeat, Row};
 use crate::membership::rendezvous;
 use crate::prelude::*;
@@ -16,6 +17,12 @@
 /// restarts the timeouts of all partners, because it could not receive heartbeats during the pause.
 /// The rest of the timeout covers the period and the transit time of a heartbeat.
 const OWN_PAUSE_PERCENT: u32 = 50;
+/// The number of heartbeat periods without any frame after which a router counts as silent. The
+/// router that heard nothing asks it for a frame, and one that hears nobody at all is isolated.
+const SILENT_PERIODS: u32 = 2;
+/// The number of timeouts after the last loss of a router for which those that lost most of their
+/// partners search for others.
+const SEARCH_TIMEOUTS: u32 = 2;
 
 /// The timing of heartbeats and the number of partners of each router.
 #[derive(Debug, Clone)]
@@ -44,6 +51,9 @@
     pub period: Duration,
     /// The time without a heartbeat after which a partner is considered down.
     pub timeout: Duration,
+    /// The time in which a router has to answer the first heartbeat over a new link. It is shorter
+    /// than the timeout, because the answer is sent at once.
+    pub answer_within: Duration,
 }
 
 impl Default for Config {
@@ -54,11 +64,13 @@
             mesh: HeartbeatTiming {
                 period: Duration::from_millis(500),
                 timeout: Duration::from_secs(2),
+                answer_within: Duration::from_secs(2),
             },
             partners: 3,
             sparse: HeartbeatTiming {
                 period: Duration::from_secs(1),
                 timeout: Duration::from_secs(3),
+                answer_within: Duration::from_secs(2),
             },
             relay_rounds: 2,
         }
@@ -73,18 +85,21 @@
     own: Row,
     started: Time,
     peers: BTreeMap<RouterId, Peer>,
-    /// The routers on the VM list and this one, from which the present partners were chosen.
-    listed: Vec<RouterId>,
-    /// The routers with which this router exchanges heartbeats.
-    partners: BTreeSet<RouterId>,
+    links: Links,
     /// Whether a row changed that was not sent to any partner yet.
     has_unsent_rows: bool,
     /// The routers whose rows are to be sent, with the number of remaining rounds of heartbeats.
     pending_rows: BTreeMap<RouterId, u32>,
     /// When partners were last checked for missing heartbeats.
     last_check: Time,
-    /// The end of the last pause of this router, during which it could not receive heartbeats.
+    /// The end of the last time in which this router could not receive heartbeats: it was paused, or
+    /// isolated.
     resumed: Time,
+    /// Whether no router has been heard for [`SILENT_PERIODS`]. What an isolated router does not hear
+    /// says nothing about others: it may be cut off itself.
+    is_isolated: bool,
+    /// When a router was last considered lost that was not before.
+    last_loss: Time,
 }
 
 /// Another router of the fleet.
@@ -101,8 +116,14 @@
     pub listed: bool,
     /// When this router last received a frame from the peer.
     pub last_frame: Option<Time>,
-    /// Since when this router expects heartbeats from the peer.
-    expected_since: Time,
+    /// When the first heartbeat over the link with the peer is due.
+    due: Time,
+    /// When the peer became a partner.
+    linked: Time,
+    /// When this router last asked the peer for its rows.
+    asked: Time,
+    /// Whether the peer sent no heartbeat in time while this router was isolated.
+    is_suspect: bool,
     /// The row of the peer, if this router has received one.
     row: Option<Row>,
     /// The run of the peer that this router has reported as down.
@@ -141,12 +162,13 @@
             own,
             started: now,
             peers: BTreeMap::new(),
-            listed: Vec::new(),
-            partners: BTreeSet::new(),
+            links: Links::default(),
             has_unsent_rows: false,
             pending_rows: BTreeMap::new(),
             last_check: now,
             resumed: now,
+            is_isolated: false,
+            last_loss: now,
         }
     }
 
@@ -171,7 +193,13 @@
             .retain(|_, peer| peer.listed || peer.is_reachable(now, timeout));
         self.pending_rows
             .retain(|router, _| *router == self.me || self.peers.contains_key(router));
-        self.choose_partners(now);
+        let listed = self.peers.iter().filter(|(_, peer)| peer.listed);
+        let mut listed: Vec<RouterId> = listed.map(|(&id, _)| id).chain([self.me]).collect();
+        listed.sort_unstable();
+        if self.links.set_listed(self.me, listed, self.cfg.choice()) {
+            self.choose_partners(now);
+            self.send_own_row();
+        }
     }
 
     /// Records the receipt of a frame. Returns whether the frame is newer than all earlier ones of
@@ -188,6 +216,9 @@
         }
         peer.sequence = sequence;
         peer.last_frame = Some(now);
+        if core::mem::take(&mut peer.is_suspect) {
+            self.links.is_outdated = true;
+        }
         true
     }
 
@@ -226,36 +257,78 @@
         }
     }
 
-    /// Checks for partners that sent no heartbeat within the timeout. Marks them as down and
-    /// returns those that were not known to be down before.
+    /// Checks for partners that sent no heartbeat in time. Marks them as down and returns those that
+    /// were not known to be down before. Partners that are lost are replaced.
     pub fn detect_unresponsive(&mut self, now: Time) -> Vec<RouterId> {
-        let timeout = self.timing().timeout;
-        if now.since(self.last_check) >= timeout * OWN_PAUSE_PERCENT / 100 {
-            self.resumed = now;
-        }
-        self.last_check = now;
-        let resumed = self.resumed;
+        self.detect_own_silence(now);
+        let HeartbeatTiming {
+            period,
+            timeout,
+            answer_within,
+        } = *self.timing();
+        let silent = period * SILENT_PERIODS;
         let mut down = Vec::new();
-        for id in &self.partners {
+        for id in &self.links.partners {
             let Some(peer) = self.peers.get_mut(id) else {
                 continue;
             };
-            let expected = peer.expected_since.max(resumed);
-            let timed_out = now.since(expected) >= timeout && !peer.is_reachable(now, timeout);
-            let Some(row) = peer.row.as_mut().filter(|_| timed_out) else {
+            if self.is_isolated {
+                let is_silent = now >= peer.due && !peer.is_reachable(now, silent);
+                if is_silent && !core::mem::replace(&mut peer.is_suspect, true) {
+                    self.links.is_outdated = true;
+                    self.last_loss = now;
+                }
                 continue;
-            };
+            }
+            let due = peer.due.max(self.resumed + answer_within);
+            if now < due || peer.is_reachable(now, timeout) {
+                continue;
+            }
+            if core::mem::take(&mut peer.is_suspect) {
+                self.links.is_outdated = true;
+            }
+            let row = peer.row.get_or_insert_with(|| Row::never_heard(*id));
             if row.condition < Condition::Down && peer.reported_down != Some(row.incarnation) {
                 peer.reported_down = Some(row.incarnation);
                 row.condition = Condition::Down;
                 self.pending_rows.insert(*id, self.cfg.relay_rounds);
                 self.has_unsent_rows = true;
+                self.links.is_outdated = true;
+                self.last_loss = now;
                 down.push(*id);
             }
         }
+        if self.links.must_choose(self.searches(now)) {
+            self.choose_partners(now);
+        }
         down
     }
 
+    /// Restarts the timeouts of all partners if this router was paused or isolated until now.
+    fn detect_own_silence(&mut self, now: Time) {
+        let HeartbeatTiming {
+            period, timeout, ..
+        } = *self.timing();
+        if now.since(self.last_check) >= timeout * OWN_PAUSE_PERCENT / 100 {
+            self.resumed = now;
+        }
+        self.last_check = now;
+        let heard = self.peers.values().filter_map(|peer| peer.last_frame).max();
+        let heard = heard.unwrap_or(self.started).max(self.resumed);
+        let is_isolated = now.since(heard) >= period * SILENT_PERIODS;
+        if core::mem::replace(&mut self.is_isolated, is_isolated) && !is_isolated {
+            self.resumed = now;
+            self.links.is_outdated = true;
+        }
+    }
+
+    /// Returns whether this router searches for partners, because it hears nobody or routers were lost
+    /// recently.
+    fn searches(&self, now: Time) -> bool {
+        let searched_for = self.timing().timeout * SEARCH_TIMEOUTS;
+        self.is_isolated || now.since(self.last_loss) < searched_for
+    }
+
     /// Returns the rows to send with this round of heartbeats, those sent least often first.
     pub fn take_rows(&mut self) -> Vec<Row> {
         self.has_unsent_rows = false;
@@ -285,6 +358,27 @@
             .collect()
     }
 
+    /// Returns the rows of the routers that are down.
+    pub fn down_rows(&self) -> impl Iterator<Item = &Row> {
+        let rows = self.peers.values().filter_map(|peer| peer.row.as_ref());
+        rows.filter(|row| row.condition == Condition::Down)
+    }
+
+    /// Returns whether to ask a partner for its rows with the next heartbeat, because it is new or
+    /// has been silent. The answer shows that it runs, and each learns what the other knows.
+    pub fn asks_for_rows(&mut self, now: Time, partner: RouterId) -> bool {
+        let period = self.timing().period;
+        let is_substitute = self.links.is_substitute(partner);
+        let Some(peer) = self.peers.get_mut(&partner) else {
+            return false;
+        };
+        let is_new = is_substitute && peer.last_frame.is_none_or(|at| at < peer.linked);
+        let heard = peer.last_frame.unwrap_or_default().max(peer.linked);
+        let is_silent = now.since(heard) >= period * SILENT_PERIODS;
+        let is_down = peer.row.as_ref().is_some_and(Row::is_down);
+        (is_new || is_silent) && !is_down && peer.may_ask(now, period)
+    }
+
     /// Returns the row of a router, if one is known.
     pub fn row(&self, router: RouterId) -> Option<&Row> {
         if router == self.me {
@@ -311,7 +405,7 @@
 
     /// Returns the routers to which heartbeats are sent.
     pub fn partners(&self) -> impl Iterator<Item = RouterId> {
-        self.partners.iter().copied()
+        self.links.partners.iter().copied()
     }
 
     /// Returns all other routers, live or not, in the order of their keys.
@@ -337,15 +431,15 @@
         let Some(peer) = self.peers.get(&router) else {
             return false;
         };
-        if peer.is_reachable(now, self.timing().timeout) {
+        let timing = self.timing();
+        if peer.is_reachable(now, timing.timeout) {
             return true;
         }
-        if self.partners.contains(&router) {
+        let is_partner = self.links.partners.contains(&router);
+        if peer.is_suspect || (is_partner && now >= peer.linked + timing.answer_within) {
             return false;
         }
-        peer.row
-            .as_ref()
-            .is_some_and(|row| row.condition < Condition::Down)
+        peer.row.as_ref().is_some_and(|row| !row.is_down())
     }
 
     /// Returns the owner of a target, which grants its slots.
@@ -369,7 +463,7 @@
 
     /// Returns the number of routers with which this router exchanges heartbeats, live or not.
     pub fn partner_count(&self) -> usize {
-        self.partners.len()
+        self.links.partners.len()
     }
 
     /// Returns the time without a heartbeat after which a peer is considered down.
@@ -394,16 +488,30 @@
             return;
         }
         let rounds = self.cfg.relay_rounds;
+        let due = now + self.timing().timeout;
         let peer = self.peers.entry(row.router).or_default();
-        let newer = peer.row.as_ref().is_none_or(|known| is_newer(&row, known));
-        if newer {
-            if row.condition < Condition::Down && peer.expected_since < now {
-                peer.expected_since = now;
-            }
-            self.pending_rows.insert(row.router, rounds);
-            self.has_unsent_rows = true;
-            peer.row = Some(row);
+        if peer
+            .row
+            .as_ref()
+            .is_some_and(|known| !is_newer(&row, known))
+        {
+            return;
+        }
+        let was_down = peer.row.as_ref().is_some_and(Row::is_down);
+        if !row.is_down() {
+            peer.due = peer.due.max(due);
+        }
+        if was_down != row.is_down() {
+            self.links.is_outdated = true;
+        }
+        if row.is_down() {
+            self.last_loss = now;
+        } else {
+            peer.is_suspect = false;
         }
+        self.pending_rows.insert(row.router, rounds);
+        self.has_unsent_rows = true;
+        peer.row = Some(row);
     }
 
     /// Overrides a received row about this router that is outdated or wrongly shows it as down.
@@ -429,41 +537,31 @@
         self.has_unsent_rows = true;
     }
 
-    /// Chooses the partners of this router. The choice is made among all listed routers, including
-    /// ones that are down, so that all routers compute the same links from the same list.
+    /// Chooses the partners of this router, and greets the new ones at once.
     fn choose_partners(&mut self, now: Time) {
-        let listed = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.listed)
-            .map(|(&id, _)| id);
-        let all: Vec<RouterId> = listed.chain([self.me]).collect();
-        if all == self.listed {
-            return;
-        }
-        let mut partners = self.chosen_by(self.me, &all);
-        let choosers = all.iter().copied().filter(|&other| other != self.me);
-        partners.extend(choosers.filter(|&other| self.chosen_by(other, &all).contains(&self.me)));
-        for id in partners.difference(&self.partners) {
-            if let Some(peer) = self.peers.get_mut(id) {
-                peer.expected_since = now;
-            }
-        }
-        if partners != self.partners {
-            self.send_own_row();
-        }
-        self.partners = partners;
-        self.listed = all;
-    }
-
-    /// Returns the partners that `router` chooses among `all` routers.
-    fn chosen_by(&self, router: RouterId, all: &[RouterId]) -> BTreeSet<RouterId> {
-        let others = all.iter().copied().filter(|&other| other != router);
-        if all.len() <= self.cfg.mesh_max + 1 {
-            return others.collect();
+        let peers = &self.peers;
+        let is_isolated = self.is_isolated;
+        let standing = |id| match peers.get(&id) {
+            Some(peer) if peer.row.as_ref().is_some_and(Row::is_down) => Standing::Lost,
+            Some(peer) if peer.is_suspect && is_isolated => Standing::Lost,
+            Some(peer) if peer.is_suspect => Standing::Checked,
+            _ => Standing::Fit,
+        };
+        let (choice, searches) = (self.cfg.choice(), self.searches(now));
+        let added = self.links.choose(self.me, choice, searches, standing);
+        let timing = *self.timing();
+        for id in added {
+            let is_substitute = self.links.is_substitute(id);
+            let Some(peer) = self.peers.get_mut(&id) else {
+                continue;
+            };
+            peer.linked = now;
+            peer.due = match is_substitute {
+                true => now + timing.answer_within,
+                false => now + timing.timeout,
+            };
+            self.has_unsent_rows = true;
         }
-        let ranked = rendezvous::ranking(u64::from(router.0) << 32, others);
-        ranked.into_iter().take(self.cfg.partners).collect()
     }
 
     fn timing(&self) -> &HeartbeatTiming {
@@ -476,7 +574,16 @@
 
     /// Returns whether all routers are partners of each other.
     pub fn is_mesh(&self) -> bool {
-        self.listed.len() <= self.cfg.mesh_max + 1
+        self.links.is_mesh(self.cfg.choice())
+    }
+}
+
+impl Config {
+    const fn choice(&self) -> Choice {
+        Choice {
+            mesh_max: self.mesh_max,
+            count: self.partners,
+        }
     }
 }
 
@@ -485,6 +592,16 @@
     fn is_reachable(&self, now: Time, timeout: Duration) -> bool {
         self.last_frame.is_some_and(|at| now.since(at) < timeout)
     }
+
+    /// Returns whether this router has not asked the peer for rows within a period, and records that
+    /// it does now.
+    fn may_ask(&mut self, now: Time, period: Duration) -> bool {
+        let may_ask = now.since(self.asked) >= period;
+        if may_ask {
+            self.asked = now;
+        }
+        may_ask
+    }
 }
 
 fn is_newer(row: &Row, known: &Row) -> bool {
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -198,3 +198,47 @@
     let down = group.members[3].detect_unresponsive(group.now);
     assert!(down.is_empty(), "{down:?}");
 }
+
+/// Guards against links whose number grows with the fleet once routers are lost.
+#[test]
+fn the_number_of_partners_is_that_of_a_smaller_fleet() {
+    struct Case {
+        name: &'static str,
+        /// Every so many routers one is lost.
+        lost_every: usize,
+    }
+    let cases = [
+        Case {
+            name: "nobody lost",
+            lost_every: usize::MAX,
+        },
+        Case {
+            name: "a third lost",
+            lost_every: 3,
+        },
+        Case {
+            name: "half lost",
+            lost_every: 2,
+        },
+    ];
+    for Case { name, lost_every } in cases {
+        let mean = |routers: u32| {
+            let mut group = Group::new(routers);
+            group.rounds(8);
+            group.stopped = (1..routers as usize).step_by(lost_every).collect();
+            if lost_every == usize::MAX {
+                group.stopped.clear();
+            }
+            group.rounds(40);
+            let running = (0..routers as usize).filter(|at| !group.stopped.contains(at));
+            let counts = running.map(|at| group.members[at].partners().count());
+            let counts: Vec<usize> = counts.collect();
+            counts.iter().sum::<usize>() as f64 / counts.len() as f64
+        };
+        let (small, large) = (mean(60), mean(300));
+        assert!(
+            large <= 1.2 * small,
+            "{name}: {small} of 60, {large} of 300"
+        );
+    }
+}
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -29,7 +29,7 @@
             return;
         }
         if !is_known {
-            self.send_heartbeat(from, Vec::new(), true);
+            self.ask_for_rows(from, &[]);
             self.send_quarantine(from);
         }
         for part in frame.parts {
@@ -42,10 +42,22 @@
         let rows = self.members.take_rows();
         let partners: Vec<RouterId> = self.members.partners().collect();
         for to in partners {
-            self.send_heartbeat(to, rows.clone(), false);
+            match self.members.asks_for_rows(self.cx.now, to) {
+                true => self.ask_for_rows(to, &rows),
+                false => self.send_heartbeat(to, rows.clone(), false),
+            }
         }
     }
 
+    /// Sends a heartbeat that asks for all rows, with the changed `rows` and those of all routers that
+    /// are down: the receiver may have been out of reach when these were reported.
+    fn ask_for_rows(&mut self, to: RouterId, rows: &[Row]) {
+        let is_new = |row: &&Row| rows.iter().all(|sent| sent.router != row.router);
+        let down = self.members.down_rows().filter(is_new).cloned();
+        let rows = down.chain(rows.iter().cloned()).collect();
+        self.send_heartbeat(to, rows, true);
+    }
+
     /// Reports the partners that sent no heartbeat within the timeout.
     pub(super) fn report_unresponsive_peers(&mut self) {
         for router in self.members.detect_unresponsive(self.cx.now) {
--- /dev/null
+++ b/crates/core/tests/lost_routers.rs
@@ -0,0 +1,196 @@
+//! Routers that are lost for good, in virtual time and without a network.
+
+mod hosting;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bulrushtrestle_core::input::Input;
+use bulrushtrestle_core::prelude::*;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+
+use self::hosting::Fleet;
+
+const DATA_CENTRES: usize = 3;
+/// The time after the loss of a router from which on no answer names it: the shortest `stable_ms` of the users' sites,
+/// and 3 s.
+const NOT_NAMED_AFTER: Duration = Duration::from_secs(6);
+/// The answers that may name a router that is gone for longer.
+const ANSWERS_MAX: usize = 3;
+/// The time between two questions to each router.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time that a router has between the order to stop and its end.
+const STOP_TIME: Duration = Duration::from_millis(100);
+
+/// A fleet some of whose routers are lost for good.
+struct Losses {
+    fleet: Fleet,
+    /// When each lost router was lost.
+    lost: BTreeMap<usize, Time>,
+    /// Answers that name a router that was lost too long before.
+    wrong: Vec<String>,
+}
+
+impl Losses {
+    fn new(routers: usize) -> Self {
+        let mut fleet = Fleet::placed(&vec![1_000; routers], DATA_CENTRES, (1, 8), 0);
+        fleet.run(Duration::from_secs(4));
+        Self {
+            fleet,
+            lost: BTreeMap::new(),
+            wrong: Vec::new(),
+        }
+    }
+
+    fn running(&self) -> Vec<usize> {
+        let all = 0..self.fleet.nodes.len();
+        all.filter(|at| !self.lost.contains_key(at)).collect()
+    }
+
+    fn lose(&mut self, at: usize) {
+        self.fleet.dead.insert(at);
+        self.lost.insert(at, self.fleet.now);
+    }
+
+    /// Lets time pass, and asks each running router for the addresses in each data centre all the while.
+    fn run(&mut self, time: Duration) {
+        let end = self.fleet.now + time;
+        while self.fleet.now < end {
+            self.fleet.run(ASK_INTERVAL);
+            self.ask();
+        }
+    }
+
+    fn ask(&mut self) {
+        let now = self.fleet.now;
+        let late = |(_, since): &(&usize, &Time)| now.since(**since) > NOT_NAMED_AFTER;
+        let late = self.lost.iter().filter(late);
+        let gone: BTreeSet<String> = late.map(|(at, _)| address(*at)).collect();
+        for at in self.running() {
+            for data_centre in ["a", "b", "c"] {
+                let named = self.fleet.nodes[at].addresses_near(Some(data_centre));
+                let wrong: Vec<&String> = named.iter().filter(|it| gone.contains(*it)).collect();
+                if !wrong.is_empty() && wrong.len() < named.len() {
+                    let time = now.as_millis() % 100_000;
+                    self.wrong
+                        .push(format!("{time}: {at} names {wrong:?} in {data_centre}"));
+                }
+            }
+        }
+    }
+
+    /// Returns the running routers that consider another set of routers live than those that run.
+    fn mistaken(&self) -> Vec<(usize, BTreeSet<usize>)> {
+        let running: BTreeSet<usize> = self.running().into_iter().collect();
+        let live = |at: usize| -> BTreeSet<usize> {
+            let live = self.fleet.nodes[at].status(self.fleet.now).live;
+            live.into_iter().map(|id| id.0 as usize - 1).collect()
+        };
+        let wrong = running.iter().map(|&at| (at, &live(at) ^ &running));
+        wrong.filter(|(_, wrong)| !wrong.is_empty()).collect()
+    }
+}
+
+/// Returns the address at which callers reach a router, by its index.
+fn address(at: usize) -> String {
+    format!("127.0.0.1:{}", at + 1)
+}
+
+/// Guards against routers that go on being named, or counted as live, because all that heard them are lost too, or because
+/// the reports of their loss do not reach everyone.
+#[test]
+fn routers_that_are_lost_for_good_are_named_no_more() {
+    struct Case {
+        name: &'static str,
+        routers: usize,
+        /// How many routers are left.
+        left: usize,
+        /// The time between two losses.
+        gap: Duration,
+        /// Whether a router at a new address starts whenever one is lost.
+        replaced: bool,
+        /// Whether the routers are asked to stop before.
+        planned: bool,
+    }
+    let case = |name, routers, left, gap_ms| Case {
+        name,
+        routers,
+        left,
+        gap: Duration::from_millis(gap_ms),
+        replaced: false,
+        planned: false,
+    };
+    let cases = [
+        case("three fifths at once", 30, 12, 0),
+        case("four fifths at once", 30, 6, 0),
+        case("all but one at once", 30, 1, 0),
+        case("all but one of a small fleet", 12, 1, 0),
+        case("three fifths of a larger fleet", 66, 26, 0),
+        case("nine tenths of a larger fleet", 66, 7, 0),
+        case("one after the other", 30, 6, 400),
+        case("one after the other, slowly", 30, 15, 1_700),
+        Case {
+            replaced: true,
+            ..case("replaced, all at once", 24, 4, 0)
+        },
+        Case {
+            replaced: true,
+            ..case("replaced, one after the other", 20, 2, 500)
+        },
+        Case {
+            planned: true,
+            ..case("planned stops at once", 30, 12, 0)
+        },
+        Case {
+            planned: true,
+            ..case("planned stops, one after the other", 30, 6, 400)
+        },
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        for seed in 0..4 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut losses = Losses::new(case.routers);
+            let mut order: Vec<usize> = (0..case.routers).collect();
+            order.shuffle(&mut rng);
+            for &at in &order[case.left..] {
+                if case.planned {
+                    let deadline = losses.fleet.now + STOP_TIME;
+                    losses.fleet.input(at, Input::Stop { deadline });
+                }
+                if case.planned && !case.gap.is_zero() {
+                    losses.fleet.run(STOP_TIME);
+                }
+                losses.lose(at);
+                if case.replaced {
+                    losses.fleet.join(1_000);
+                }
+                if !case.gap.is_zero() {
+                    losses.run(case.gap * rng.random_range(5..15) / 10);
+                }
+            }
+            losses.run(NOT_NAMED_AFTER + Duration::from_secs(6));
+            let Losses { wrong, .. } = &losses;
+            if wrong.len() > ANSWERS_MAX {
+                failures.push(format!(
+                    "{}, seed {seed}: {} answers, such as {}",
+                    case.name,
+                    wrong.len(),
+                    wrong[0]
+                ));
+            }
+            let mistaken = losses.mistaken();
+            if !mistaken.is_empty() {
+                let (name, count) = (case.name, mistaken.len());
+                failures.push(format!(
+                    "{name}, seed {seed}: {count} routers are wrong on who is live, such as {:?}",
+                    mistaken[0]
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
