Tell a router that is heard again that it was taken for down

What callers would see: a router whose frames were lost for some seconds (cut off, or heard by nobody) stayed out of the answers, the relays and the deciders for good, though it served.

Cause: a router corrects its row when it reads that it is down. Rows are sent for two rounds; if both were lost on the way, nobody sent the row again.

Fix: a frame from a router whose row of the same run says down is answered with that row, at most once in a period.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -31,6 +31,9 @@
 //! that hears nobody reports nobody: it may itself be cut off. It looks for other partners, and
 //! checks those it missed again once it hears any router.
 //!
+//! A router that is down stays listed, and its fixed partners go on sending heartbeats to it. A
+//! frame from it is answered with its row, so that it corrects the row and is live again.
+//!
 //! Figures and rejected alternatives are in `docs/design/0004-membership.md`.
 
 mod links;
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -379,6 +379,19 @@
         (is_new || is_silent) && !is_down && peer.may_ask(now, period)
     }
 
+    /// Returns whether to ask the sender of a frame for its rows, because this router has none of its
+    /// run or takes it for down.
+    pub fn asks_sender_for_rows(&mut self, now: Time, from: RouterId, run: Incarnation) -> bool {
+        let period = self.timing().period;
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return true;
+        };
+        match &peer.row {
+            Some(row) if row.incarnation == run => row.is_down() && peer.may_ask(now, period),
+            _ => true,
+        }
+    }
+
     /// Returns the row of a router, if one is known.
     pub fn row(&self, router: RouterId) -> Option<&Row> {
         if router == self.me {
--- a/crates/core/src/node/peer.rs
+++ b/crates/core/src/node/peer.rs
@@ -28,8 +28,13 @@
             self.cx.count(Counter::PeerMessageStale);
             return;
         }
-        if !is_known {
+        if self
+            .members
+            .asks_sender_for_rows(now, from, frame.incarnation)
+        {
             self.ask_for_rows(from, &[]);
+        }
+        if !is_known {
             self.send_quarantine(from);
         }
         for part in frame.parts {
--- a/crates/core/tests/lost_routers.rs
+++ b/crates/core/tests/lost_routers.rs
@@ -1,4 +1,4 @@
-//! Routers that are lost for good, in virtual time and without a network.
+//! Routers that are lost for good, and routers that are only silent, in virtual time and without a network.
 
 mod hosting;
 
@@ -194,3 +194,129 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// How routers are silent for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Silence {
+    /// The processes stand still.
+    Frozen,
+    /// No frames pass between them and any other router.
+    CutOff,
+    /// No frames pass between them and the others, but among themselves.
+    Apart,
+    /// The frames that they send are lost.
+    Mute,
+}
+
+impl Losses {
+    fn silence(&mut self, how: Silence, silent: &[usize]) {
+        for &at in silent {
+            match how {
+                Silence::Frozen => self.fleet.freeze(at),
+                Silence::CutOff => self.fleet.cut(at),
+                Silence::Mute => assert!(self.fleet.mute.insert(at)),
+                Silence::Apart => {
+                    let all = 0..self.fleet.nodes.len();
+                    let others = all.filter(|other| !silent.contains(other));
+                    let links = others.flat_map(|other| [(at, other), (other, at)]);
+                    self.fleet.severed.extend(links);
+                }
+            }
+        }
+    }
+
+    fn end_silence(&mut self, silent: &[usize]) {
+        self.fleet.severed.clear();
+        self.fleet.mute.clear();
+        for &at in silent {
+            self.fleet.wake(at);
+        }
+    }
+
+    /// Returns the routers of a group that another one of it does not count as live.
+    fn given_up_within(&self, group: &[usize]) -> Vec<(usize, usize)> {
+        let given_up = group.iter().flat_map(|&at| {
+            let live = self.fleet.nodes[at].status(self.fleet.now).live;
+            let live: BTreeSet<usize> = live.into_iter().map(|id| id.0 as usize - 1).collect();
+            let missing = group.iter().filter(move |other| !live.contains(other));
+            missing.map(move |&other| (at, other))
+        });
+        given_up.collect()
+    }
+}
+
+/// The time after the end of its silence from which on a router counts as live: the shortest `stable_ms` of the users' sites.
+const LIVE_AGAIN_AFTER: Duration = Duration::from_secs(3);
+
+/// Guards against routers that stay given up after a silence, and against others being given up meanwhile.
+#[test]
+fn routers_that_are_only_silent_are_not_given_up() {
+    struct Case {
+        name: &'static str,
+        how: Silence,
+        silent: usize,
+        seconds: u64,
+        times: usize,
+    }
+    let case = |name, how, silent, seconds| Case {
+        name,
+        how,
+        silent,
+        seconds,
+        times: 1,
+    };
+    let cases = [
+        case("one frozen", Silence::Frozen, 1, 8),
+        case("one cut off", Silence::CutOff, 1, 8),
+        case("one cut off for long", Silence::CutOff, 1, 30),
+        case("one mute", Silence::Mute, 1, 8),
+        case("a third frozen", Silence::Frozen, 10, 8),
+        case("a third cut off", Silence::CutOff, 10, 8),
+        case("a third apart", Silence::Apart, 10, 10),
+        case("half apart", Silence::Apart, 15, 20),
+        case("three quarters frozen", Silence::Frozen, 23, 8),
+        Case {
+            times: 3,
+            ..case("one cut off again and again", Silence::CutOff, 1, 6)
+        },
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        for seed in 0..4 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut losses = Losses::new(30);
+            let mut order: Vec<usize> = (0..30).collect();
+            order.shuffle(&mut rng);
+            let (silent, others) = order.split_at(case.silent);
+            let mut fail = |what: &str, losses: &Losses, pairs: &[(usize, usize)]| {
+                let (name, count) = (case.name, pairs.len());
+                let time = losses.fleet.now.as_millis() % 100_000;
+                failures.push(format!(
+                    "{name}, seed {seed}, {time}: {what}: {count}, such as {:?}",
+                    pairs[0]
+                ));
+            };
+            for _ in 0..case.times {
+                losses.silence(case.how, silent);
+                let end = losses.fleet.now + Duration::from_secs(case.seconds);
+                while losses.fleet.now < end {
+                    losses.fleet.run(ASK_INTERVAL);
+                    let given_up = losses.given_up_within(others);
+                    if !given_up.is_empty() {
+                        fail("given up meanwhile", &losses, &given_up);
+                    }
+                }
+                losses.end_silence(silent);
+                losses.fleet.run(LIVE_AGAIN_AFTER);
+                for _ in 0..8 {
+                    let given_up = losses.given_up_within(&order);
+                    if !given_up.is_empty() {
+                        fail("given up", &losses, &given_up);
+                    }
+                    losses.fleet.run(ASK_INTERVAL);
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
