Report a router again that was heard since it was last reported

What callers would see: a router that had once been silent for some seconds and was lost for good later went on being named, and counted as live by all but its partners.

Cause: a router reports one run of a partner as down only once, so that one broken link does not make the partner flap. After a silence that all partners saw, none of them reported the same run again.

Fix: a frame from the partner ends the memory of the report. A broken link brings no frames, so it still reports once (one_broken_link_does_not_kill_a_router_for_the_fleet).

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -26,8 +26,8 @@
 //! learns what the other knows; if it does not answer it is lost too, and replaced in turn.
 //!
 //! A router that receives no heartbeats from a partner considers the partner down even if the rows
-//! show it as live. It reports one run of a partner as down only once, so that a single broken
-//! link cannot make a router alternate between live and down for the entire fleet. A router
+//! show it as live. It reports a partner as down only once until it hears it again, so that a single
+//! broken link cannot make a router alternate between live and down for the entire fleet. A router
 //! that hears nobody reports nobody: it may itself be cut off. It looks for other partners, and
 //! checks those it missed again once it hears any router.
 //!
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -126,7 +126,7 @@
     is_suspect: bool,
     /// The row of the peer, if this router has received one.
     row: Option<Row>,
-    /// The run of the peer that this router has reported as down.
+    /// The run of the peer that this router has reported as down since it last received a frame.
     reported_down: Option<Incarnation>,
     /// The run that sent the last accepted frame.
     incarnation: Option<Incarnation>,
@@ -216,6 +216,7 @@
         }
         peer.sequence = sequence;
         peer.last_frame = Some(now);
+        peer.reported_down = None;
         if core::mem::take(&mut peer.is_suspect) {
             self.links.is_outdated = true;
         }
--- a/crates/core/tests/lost_routers.rs
+++ b/crates/core/tests/lost_routers.rs
@@ -320,3 +320,39 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// Guards against a loss that is not reported because the router was reported once before, when it was only silent.
+#[test]
+fn a_router_that_was_silent_once_is_missed_when_it_is_lost() {
+    struct Case {
+        name: &'static str,
+        how: Silence,
+    }
+    let cases = [
+        Case {
+            name: "frozen",
+            how: Silence::Frozen,
+        },
+        Case {
+            name: "cut off",
+            how: Silence::CutOff,
+        },
+        Case {
+            name: "mute",
+            how: Silence::Mute,
+        },
+    ];
+    for Case { name, how } in cases {
+        for silent in [0, 13, 29] {
+            let mut losses = Losses::new(30);
+            losses.silence(how, &[silent]);
+            losses.fleet.run(Duration::from_secs(8));
+            losses.end_silence(&[silent]);
+            losses.fleet.run(LIVE_AGAIN_AFTER);
+            losses.lose(silent);
+            losses.fleet.run(NOT_NAMED_AFTER);
+            let mistaken = losses.mistaken();
+            assert!(mistaken.is_empty(), "{name}, router {silent}: {mistaken:?}");
+        }
+    }
+}
