Count only fixed partners among those that confirm an outage of the store

Cause: a router goes on while the store is down if more than half of its partners see it down too. Since partners that are lost are replaced, all substitutes of a router are in its own part and confirm. This came in with the substitutes.

--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -24,7 +24,7 @@
     /// The routers on the VM list and this one, in the order of their keys.
     pub listed: Vec<RouterId>,
     /// The links that follow from the VM list.
-    fixed: BTreeSet<RouterId>,
+    pub fixed: BTreeSet<RouterId>,
     /// The fixed links and the substitutes.
     pub partners: BTreeSet<RouterId>,
     /// Whether the routers considered lost have changed since the substitutes were chosen.
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -475,9 +475,15 @@
             })
     }
 
-    /// Returns the number of routers with which this router exchanges heartbeats, live or not.
-    pub fn partner_count(&self) -> usize {
-        self.links.partners.len()
+    /// Returns whether a router is a partner by the VM list alone. Those that are out of reach count
+    /// among these like any other.
+    pub fn is_fixed_partner(&self, router: RouterId) -> bool {
+        self.links.fixed.contains(&router)
+    }
+
+    /// Returns the number of routers that are partners by the VM list alone, live or not.
+    pub fn fixed_partner_count(&self) -> usize {
+        self.links.fixed.len()
     }
 
     /// Returns the time without a heartbeat after which a peer is considered down.
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -242,3 +242,19 @@
         );
     }
 }
+
+/// Guards against substitutes that count among the routers that have to confirm an outage of the store: in a part of the fleet
+/// that is cut off, they are all on the same side.
+#[test]
+fn substitutes_are_not_fixed_partners() {
+    let mut group = Group::new(60);
+    group.rounds(8);
+    let before = group.members[0].fixed_partner_count();
+    group.stopped = (20..60).collect();
+    group.rounds(40);
+    let member = &group.members[0];
+    let fixed = member.partners().filter(|&id| member.is_fixed_partner(id));
+    assert_eq!(fixed.count(), before);
+    assert_eq!(member.fixed_partner_count(), before);
+    assert!(member.partners().count() > before, "there are substitutes");
+}
--- a/crates/core/src/node/freshness.rs
+++ b/crates/core/src/node/freshness.rs
@@ -77,7 +77,7 @@
         let known = self.reader.known;
         let mut ahead = false;
         let mut down = usize::from(self.reader.down);
-        for (_, after, heartbeat) in self.members.heartbeats(self.cx.now) {
+        for (from, after, heartbeat) in self.members.heartbeats(self.cx.now) {
             let age = Duration::from_millis(u64::from(heartbeat.current_age_ms));
             // A peer that has not read the records of this era says nothing about them.
             let is_comparable = heartbeat.applied.era() == known.era();
@@ -85,9 +85,10 @@
                 return Freshness::Current;
             }
             ahead |= heartbeat.applied > known;
-            down += usize::from(heartbeat.log_down && after >= limit);
+            let is_counted = self.members.is_fixed_partner(from);
+            down += usize::from(is_counted && heartbeat.log_down && after >= limit);
         }
-        let most_are_down = down * 2 > self.members.partner_count() + 1;
+        let most_are_down = down * 2 > self.members.fixed_partner_count() + 1;
         if most_are_down && !ahead && known > Offset(0) {
             Freshness::Outage
         } else {
--- a/crates/core/tests/lost_routers.rs
+++ b/crates/core/tests/lost_routers.rs
@@ -356,3 +356,34 @@
         }
     }
 }
+
+/// Returns how many routers serve after 20 s in which `apart` of 30 were out of reach of the others and of the store, summed
+/// over four choices.
+fn serving_apart(apart: usize) -> usize {
+    let serving = (0..4).map(|seed| {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut losses = Losses::new(30);
+        let mut order: Vec<usize> = (0..30).collect();
+        order.shuffle(&mut rng);
+        let apart = &order[..apart];
+        losses.silence(Silence::Apart, apart);
+        losses.fleet.store_blocked.extend(apart);
+        losses.fleet.run(Duration::from_secs(20));
+        let is_ready = |at: &&usize| losses.fleet.nodes[**at].is_ready();
+        apart.iter().filter(is_ready).count()
+    });
+    serving.sum()
+}
+
+/// Guards against routers without the store that serve on by what a few others without it confirm.
+#[test]
+fn a_few_without_the_store_stop_to_serve() {
+    assert_eq!(serving_apart(1), 0, "one");
+    assert_eq!(serving_apart(3), 0, "three");
+}
+
+/// Guards against the same in a larger part of the fleet, which has replaced the partners that it misses.
+#[test]
+fn a_third_without_the_store_stops_to_serve() {
+    assert_eq!(serving_apart(10), 0);
+}
