Clear the records of routers that are lost for good

What callers would see: after each replaced VM a router uses less of what the fleet may: its part of retries beyond those earned, of requests to cold targets and of stated limits is divided by all routers that were ever listed. Of 72 listed routers of which 8 run, retry_burst 54 gives each none. The list, which each router holds, grows with each VM.

Cause: a router writes its record to the store when it starts, and nobody ever removed one (RouterRecord::Removed was only read). Shares count the routers listed, live or not, so that one that is cut off needs no message; that stays.

Fix: the first of three routers by rendezvous hash clears the records of those that were considered lost for 20 s, the next ones 20 s later each. Silence among peers is no proof, so it first writes the question into the record, at the known end of the topic. A router that runs writes its record again; one that has not read the store for 10 s does not dispatch by its own reads, and announces itself again once it reads that its record is gone. Routers off the list are live only while they are heard.

--- a/crates/bulrushtrestled/src/control/follow.rs
+++ b/crates/bulrushtrestled/src/control/follow.rs
@@ -322,17 +322,27 @@
 /// The consecutive reads that may fail before the newest record of every key is read again.
 const READ_FAILURES_MAX: u32 = 8;
 
+/// When a router has to write its own record again.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Rewrites {
+    /// The highest era of the store in which the record is missing.
+    pub(super) era: u64,
+    /// How many times the record was found removed, or with the question whether the router runs.
+    pub(super) times: u64,
+}
+
 /// Writes the record of this router, and retries until the store has accepted it. Writes it again
-/// whenever `missing` is an era after the one in which it was written last.
+/// whenever `rewrites` demands it.
 pub(super) async fn announce(
     store: Store,
     key: String,
     data_centre: String,
-    missing: watch::Receiver<u64>,
+    rewrites: watch::Receiver<Rewrites>,
 ) {
-    let value = router::encode(&data_centre);
-    let mut missing = missing;
+    let value = router::encode(&data_centre, false);
+    let mut rewrites = rewrites;
     loop {
+        let times = rewrites.borrow_and_update().times;
         let written = match store.append(Topic::Routers, &key, Some(&value), None).await {
             Ok(answer) => answer.era,
             Err(error) => {
@@ -342,10 +352,33 @@
             }
         };
         // The sender is dropped only when the process ends.
-        let Ok(era) = missing.wait_for(|era| *era > written).await.map(|era| *era) else {
+        let is_due = |it: &Rewrites| it.era > written || it.times > times;
+        let Ok(Rewrites { era, .. }) = rewrites.wait_for(is_due).await.map(|it| *it) else {
             return;
         };
-        log::info!(target: "store", "writing the lost announcement again key={key} era={era}");
+        log::info!(target: "store", "writing the announcement again key={key} era={era}");
+    }
+}
+
+/// Appends records of routers, each a key and a value, to the topic that ends at `at`. Stops if another
+/// router has written there: whatever these records are based on may have changed.
+pub(super) async fn append_router_records(
+    store: Store,
+    records: Vec<(String, Option<Vec<u8>>)>,
+    at: Offset,
+) {
+    let mut at = at;
+    for (key, value) in records {
+        let appended = store.append(Topic::Routers, &key, value.as_deref(), Some(at));
+        match appended.await {
+            Ok(answer) if answer.era == at.era() && answer.result == Appended::Done => {}
+            Ok(_) => return,
+            Err(error) => {
+                log::warn!(target: "store", "record of a router not written key={key} error={error}");
+                return;
+            }
+        }
+        at = Offset(at.0 + 1);
     }
 }
 
--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -24,8 +24,11 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
-use crate::control::follow::{self, Activity, Pauses, ReadSchedule, TopicEvent, feed_topic};
+use crate::control::follow::{
+    self, Activity, Pauses, ReadSchedule, Rewrites, TopicEvent, feed_topic,
+};
 use crate::control::gate::Gate;
+use crate::control::lost::Questions;
 use crate::control::message::{Decision, ForwardingPlan, HostedCall};
 use crate::control::peers::PeerListener;
 use crate::control::run::Control;
@@ -108,8 +111,9 @@
     record_order: RecordOrder,
     /// Detects configurations that a restored store shows and that are older than the one applied.
     configuration_order: ConfigurationOrder,
-    /// The highest era of the store in which this router's own record is missing.
-    own_record_missing: watch::Sender<u64>,
+    /// When this router's own record has to be written again.
+    own_rewrites: watch::Sender<Rewrites>,
+    questions: Questions,
     limits: watch::Sender<Option<CallerLimits>>,
     metrics: Arc<Metrics>,
     clock: Clock,
@@ -189,13 +193,13 @@
             );
             tokio::task::spawn_local(follow);
         }
-        let own_record_missing = watch::Sender::new(0);
+        let own_rewrites = watch::Sender::new(Rewrites::default());
         let (key, own_id) = (own_key(&peers), peers.router);
         tokio::task::spawn_local(follow::announce(
             store.clone(),
             key.clone(),
             data_centre.to_owned(),
-            own_record_missing.subscribe(),
+            own_rewrites.subscribe(),
         ));
         Self {
             store,
@@ -209,7 +213,8 @@
             configuration_order: ConfigurationOrder::default(),
             own_key: key,
             own_id,
-            own_record_missing,
+            own_rewrites,
+            questions: Questions::default(),
             fleet_key: None,
             next_key_write: None,
             limits,
@@ -223,6 +228,13 @@
         }
     }
 
+    /// Returns the records to write because these routers are lost.
+    pub(super) fn lost_router_records(&self, lost: &[RouterId]) -> Vec<(String, Option<Vec<u8>>)> {
+        let now = self.clock.now();
+        let lost = lost.iter().filter_map(|id| self.routers.get(&id.0));
+        self.questions.records(now, lost)
+    }
+
     /// Returns the client of the store.
     pub(super) const fn store(&self) -> &Store {
         &self.store
@@ -379,21 +391,33 @@
 
     /// Decodes records of routers and updates the VM list. Returns the fleet's key if a record holds
     /// it.
-    fn decode_routers(&mut self, records: &[Record]) -> Option<String> {
+    fn decode_routers(&mut self, records: &[Record], cause: Cause) -> Option<String> {
         let mut key = None;
+        let now = self.clock.now();
+        let mut is_own_gone = false;
         for record in records {
             match router::decode(record) {
                 Ok(Some(router::RouterRecord::FleetKey(text))) => key = Some(text),
-                Ok(Some(router::RouterRecord::Router(vm))) => {
+                Ok(Some(router::RouterRecord::Router { vm, is_questioned })) => {
+                    if vm.id == self.own_id {
+                        is_own_gone = is_questioned;
+                    }
+                    self.questions.on_record(now, vm.id, is_questioned);
                     self.routers.insert(vm.id, vm);
                 }
                 Ok(Some(router::RouterRecord::Removed(id))) => {
+                    is_own_gone |= id == self.own_id;
+                    self.questions.on_removed(id);
                     self.routers.remove(&id);
                 }
                 Ok(None) => {}
                 Err(error) => self.skip_record(Topic::Routers, record, &error),
             }
         }
+        // What a restore of the store lost is written again in another way.
+        if is_own_gone && cause == Cause::Written {
+            self.own_rewrites.send_modify(|it| it.times += 1);
+        }
         key
     }
 
@@ -504,6 +528,7 @@
             Delivery::Complete(feed::Topic::Routers, end, _) => {
                 self.offer_fleet_key_if_missing(end);
                 self.restore_own_records(end);
+                self.clear_lost_routers(end);
             }
         }
     }
@@ -545,7 +570,10 @@
             return;
         };
         if feed.lacks(feed::Topic::Routers, &hosting.own_key) {
-            hosting.own_record_missing.send_replace(feed.era());
+            let era = feed.era();
+            hosting
+                .own_rewrites
+                .send_if_modified(|it| std::mem::replace(&mut it.era, era) != era);
         }
         let Some(key) = hosting.fleet_key.clone() else {
             return;
@@ -594,7 +622,7 @@
                 self.withdraw(records);
             }
             feed::Topic::Routers => {
-                let key = hosting.decode_routers(records);
+                let key = hosting.decode_routers(records, cause);
                 let vms = hosting.vms();
                 self.handle(Input::Vms(vms));
                 if let Some(text) = key {
--- a/crates/bulrushtrestled/src/control/mod.rs
+++ b/crates/bulrushtrestled/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod handle;
 mod hosting;
 mod log;
+mod lost;
 mod message;
 mod orders;
 mod outputs;
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -122,6 +122,8 @@
     linked: Time,
     /// When this router last asked the peer for its rows.
     asked: Time,
+    /// Since when the peer is considered lost, if it is.
+    lost_since: Option<Time>,
     /// Whether the peer sent no heartbeat in time while this router was isolated.
     is_suspect: bool,
     /// The row of the peer, if this router has received one.
@@ -276,6 +278,7 @@
             if self.is_isolated {
                 let is_silent = now >= peer.due && !peer.is_reachable(now, silent);
                 if is_silent && !core::mem::replace(&mut peer.is_suspect, true) {
+                    peer.lost_since.get_or_insert(now);
                     self.links.is_outdated = true;
                     self.last_loss = now;
                 }
@@ -292,6 +295,7 @@
             if row.condition < Condition::Down && peer.reported_down != Some(row.incarnation) {
                 peer.reported_down = Some(row.incarnation);
                 row.condition = Condition::Down;
+                peer.lost_since.get_or_insert(now);
                 self.pending_rows.insert(*id, self.cfg.relay_rounds);
                 self.has_unsent_rows = true;
                 self.links.is_outdated = true;
@@ -353,16 +357,19 @@
 
     /// Returns every known row, for a router that has none yet.
     pub fn all_rows(&self) -> Vec<Row> {
+        let is_of_interest = |peer: &&Peer| peer.listed || !peer.is_down();
+        let peers = self.peers.values().filter(is_of_interest);
         core::iter::once(&self.own)
-            .chain(self.peers.values().filter_map(|peer| peer.row.as_ref()))
+            .chain(peers.filter_map(|peer| peer.row.as_ref()))
             .cloned()
             .collect()
     }
 
     /// Returns the rows of the routers that are down.
     pub fn down_rows(&self) -> impl Iterator<Item = &Row> {
-        let rows = self.peers.values().filter_map(|peer| peer.row.as_ref());
-        rows.filter(|row| row.condition == Condition::Down)
+        let listed = self.peers.values().filter(|peer| peer.listed);
+        let rows = listed.filter_map(|peer| peer.row.as_ref());
+        rows.filter(|row| row.is_down())
     }
 
     /// Returns whether to ask a partner for its rows with the next heartbeat, because it is new or
@@ -376,8 +383,7 @@
         let is_new = is_substitute && peer.last_frame.is_none_or(|at| at < peer.linked);
         let heard = peer.last_frame.unwrap_or_default().max(peer.linked);
         let is_silent = now.since(heard) >= period * SILENT_PERIODS;
-        let is_down = peer.row.as_ref().is_some_and(Row::is_down);
-        (is_new || is_silent) && !is_down && peer.may_ask(now, period)
+        (is_new || is_silent) && !peer.is_down() && peer.may_ask(now, period)
     }
 
     /// Returns whether to ask the sender of a frame for its rows, because this router has none of its
@@ -437,6 +443,20 @@
         core::iter::once(self.me).chain(others)
     }
 
+    /// Returns the listed routers that have been considered lost, and not heard, for at least `time`.
+    pub fn lost(&self, now: Time, time: Duration) -> impl Iterator<Item = RouterId> {
+        let is_lost = move |peer: &Peer| {
+            let silent_since = peer.lost_since.max(peer.last_frame);
+            peer.listed
+                && (peer.is_down() || peer.is_suspect)
+                && silent_since.is_some_and(|since| now.since(since) >= time)
+        };
+        let peers = self.peers.iter();
+        peers
+            .filter(move |(_, peer)| is_lost(peer))
+            .map(|(&id, _)| id)
+    }
+
     /// Returns whether this router considers a router live.
     pub fn is_live(&self, now: Time, router: RouterId) -> bool {
         if router == self.me {
@@ -453,7 +473,8 @@
         if peer.is_suspect || (is_partner && now >= peer.linked + timing.answer_within) {
             return false;
         }
-        peer.row.as_ref().is_some_and(|row| !row.is_down())
+        // Whoever is off the list is noticed by nobody if it is lost.
+        peer.listed && peer.row.is_some() && !peer.is_down()
     }
 
     /// Returns the owner of a target, which grants its slots.
@@ -517,7 +538,7 @@
         {
             return;
         }
-        let was_down = peer.row.as_ref().is_some_and(Row::is_down);
+        let was_down = peer.is_down();
         if !row.is_down() {
             peer.due = peer.due.max(due);
         }
@@ -526,8 +547,10 @@
         }
         if row.is_down() {
             self.last_loss = now;
+            peer.lost_since.get_or_insert(now);
         } else {
             peer.is_suspect = false;
+            peer.lost_since = None;
         }
         self.pending_rows.insert(row.router, rounds);
         self.has_unsent_rows = true;
@@ -562,7 +585,7 @@
         let peers = &self.peers;
         let is_isolated = self.is_isolated;
         let standing = |id| match peers.get(&id) {
-            Some(peer) if peer.row.as_ref().is_some_and(Row::is_down) => Standing::Lost,
+            Some(peer) if peer.is_down() => Standing::Lost,
             Some(peer) if peer.is_suspect && is_isolated => Standing::Lost,
             Some(peer) if peer.is_suspect => Standing::Checked,
             _ => Standing::Fit,
@@ -613,6 +636,11 @@
         self.last_frame.is_some_and(|at| now.since(at) < timeout)
     }
 
+    /// Returns whether the peer's row shows it as down.
+    fn is_down(&self) -> bool {
+        self.row.as_ref().is_some_and(Row::is_down)
+    }
+
     /// Returns whether this router has not asked the peer for rows within a period, and records that
     /// it does now.
     fn may_ask(&mut self, now: Time, period: Duration) -> bool {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod load_exchange;
 mod local_dispatch;
 mod log;
+mod lost;
 mod once;
 mod pace;
 mod page;
@@ -34,5 +35,6 @@
 mod version;
 
 pub use self::config::{CatalogueSource, Config, LogConfig};
+pub use self::lost::LOST_AFTER;
 pub use self::state::Node;
 pub use self::status::{Status, TargetStatus};
--- a/crates/core/tests/lost_routers.rs
+++ b/crates/core/tests/lost_routers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bulrushtrestle_core::input::Input;
+use bulrushtrestle_core::node::LOST_AFTER;
 use bulrushtrestle_core::prelude::*;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -387,3 +388,63 @@
 fn a_third_without_the_store_stops_to_serve() {
     assert_eq!(serving_apart(10), 0);
 }
+
+/// Guards against records of lost routers that nobody clears, or that are cleared although the router was only silent.
+#[test]
+fn one_router_clears_the_records_of_those_that_are_lost() {
+    struct Case {
+        name: &'static str,
+        routers: usize,
+        left: usize,
+    }
+    let cases = [
+        Case {
+            name: "a larger fleet",
+            routers: 30,
+            left: 12,
+        },
+        Case {
+            name: "a small fleet",
+            routers: 8,
+            left: 3,
+        },
+        Case {
+            name: "one left",
+            routers: 8,
+            left: 1,
+        },
+    ];
+    for case in cases {
+        let mut losses = Losses::new(case.routers);
+        for at in case.left..case.routers {
+            losses.lose(at);
+        }
+        let to_clear = |losses: &Losses| -> Vec<Vec<RouterId>> {
+            let running = losses.running();
+            let lists = running
+                .iter()
+                .map(|&at| losses.fleet.nodes[at].routers_to_clear());
+            lists.filter(|list| !list.is_empty()).collect()
+        };
+        losses.fleet.run(Duration::from_secs(15));
+        assert!(to_clear(&losses).is_empty(), "{}: too early", case.name);
+        losses
+            .fleet
+            .run(LOST_AFTER + NOT_NAMED_AFTER - Duration::from_secs(15));
+        let lost: Vec<RouterId> = losses
+            .lost
+            .keys()
+            .map(|&at| RouterId(u32::try_from(at + 1).expect("few routers")))
+            .collect();
+        assert_eq!(to_clear(&losses), [lost], "{}", case.name);
+    }
+    let mut losses = Losses::new(30);
+    let silent = [3, 4, 5];
+    losses.silence(Silence::CutOff, &silent);
+    losses.fleet.run(Duration::from_secs(12));
+    losses.end_silence(&silent);
+    losses.fleet.run(LOST_AFTER + NOT_NAMED_AFTER);
+    for node in &losses.fleet.nodes {
+        assert!(node.routers_to_clear().is_empty(), "all are back");
+    }
+}
