Let the first record of the store override the data centres of the settings

The data centres of the settings were added at revision 0. The store numbers records from 0, so an order at offset 0 was not newer.

Evidence: the new test fails at "the first record: ordered" if entries of the settings keep their revision; at any later offset it holds.

Fix: such entries are defaults, which any record overrides.

--- a/crates/bulrushtrestled/src/control/hosting.rs
+++ b/crates/bulrushtrestled/src/control/hosting.rs
@@ -264,7 +264,7 @@
     /// stays in effect.
     fn decode_operators(&mut self, records: &[Record]) -> Vec<StoreChange> {
         let now = self.clock.now();
-        let mut changes = self.initial_data_centres();
+        let mut changes = Vec::new();
         for record in records {
             match operator::decode(record, &self.regions, now) {
                 Ok(Some(decoded)) => {
@@ -295,21 +295,14 @@
 
     /// Returns the data centres of the settings at the first call, and nothing later. Operators can
     /// only put a data centre out of service.
-    fn initial_data_centres(&mut self) -> Vec<StoreChange> {
+    fn initial_data_centres(&mut self) -> Vec<Entry> {
         if std::mem::replace(&mut self.has_data_centres, true) {
             return Vec::new();
         }
         let names = self.regions.keys();
-        names
-            .map(|name| {
-                let decoded = operator::data_centre(name, &self.regions, DataCentreState::In);
-                StoreChange {
-                    revision: Offset(0),
-                    scope: decoded.scope,
-                    entries: decoded.entries,
-                }
-            })
-            .collect()
+        let entries =
+            |name: &String| operator::data_centre(name, &self.regions, DataCentreState::In).entries;
+        names.flat_map(entries).collect()
     }
 
     /// Decodes records of targets and updates the VM list. Records older than one already applied are
@@ -612,7 +605,11 @@
         };
         match topic {
             feed::Topic::Operators => {
+                let defaults = hosting.initial_data_centres();
                 let changes = hosting.decode_operators(records);
+                if !defaults.is_empty() {
+                    self.handle(Input::Store(StoreEvent::Defaults(defaults)));
+                }
                 self.handle(Input::Store(StoreEvent::Changed(changes)));
             }
             feed::Topic::Targets => {
--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -79,6 +79,8 @@
     truncated_log: bool,
     /// Edits that are held back, by offset.
     undecided: BTreeMap<Offset, Edit>,
+    /// The entries that apply until a record of the store, of whatever revision, says otherwise.
+    defaults: BTreeSet<(Kind, String)>,
     /// Counts the changes of entries.
     changes: u64,
 }
@@ -369,6 +371,18 @@
         self.changes != before
     }
 
+    /// Adds an entry that applies until a record of the store says otherwise, unless one has. Revisions
+    /// of records begin with 0, so that no revision of the entry could stand for that.
+    pub fn set_default(&mut self, entry: Entry) {
+        let (kind, name) = (entry.kind(), entry.name().to_owned());
+        if self.stored(kind, &name).is_some() {
+            return;
+        }
+        self.assign_identities([(kind, name.as_str())]);
+        self.put_if_newer(kind, name.clone(), Offset(0), Some(entry));
+        self.defaults.insert((kind, name));
+    }
+
     fn in_scope<'a>(&'a self, scope: &'a Scope) -> Box<dyn Iterator<Item = &'a Stored> + 'a> {
         match scope {
             Scope::One(kind, name) => Box::new(self.stored(*kind, name).into_iter()),
@@ -384,8 +398,9 @@
     /// Sets the content of an entry if `revision` is newer. If only the revision differs, the
     /// change is not counted, so that followers have nothing to do.
     fn put_if_newer(&mut self, kind: Kind, name: String, revision: Offset, entry: Option<Entry>) {
+        let is_default = !self.defaults.is_empty() && self.defaults.remove(&(kind, name.clone()));
         if let Some(present) = self.entries.get_mut(&kind).and_then(|e| e.get_mut(&name)) {
-            if present.revision >= revision {
+            if present.revision >= revision && !is_default {
                 return;
             }
             if present.entry == entry {
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -6,7 +6,8 @@
 use uuid::Uuid;
 
 use super::entry::{
-    Bounds, Entry, Kind, Limits, Organisation, Pool, PoolShare, Route, RouteRepeat, Service, Target,
+    Bounds, DataCentre, DataCentreState, Entry, Kind, Limits, Organisation, Pool, PoolShare, Route,
+    RouteRepeat, Service, Target,
 };
 use super::message::{Change, Edit, Stored};
 use super::{Applied, Catalogue, ConfigurationOrder, Scope, derived_id};
@@ -301,6 +302,57 @@
     assert_eq!(timeout, Some(9));
 }
 
+/// Guards against an order that has no effect because it is the first record of the store: its revision is 0, the least that
+/// there is.
+#[test]
+fn the_first_record_of_a_store_overrides_a_default() {
+    struct Case {
+        name: &'static str,
+        default_first: bool,
+        revision: u64,
+    }
+    let case = |name, default_first, revision| Case {
+        name,
+        default_first,
+        revision,
+    };
+    let cases = [
+        case("the first record", true, 0),
+        case("a later record", true, 7),
+        case("the default comes late", false, 0),
+    ];
+    let data_centre = |state| {
+        Entry::DataCentre(DataCentre {
+            name: "d".to_owned(),
+            region: "r".to_owned(),
+            state,
+        })
+    };
+    let scope = Scope::One(Kind::DataCentre, "d".to_owned());
+    for Case {
+        name,
+        default_first,
+        revision,
+    } in cases
+    {
+        let mut catalogue = Catalogue::new();
+        let revision = Offset(revision);
+        let out = vec![data_centre(DataCentreState::Out)];
+        if default_first {
+            catalogue.set_default(data_centre(DataCentreState::In));
+        }
+        assert!(
+            catalogue.replace(revision, &scope, out.clone()),
+            "{name}: ordered"
+        );
+        catalogue.set_default(data_centre(DataCentreState::In));
+        assert!(!catalogue.replace(revision, &scope, out), "{name}: again");
+        let stored = catalogue.stored(Kind::DataCentre, "d");
+        let entry = stored.and_then(|stored| stored.entry.clone());
+        assert_eq!(entry, Some(data_centre(DataCentreState::Out)), "{name}");
+    }
+}
+
 /// Returns two names whose entries have the same derived identity, in alphabetical order.
 fn colliding_names(kind: Kind) -> (String, String) {
     let mut names: HashMap<Offset, String> = HashMap::new();
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -176,6 +176,8 @@
 /// An update from a store that keeps only the newest content of each of its records.
 #[derive(Debug, Clone)]
 pub enum StoreEvent {
+    /// These entries apply until a record of the store says otherwise.
+    Defaults(Vec<Entry>),
     /// Records of the store changed or were read for the first time.
     Changed(Vec<StoreChange>),
     /// After a restore, the record that ordered the version move of a pool has another revision.
--- a/crates/core/src/node/store.rs
+++ b/crates/core/src/node/store.rs
@@ -18,6 +18,11 @@
 impl Node {
     pub(super) fn on_store(&mut self, event: StoreEvent) {
         match event {
+            StoreEvent::Defaults(entries) => {
+                for entry in entries {
+                    self.catalogue.set_default(entry);
+                }
+            }
             StoreEvent::Changed(changes) => self.on_changes(changes),
             StoreEvent::MoveRenumbered { pool, revision } => self.renumber_move(&pool, revision),
             StoreEvent::Named(names) => {
