--- a/crates/bulrushtrestled/src/control/lost.rs
+++ b/crates/bulrushtrestled/src/control/lost.rs
@@ -18,7 +18,7 @@
 use crate::control::run::Control;
 
 /// How long a router has to answer whether it runs. A router that does not read the store for so long
-/// has stopped to dispatch.
+/// has stopped dispatching.
 const ANSWER_WITHIN: Duration = Duration::from_secs(10);
 
 /// The most records of lost routers that are written at once.
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -33,12 +33,13 @@
     /// The capacity of this router in thousandths of a processor core. Default: 1000.
     pub capacity: u32,
     /// The heartbeat timing in a fleet of at most `mesh_max` other routers. Default: a period of
-    /// 500 ms and a timeout of 2 s.
+    /// 500 ms, a timeout of 2 s and 2 s to answer.
     pub mesh: HeartbeatTiming,
     /// How many partners each router chooses in a larger fleet. The routers that chose it are its
     /// partners too. Default: 3.
     pub partners: usize,
-    /// The heartbeat timing in a larger fleet. Default: a period of 1 s and a timeout of 3 s.
+    /// The heartbeat timing in a larger fleet. Default: a period of 1 s, a timeout of 3 s and 2 s to
+    /// answer.
     pub sparse: HeartbeatTiming,
     /// In how many successive rounds of heartbeats a changed row is sent. Default: 2.
     pub relay_rounds: u32,
@@ -199,8 +200,11 @@
         let mut listed: Vec<RouterId> = listed.map(|(&id, _)| id).chain([self.me]).collect();
         listed.sort_unstable();
         if self.links.set_listed(self.me, listed, self.cfg.choice()) {
+            let before = self.links.partners.clone();
             self.choose_partners(now);
-            self.send_own_row();
+            if self.links.partners != before {
+                self.send_own_row();
+            }
         }
     }
 
