--- a/crates/core/tests/lost_routers.rs
+++ b/crates/core/tests/lost_routers.rs
@@ -100,100 +100,123 @@
     format!("127.0.0.1:{}", at + 1)
 }
 
-/// Guards against routers that go on being named, or counted as live, because all that heard them are lost too, or because
-/// the reports of their loss do not reach everyone.
-#[test]
-fn routers_that_are_lost_for_good_are_named_no_more() {
-    struct Case {
-        name: &'static str,
-        routers: usize,
-        /// How many routers are left.
-        left: usize,
-        /// The time between two losses.
-        gap: Duration,
-        /// Whether a router at a new address starts whenever one is lost.
-        replaced: bool,
-        /// Whether the routers are asked to stop before.
-        planned: bool,
-    }
-    let case = |name, routers, left, gap_ms| Case {
+/// How routers are lost.
+struct Loss {
+    name: &'static str,
+    routers: usize,
+    /// How many routers are left.
+    left: usize,
+    /// The time between two losses.
+    gap: Duration,
+    /// Whether a router at a new address starts whenever one is lost.
+    replaced: bool,
+    /// Whether the routers are asked to stop before.
+    planned: bool,
+}
+
+const fn loss(name: &'static str, routers: usize, left: usize, gap_ms: u64) -> Loss {
+    Loss {
         name,
         routers,
         left,
         gap: Duration::from_millis(gap_ms),
         replaced: false,
         planned: false,
-    };
+    }
+}
+
+/// Guards against routers that go on being named, or counted as live, because all that heard them are lost too, or because
+/// the reports of their loss do not reach everyone.
+#[test]
+fn routers_that_are_lost_for_good_are_named_no_more() {
     let cases = [
-        case("three fifths at once", 30, 12, 0),
-        case("four fifths at once", 30, 6, 0),
-        case("all but one at once", 30, 1, 0),
-        case("all but one of a small fleet", 12, 1, 0),
-        case("three fifths of a larger fleet", 66, 26, 0),
-        case("nine tenths of a larger fleet", 66, 7, 0),
-        case("one after the other", 30, 6, 400),
-        case("one after the other, slowly", 30, 15, 1_700),
-        Case {
+        loss("three fifths at once", 30, 12, 0),
+        loss("four fifths at once", 30, 6, 0),
+        loss("all but one at once", 30, 1, 0),
+        loss("all but one of a small fleet", 12, 1, 0),
+        loss("three fifths of a larger fleet", 66, 26, 0),
+        loss("nine tenths of a larger fleet", 66, 7, 0),
+        loss("three fifths of a large fleet", 200, 80, 0),
+        loss("nine tenths of a large fleet", 120, 12, 0),
+        loss("one after the other", 30, 6, 400),
+        loss("one after the other, slowly", 30, 15, 1_700),
+        Loss {
             replaced: true,
-            ..case("replaced, all at once", 24, 4, 0)
+            ..loss("replaced, all at once", 24, 4, 0)
         },
-        Case {
+        Loss {
             replaced: true,
-            ..case("replaced, one after the other", 20, 2, 500)
+            ..loss("replaced, one after the other", 20, 2, 500)
         },
-        Case {
+        Loss {
             planned: true,
-            ..case("planned stops at once", 30, 12, 0)
+            ..loss("planned stops at once", 30, 12, 0)
         },
-        Case {
+        Loss {
             planned: true,
-            ..case("planned stops, one after the other", 30, 6, 400)
+            ..loss("planned stops, one after the other", 30, 6, 400)
         },
     ];
+    let failures: Vec<String> = cases.iter().flat_map(failures_after).collect();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Guards against the same where so few are left that most routers hear nobody. The users' sites bear the loss of any number.
+#[test]
+fn the_few_that_are_left_of_many_name_no_lost_router() {
+    let cases = [
+        loss("all but one of a larger fleet", 66, 1, 0),
+        loss("all but one of a large fleet", 120, 1, 0),
+        loss("all but six of a large fleet", 120, 6, 0),
+    ];
+    let failures: Vec<String> = cases.iter().flat_map(failures_after).collect();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Returns what is wrong in four plays of a loss.
+fn failures_after(case: &Loss) -> Vec<String> {
     let mut failures = Vec::new();
-    for case in cases {
-        for seed in 0..4 {
-            let mut rng = StdRng::seed_from_u64(seed);
-            let mut losses = Losses::new(case.routers);
-            let mut order: Vec<usize> = (0..case.routers).collect();
-            order.shuffle(&mut rng);
-            for &at in &order[case.left..] {
-                if case.planned {
-                    let deadline = losses.fleet.now + STOP_TIME;
-                    losses.fleet.input(at, Input::Stop { deadline });
-                }
-                if case.planned && !case.gap.is_zero() {
-                    losses.fleet.run(STOP_TIME);
-                }
-                losses.lose(at);
-                if case.replaced {
-                    losses.fleet.join(1_000);
-                }
-                if !case.gap.is_zero() {
-                    losses.run(case.gap * rng.random_range(5..15) / 10);
-                }
+    for seed in 0..4 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut losses = Losses::new(case.routers);
+        let mut order: Vec<usize> = (0..case.routers).collect();
+        order.shuffle(&mut rng);
+        for &at in &order[case.left..] {
+            if case.planned {
+                let deadline = losses.fleet.now + STOP_TIME;
+                losses.fleet.input(at, Input::Stop { deadline });
             }
-            losses.run(NOT_NAMED_AFTER + Duration::from_secs(6));
-            let Losses { wrong, .. } = &losses;
-            if wrong.len() > ANSWERS_MAX {
-                failures.push(format!(
-                    "{}, seed {seed}: {} answers, such as {}",
-                    case.name,
-                    wrong.len(),
-                    wrong[0]
-                ));
+            if case.planned && !case.gap.is_zero() {
+                losses.fleet.run(STOP_TIME);
             }
-            let mistaken = losses.mistaken();
-            if !mistaken.is_empty() {
-                let (name, count) = (case.name, mistaken.len());
-                failures.push(format!(
-                    "{name}, seed {seed}: {count} routers are wrong on who is live, such as {:?}",
-                    mistaken[0]
-                ));
+            losses.lose(at);
+            if case.replaced {
+                losses.fleet.join(1_000);
+            }
+            if !case.gap.is_zero() {
+                losses.run(case.gap * rng.random_range(5..15) / 10);
             }
         }
+        losses.run(NOT_NAMED_AFTER + Duration::from_secs(6));
+        let Losses { wrong, .. } = &losses;
+        if wrong.len() > ANSWERS_MAX {
+            failures.push(format!(
+                "{}, seed {seed}: {} answers, such as {}",
+                case.name,
+                wrong.len(),
+                wrong[0]
+            ));
+        }
+        let mistaken = losses.mistaken();
+        if !mistaken.is_empty() {
+            let (name, count) = (case.name, mistaken.len());
+            failures.push(format!(
+                "{name}, seed {seed}: {count} routers are wrong on who is live, such as {:?}",
+                mistaken[0]
+            ));
+        }
     }
-    assert!(failures.is_empty(), "{}", failures.join("\n"));
+    failures
 }
 
 /// How routers are silent for a while.
