Log once a second how far the requests of each organisation came

Lines of single requests do not tell why an organisation received less than another: a request that is refused at once has no basis of a decision, and what its router claimed or was allowed to send belongs to no request. The line `funnel` sums up a second: asked, refused, expired, claimed, allowed, without a turn, without a target, sent, begun, broken, and what the last turn rested on, with the age of both figures.

--- a/crates/bulrushtrestled/src/logging.rs
+++ b/crates/bulrushtrestled/src/logging.rs
@@ -219,6 +219,7 @@
         NoticeKind::Lease => "lease",
         NoticeKind::Usage => "usage",
         NoticeKind::Scale => "scale",
+        NoticeKind::Funnel => "funnel",
         NoticeKind::Quarantine => "quarantine",
         NoticeKind::Stop => "stop",
     }
--- a/crates/core/src/balance/turns.rs
+++ b/crates/core/src/balance/turns.rs
@@ -39,6 +39,13 @@
     pub tokens: u64,
 }
 
+impl core::ops::AddAssign for Workload {
+    fn add_assign(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+    }
+}
+
 impl Workload {
     /// Returns the mean prompt tokens of a request.
     pub const fn tokens_each(self) -> u64 {
@@ -51,16 +58,24 @@
 
 /// What an organisation may use of a pool until the next report.
 #[derive(Debug, Clone, Copy, Default)]
-struct Quota {
+pub struct Quota {
     /// Whether the quota was computed since the last report.
     is_current: bool,
     /// Whether the organisation may send without limit, because every other organisation that waits
     /// at a peer received clearly more service.
-    is_unlimited: bool,
+    pub is_unlimited: bool,
     /// What remains of the quota, in fractions of a request.
     fractions: u64,
     /// The least recent service of any other organisation that waits at a peer.
-    lowest: Option<u64>,
+    pub lowest: Option<u64>,
+    /// What this report added to the quota, in fractions of a request.
+    pub granted: u64,
+    /// How many requests of the mean size of the organisation's own the targets took.
+    pub capacity: u64,
+    /// The requests claimed for organisations that received clearly less service.
+    pub lower: u64,
+    /// The requests claimed for organisations that received about as much service.
+    pub near: u64,
 }
 
 /// The quotas of all organisations with requests that wait at this router.
@@ -92,7 +107,7 @@
         quota.is_some_and(|quota| quota.is_current)
     }
 
-    /// Computes what an organisation may use of a pool until the next report. `level` is its recent
+    /// Computes and returns what an organisation may use of a pool until the next report. `level` is its recent
     /// service, `own` its requests that wait at this router, and `capacity` how many of these the
     /// targets take.
     pub fn compute_turn(
@@ -102,7 +117,7 @@
         level: u64,
         own: Workload,
         capacity: u64,
-    ) {
+    ) -> Quota {
         let key = (pool, organisation);
         let previous = self.turns.0.get(&key).copied().unwrap_or_default();
         let lead = self.cfg.lead.0;
@@ -126,13 +141,17 @@
             is_current: true,
             is_unlimited: lower + near == 0,
             lowest,
+            capacity,
+            lower,
+            near,
             ..Quota::default()
         };
         if !quota.is_unlimited {
-            quota.fractions = previous.fractions.min(FRACTIONS)
-                + share(capacity, lower, near + elsewhere, own.requests);
+            quota.granted = share(capacity, lower, near + elsewhere, own.requests);
+            quota.fractions = previous.fractions.min(FRACTIONS) + quota.granted;
         }
         self.turns.0.insert(key, quota);
+        quota
     }
 
     /// Returns the permission to dispatch a request of an organisation now, if its quota allows
@@ -180,6 +199,17 @@
         candidates.iter().map(capacity).sum()
     }
 
+    /// Returns the age of the oldest report whose claims count; `None` if none do.
+    pub fn claims_age(&self, now: Time) -> Option<Duration> {
+        let claim_ttl = self.cfg.claim_ttl;
+        let is_fresh = |fleet: &&FleetView| now.since(fleet.received_at) < claim_ttl;
+        if let Some(fleet) = self.fleet.as_ref().filter(is_fresh) {
+            return Some(now.since(fleet.received_at));
+        }
+        let ages = self.peers.values().map(|peer| now.since(peer.received_at));
+        ages.filter(|&age| age < claim_ttl).max()
+    }
+
     /// Returns the claims for a pool in peers' reports that are no older than
     /// [`Config::claim_ttl`].
     ///
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -6,6 +6,7 @@
 use crate::catalogue::TargetView;
 use crate::input::{AttemptEvent, Failure, FailureKind};
 use crate::node::Node;
+use crate::node::funnel::work_of;
 use crate::node::quarantine::looks_like_crash;
 use crate::node::request::Stage;
 use crate::node::version::VersionSample;
@@ -212,6 +213,15 @@
         }
         if unstarted && shows_start(event) {
             self.count_begin(request);
+            self.record_begin(request);
+        }
+    }
+
+    /// Adds a request that a target began to answer to its organisation's funnel.
+    fn record_begin(&mut self, request: RequestId) {
+        if let Some(active) = self.requests.get(&request) {
+            let (pool, organisation) = (active.req.pool, active.req.organisation);
+            self.funnels.of(pool, organisation).begun += work_of(&active.req);
         }
     }
 
@@ -248,6 +258,10 @@
         let Some(ended) = self.end_attempt(attempt) else {
             return;
         };
+        if matches!(ended.flow, Flow::Pending | Flow::Late) {
+            let (pool, organisation, _) = ended.runs_as;
+            self.funnels.of(pool, organisation).broken += 1;
+        }
         self.record_suspect(&ended, ending);
         if must_cancel(ending) {
             self.cx.out.push(Output::Abort(attempt));
--- a/crates/core/src/node/load_exchange.rs
+++ b/crates/core/src/node/load_exchange.rs
@@ -25,6 +25,10 @@
         self.next_load_report = now + self.balance.cfg().report_every * percent / 100;
         self.cx.wake(self.next_load_report);
         let claims = self.own_claims();
+        for row in &claims {
+            let funnel = self.funnels.of(row.pool, row.organisation);
+            funnel.claimed += u64::from(row.requests);
+        }
         self.balance.set_demand(self.own_demand());
         self.dispatched_since_report.clear();
         let has_members = self.balance.members(now).next().is_some();
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -10,6 +10,7 @@
 use crate::catalogue::entry::{Pool, Route, Service, Target};
 use crate::cold_start::Allowance;
 use crate::node::Node;
+use crate::node::funnel::work_of;
 use crate::node::request::Active;
 use crate::output::Basis;
 use crate::prelude::*;
@@ -174,13 +175,18 @@
             self.dispatch(pool, next.class, next.waiting, target, next.basis);
             self.record_unread(request, next.choice);
             self.balance.spend_turn(pool, next.organisation);
+            self.record_sent(pool, next.organisation, request);
             *self.dispatched_since_report.entry(pool).or_default() += 1;
             self.refresh_candidate(pool, &mut candidates, next.choice.target);
         }
     }
 
     /// Returns the next waiting request for which one of the candidate targets can be chosen.
-    fn next_dispatch(&self, pool: PoolId, candidates: &[CandidateLoad]) -> Option<NextDispatch> {
+    fn next_dispatch(
+        &mut self,
+        pool: PoolId,
+        candidates: &[CandidateLoad],
+    ) -> Option<NextDispatch> {
         if !candidates
             .iter()
             .any(|place| self.balance.may_have_capacity(place))
@@ -222,6 +228,11 @@
                         basis,
                     });
                 }
+                let funnel = self.funnels.of(pool, organisation);
+                match due {
+                    None => funnel.without_turn += 1,
+                    Some(_) => funnel.without_target += 1,
+                }
                 scanned += 1;
                 if !waits_for_holder || scanned >= SCANNED_MAX {
                     return None;
@@ -240,7 +251,8 @@
         target_list: &TargetList,
     ) -> Option<NextDispatch> {
         let other = self.moves.fallback_arm(self.cx.now, pool, arm)?;
-        self.next_dispatch(pool, &self.candidates(pool, other, target_list))
+        let candidates = self.candidates(pool, other, target_list);
+        self.next_dispatch(pool, &candidates)
     }
 
     /// Returns the service that an organisation received recently, divided by its weight.
@@ -334,8 +346,16 @@
             let free_capacity = self
                 .balance
                 .free_capacity(candidates, own.tokens_each(), is_light);
-            self.balance
-                .compute_turn(now, (pool, organisation), eligible.time, own, free_capacity);
+            let quota = self.balance.compute_turn(
+                now,
+                (pool, organisation),
+                eligible.time,
+                own,
+                free_capacity,
+            );
+            let funnel = self.funnels.of(pool, organisation);
+            funnel.allowed_millis += quota.granted;
+            funnel.quota = Some(quota);
         }
     }
 
@@ -711,6 +731,13 @@
         }
     }
 
+    /// Adds a request that was sent to its organisation's funnel.
+    fn record_sent(&mut self, pool: PoolId, organisation: OrganisationId, request: RequestId) {
+        if let Some(active) = self.requests.get(&request) {
+            self.funnels.of(pool, organisation).sent += work_of(&active.req);
+        }
+    }
+
     fn record_unread(&mut self, request: RequestId, choice: Choice) {
         let Some(active) = self.requests.get(&request) else {
             return;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod duty;
 mod feed;
 mod freshness;
+mod funnel;
 mod limit;
 mod load_exchange;
 mod local_dispatch;
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::RetryState;
 use crate::node::Node;
+use crate::node::funnel::work_of;
 use crate::once::Admission;
 use crate::output::Output;
 use crate::prelude::*;
@@ -38,10 +39,12 @@
 
 impl Node {
     pub(super) fn on_request(&mut self, req: Request) {
-        let (id, pool) = (req.id, req.pool);
+        let (id, pool, organisation) = (req.id, req.pool, req.organisation);
+        self.funnels.of(pool, organisation).asked += work_of(&req);
         match self.admit(req) {
             Ok(()) => self.cx.count(Counter::Accepted),
             Err(refusal) => {
+                self.funnels.of(pool, organisation).refused += 1;
                 self.count_refusal(pool, refusal.reason);
                 self.refuse(id, refusal);
             }
@@ -97,6 +100,7 @@
                 .map(|refusal| refusal.verdict);
             let verdict = unclaimed.unwrap_or(active.retry_state.verdict());
             self.queues.remove(pool, organisation, request);
+            self.funnels.of(pool, organisation).expired += 1;
             self.count_refusal(pool, reason);
             let refusal = Refusal {
                 verdict,
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -18,6 +18,7 @@
 use crate::node::attempt::Attempt;
 use crate::node::duty::DutyState;
 use crate::node::freshness::CatchUp;
+use crate::node::funnel::Funnels;
 use crate::node::local_dispatch::TargetList;
 use crate::node::log::Reader;
 use crate::node::request::Active;
@@ -114,6 +115,8 @@
     pub(super) next_scans: BTreeMap<PoolId, Time>,
     /// How many requests of each pool were dispatched since the last load report.
     pub(super) dispatched_since_report: BTreeMap<PoolId, u32>,
+    /// How far the requests of each organisation came since the last log lines.
+    pub(super) funnels: Funnels,
     /// The routers that received this router's last load report.
     pub(super) load_readers: BTreeSet<RouterId>,
     /// The routers that received the last sums of this relay.
@@ -193,6 +196,7 @@
             target_lists: BTreeMap::new(),
             next_scans: BTreeMap::new(),
             dispatched_since_report: BTreeMap::new(),
+            funnels: Funnels::default(),
             load_readers: BTreeSet::new(),
             sums_readers: BTreeSet::new(),
             relays: Relays::default(),
--- a/crates/core/src/node/timer.rs
+++ b/crates/core/src/node/timer.rs
@@ -28,6 +28,7 @@
             self.advance_suspects();
             self.advance_poison();
             self.report_usage_if_due();
+            self.log_funnels_if_due();
             self.finish_stop();
             if self.members.has_unsent_rows() {
                 self.next_frame = self.cx.now;
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -251,6 +251,8 @@
     Usage,
     /// The number of a pool's targets was ordered.
     Scale,
+    /// How far the requests of an organisation came at this router in a second.
+    Funnel,
     /// A request was quarantined.
     Quarantine,
     /// The router is stopping.
--- a/crates/core/src/share/state.rs
+++ b/crates/core/src/share/state.rs
@@ -80,6 +80,8 @@
     others: u64,
     /// Whether an aggregator has reported a total.
     has_total: bool,
+    /// The period in which another router's count last changed what is known here.
+    heard: Option<u32>,
     lift: u64,
     /// Whether the own row or the lift changed since they were reported.
     dirty: bool,
@@ -172,6 +174,13 @@
         account.is_none_or(|account| self.period > account.changed + self.cfg.idle_after)
     }
 
+    /// Returns how many periods ago another router last reported service of an organisation here;
+    /// `None` if none ever did.
+    pub fn total_age(&self, organisation: OrganisationId) -> Option<u32> {
+        let heard = self.accounts.get(&organisation)?.heard?;
+        Some(self.period.saturating_sub(heard))
+    }
+
     /// Returns the settings.
     pub const fn cfg(&self) -> &Config {
         &self.cfg
@@ -213,6 +222,7 @@
             account.merge_row((from, incarnation), row.received);
             account.merge_lift(row.lift);
             account.reporters.insert(from, period);
+            account.heard = Some(period);
             account.changed = period;
             account.has_updates = true;
         }
@@ -220,6 +230,7 @@
             let account = self.accounts.entry(row.organisation).or_default();
             account.others = account.others.max(row.others);
             account.has_total = true;
+            account.heard = Some(self.period);
             account.merge_lift(row.lift);
         }
         for row in part.rows {
