--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -135,6 +135,7 @@
             organisation("one"),
             organisation("many"),
             organisation("small"),
+            organisation("mid"),
             Entry::Pool(pool),
             Entry::Route(route),
         ],
@@ -962,6 +963,25 @@
         request
     }
 
+    /// Submits a request whose prompt has so many tokens and shares no prefix with other requests.
+    pub(crate) fn submit_tokens(
+        &mut self,
+        at: usize,
+        organisation: &str,
+        tokens: u32,
+    ) -> RequestId {
+        self.next += 1;
+        let request = RequestId(self.next);
+        let own = PromptPart {
+            content: Fingerprint(self.next),
+            tokens,
+        };
+        self.prompts.insert(request, vec![own]);
+        let req = self.request(request, organisation, vec![own], Duration::ZERO);
+        self.input(at, Input::Request(req));
+        request
+    }
+
     /// Submits a request whose content others share, with this limit of targets that may run it.
     pub(crate) fn submit_content(
         &mut self,
