--- a/crates/core/src/balance/turns.rs
+++ b/crates/core/src/balance/turns.rs
@@ -54,14 +54,6 @@
 }
 
 impl Workload {
-    /// Returns the work of requests with prompts of `tokens` each.
-    pub fn of(requests: u64, tokens: u32) -> Self {
-        Self {
-            requests,
-            tokens: requests * u64::from(tokens),
-        }
-    }
-
     /// Returns the mean prompt tokens of a request.
     pub const fn tokens_each(self) -> u64 {
         match self.requests {
