--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -46,4 +46,4 @@
 pub use self::relaying::Member;
 pub use self::score::{Candidate, CandidateLoad, Choice, ReadSpeed, RequestProfile, Size};
 pub use self::state::{Balance, Load};
-pub use self::turns::{FreeCapacity, Permit, Quota, Workload};
+pub use self::turns::{Permit, Quota, Workload};
--- a/crates/core/src/node/funnel.rs
+++ b/crates/core/src/node/funnel.rs
@@ -27,8 +27,6 @@
     pub(super) claimed: u64,
     /// The requests that turns allowed, in thousandths; nothing is added for an unlimited turn.
     pub(super) allowed_millis: u64,
-    /// The prompt tokens that turns allowed.
-    pub(super) allowed_tokens: u64,
     /// Scans that ended because the organisation had used up its turn.
     pub(super) without_turn: u64,
     /// Scans that found no target with capacity for the organisation's first requests.
@@ -99,8 +97,7 @@
         let quota = row.quota.unwrap_or_default();
         format!(
             "pool={pool_name} organisation={name} asked={} asked_tokens={} refused={} expired={} \
-             waiting={waiting} claimed={} allowed={} allowed_tokens={} unlimited={} slots={} free_tokens={} \
-             usable_tokens={} own={} own_tokens={} lower={} lower_tokens={} near={} near_tokens={} \
+             waiting={waiting} claimed={} allowed={} unlimited={} capacity={} lower={} near={} \
              without_turn={} without_target={} sent={} sent_tokens={} begun={} begun_tokens={} \
              broken={} recent={recent} lowest={} recent_age_periods={} claims_age_ms={}",
             row.asked.requests,
@@ -109,17 +106,10 @@
             row.expired,
             row.claimed,
             row.allowed_millis / 1_000,
-            row.allowed_tokens,
             quota.is_unlimited,
-            quota.free.slots,
-            quota.free.tokens,
-            quota.free.usable_tokens,
-            quota.own.requests,
-            quota.own.tokens,
-            quota.lower.requests,
-            quota.lower.tokens,
-            quota.near.requests,
-            quota.near.tokens,
+            quota.capacity,
+            quota.lower,
+            quota.near,
             row.without_turn,
             row.without_target,
             row.sent.requests,
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -174,8 +174,7 @@
             let target = next.choice.target;
             self.dispatch(pool, next.class, next.waiting, target, next.basis);
             self.record_unread(request, next.choice);
-            self.balance
-                .spend_turn(pool, next.organisation, next.choice.unread);
+            self.balance.spend_turn(pool, next.organisation);
             self.record_sent(pool, next.organisation, request);
             *self.dispatched_since_report.entry(pool).or_default() += 1;
             self.refresh_candidate(pool, &mut candidates, next.choice.target);
@@ -344,15 +343,18 @@
             }
             let own = self.waiting_of(pool, organisation, most);
             let is_light = self.is_light(pool, organisation);
-            let free = self
+            let free_capacity = self
                 .balance
                 .free_capacity(candidates, own.tokens_each(), is_light);
-            let quota =
-                self.balance
-                    .compute_turn(now, (pool, organisation), eligible.time, own, free);
+            let quota = self.balance.compute_turn(
+                now,
+                (pool, organisation),
+                eligible.time,
+                own,
+                free_capacity,
+            );
             let funnel = self.funnels.of(pool, organisation);
             funnel.allowed_millis += quota.granted;
-            funnel.allowed_tokens += quota.granted_tokens;
             funnel.quota = Some(quota);
         }
     }
