Log no zero for a turn that was not computed, and count by pool what waits

Read again in the lines `funnel`: without a turn in a second they said capacity=0 and unlimited=false, as if it had been computed; `waiting` was the sum of all pools in the line of one; the age of the recent service left out rows that an aggregator passes on to a new router. The new test checks that a router's lines account for every request that arrived.

--- a/crates/core/src/balance/turns.rs
+++ b/crates/core/src/balance/turns.rs
@@ -107,9 +107,9 @@
         quota.is_some_and(|quota| quota.is_current)
     }
 
-    /// Computes and returns what an organisation may use of a pool until the next report. `level` is its recent
-    /// service, `own` its requests that wait at this router, and `capacity` how many of these the
-    /// targets take.
+    /// Computes and returns what an organisation may use of a pool until the next report. `level` is
+    /// its recent service, `own` its requests that wait at this router, and `capacity` how many of
+    /// these the targets take.
     pub fn compute_turn(
         &mut self,
         now: Time,
--- a/crates/core/src/node/funnel.rs
+++ b/crates/core/src/node/funnel.rs
@@ -91,25 +91,30 @@
         let name = entry.map_or("-", |entry| entry.name.as_str());
         let pool_name = self.catalogue.pool(pool).map_or("-", |pool| &pool.name);
         let recent = self.recent_time(organisation, entry.map_or(1, |entry| entry.weight));
-        let waiting = self.queues.waiting(organisation);
+        let waiting = self.queues.waiting_for(pool, organisation);
         let total_age = self.ledger.total_age(organisation);
         let or_none = |value: Option<u128>| value.map_or("none".to_owned(), |it| it.to_string());
-        let quota = row.quota.unwrap_or_default();
+        // Without a turn in this time there is no figure, which is not the same as zero.
+        let turn = row.quota.map_or("turn=none".to_owned(), |quota| {
+            format!(
+                "unlimited={} capacity={} lower={} near={} lowest={}",
+                quota.is_unlimited,
+                quota.capacity,
+                quota.lower,
+                quota.near,
+                or_none(quota.lowest.map(u128::from)),
+            )
+        });
         format!(
             "pool={pool_name} organisation={name} asked={} asked_tokens={} refused={} expired={} \
-             waiting={waiting} claimed={} allowed={} unlimited={} capacity={} lower={} near={} \
-             without_turn={} without_target={} sent={} sent_tokens={} begun={} begun_tokens={} \
-             broken={} recent={recent} lowest={} recent_age_periods={} claims_age_ms={}",
+             waiting={waiting} claimed={} allowed={} {turn} without_turn={} without_target={} sent={} sent_tokens={} begun={} begun_tokens={} \
+             broken={} recent={recent} recent_age_periods={} claims_age_ms={}",
             row.asked.requests,
             row.asked.tokens,
             row.refused,
             row.expired,
             row.claimed,
             row.allowed_millis / 1_000,
-            quota.is_unlimited,
-            quota.capacity,
-            quota.lower,
-            quota.near,
             row.without_turn,
             row.without_target,
             row.sent.requests,
@@ -117,7 +122,6 @@
             row.begun.requests,
             row.begun.tokens,
             row.broken,
-            or_none(quota.lowest.map(u128::from)),
             or_none(total_age.map(u128::from)),
             or_none(claims_age.map(|age| age.as_millis())),
         )
--- a/crates/core/src/queue/state.rs
+++ b/crates/core/src/queue/state.rs
@@ -120,6 +120,12 @@
             .flat_map(|pool| pool.iter().map(|(&org, lane)| (org, lane)))
     }
 
+    /// Returns the number of waiting requests of an organisation for a pool.
+    pub fn waiting_for(&self, pool: PoolId, org: OrganisationId) -> usize {
+        let lane = self.pools.get(&pool).and_then(|lanes| lanes.get(&org));
+        lane.map_or(0, Lane::len)
+    }
+
     /// Returns the lane of an organisation for a pool, if any request waits in the lane.
     pub fn lane_mut(&mut self, pool: PoolId, org: OrganisationId) -> Option<&mut Lane> {
         self.pools.get_mut(&pool)?.get_mut(&org)
--- a/crates/core/src/share/state.rs
+++ b/crates/core/src/share/state.rs
@@ -80,7 +80,7 @@
     others: u64,
     /// Whether an aggregator has reported a total.
     has_total: bool,
-    /// The period in which another router's count last changed what is known here.
+    /// The period in which another router last reported service of the organisation here.
     heard: Option<u32>,
     lift: u64,
     /// Whether the own row or the lift changed since they were reported.
@@ -238,6 +238,7 @@
             if source != (self.me, self.incarnation) {
                 let account = self.accounts.entry(row.organisation).or_default();
                 account.merge_row(source, row.received);
+                account.heard = Some(self.period);
             }
         }
     }
--- a/crates/core/tests/hosting/mod.rs
+++ b/crates/core/tests/hosting/mod.rs
@@ -24,7 +24,7 @@
 };
 use bulrushtrestle_core::limit::Rate;
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
-use bulrushtrestle_core::output::{MovePhase, MoveProgress, Output};
+use bulrushtrestle_core::output::{MovePhase, MoveProgress, Notice, Output};
 use bulrushtrestle_core::prelude::*;
 use bulrushtrestle_core::quarantine::Evidence;
 use bulrushtrestle_core::slots::Policy;
@@ -302,6 +302,8 @@
     frozen: BTreeMap<usize, Vec<Input>>,
     /// How much later frames arrive at a router.
     pub(crate) delays: BTreeMap<usize, Duration>,
+    /// The notices of all routers.
+    pub(crate) notices: Vec<Notice>,
     /// The frames of each router, if they are counted.
     pub(crate) traffic: Vec<Traffic>,
     /// The identity of the last request.
@@ -427,6 +429,7 @@
             severed: BTreeSet::new(),
             frozen: BTreeMap::new(),
             delays: BTreeMap::new(),
+            notices: Vec::new(),
             traffic: Vec::new(),
             next: 0,
         };
@@ -614,6 +617,7 @@
                 Output::MoveProgress(progress) if !self.store_blocked.contains(&at) => {
                     self.record_status(progress);
                 }
+                Output::Notice(notice) => self.notices.push(notice),
                 Output::ReadMoveStatuses => self.status_reads.push((at, self.now)),
                 _ => {}
             }
--- a/crates/core/tests/local.rs
+++ b/crates/core/tests/local.rs
@@ -9,6 +9,7 @@
 use bulrushtrestle_core::input::{AttemptEvent, Input, StoreEvent, TargetState, Vm, VmRole};
 use bulrushtrestle_core::message::{Frame, Part};
 use bulrushtrestle_core::node::{CatalogueSource, Config, Node};
+use bulrushtrestle_core::output::NoticeKind;
 use bulrushtrestle_core::prelude::*;
 
 use self::hosting::*;
@@ -284,6 +285,36 @@
     }
 }
 
+/// Guards against lines that lose requests on the way from their arrival to a target.
+///
+/// Load: more requests than the target can serve.
+#[test]
+fn the_lines_of_an_organisation_account_for_every_request() {
+    let mut fleet = Fleet::new(1, 1, 0);
+    let mut asked = 0;
+    for millis in 0..3_000_u64 {
+        if millis < 2_000 && millis.is_multiple_of(20) {
+            fleet.submit(0, "one");
+            asked += 1;
+        }
+        fleet.step();
+    }
+    let lines = fleet.notices.iter();
+    let lines: Vec<&str> = lines
+        .filter(|notice| notice.kind == NoticeKind::Funnel)
+        .map(|notice| notice.subject.as_str())
+        .collect();
+    let sum = |name: &str| -> u64 {
+        let fields = lines.iter().flat_map(|line| line.split(' '));
+        let values = fields.filter_map(|field| field.strip_prefix(name)?.strip_prefix('='));
+        values.map(|it| it.parse::<u64>().expect("a number")).sum()
+    };
+    assert_eq!(sum("asked"), asked, "{lines:?}");
+    assert_eq!(sum("refused") + sum("expired") + sum("sent"), asked);
+    assert_eq!(sum("begun"), sum("sent"));
+    assert!(sum("refused") > 0 && sum("expired") > 0, "{lines:?}");
+}
+
 /// Load: more requests than the target can serve, for longer than callers wait.
 #[test]
 fn what_cannot_be_served_is_refused_soon_and_says_when_to_come_back() {
