Limit the log lines with sums of organisations apart from others

Cause: the log takes 1,000 lines a second and drops the rest. A router that refuses thousands of requests a second writes a line for each; the sums of the second come after them.

Why it works: these lines are bounded by the organisations active at the router, one a second each, and have a limit of their own.

Measured: lines_of_refused_requests_leave_room_for_the_sums_of_organisations passes; it counts what the former limit would drop.

--- a/crates/bulrushtrestled/src/logging.rs
+++ b/crates/bulrushtrestled/src/logging.rs
@@ -6,7 +6,9 @@
 //! request: lines go through a bounded queue to a separate thread, which writes them in batches a few
 //! times per second. On a weak VM, waking the thread for each line would cost more than the line
 //! itself. The number of lines per second is limited too. Lines beyond the limits are dropped and
-//! counted, and the next second begins with a line that holds the count.
+//! counted, and the next second begins with a line that holds the count. The sums of organisations
+//! have a limit of their own, because they are needed most when many requests are refused, each with
+//! a line.
 
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,6 +17,9 @@
 use std::thread;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
+#[cfg(test)]
+mod tests;
+
 use bulrushtrestle_core::output::{Notice, NoticeKind};
 use logforth::record::Record;
 use logforth::{Append, Diagnostic};
@@ -25,7 +30,11 @@
 /// The most lines per second. A router at the design size answers fewer requests per second.
 const LINES_PER_SECOND: u32 = 1_000;
 
-/// The time over which lines are counted for [`LINES_PER_SECOND`].
+/// The most lines with the sums of organisations per second. A router has one for each organisation
+/// and pool with requests.
+const SUMS_PER_SECOND: u32 = 250;
+
+/// The time over which lines are counted for [`LINES_PER_SECOND`] and [`SUMS_PER_SECOND`].
 const WINDOW: Duration = Duration::from_secs(1);
 
 /// The time for which lines are collected before they are written together. If the process is killed,
@@ -53,10 +62,7 @@
     };
     let append = QueueAppender {
         lines,
-        window: Mutex::new(Window {
-            since: Instant::now(),
-            count: 0,
-        }),
+        window: Mutex::new(Window::new(Instant::now())),
         dropped: AtomicU64::new(0),
     };
     logforth::starter_log::builder()
@@ -127,7 +133,39 @@
 #[derive(Debug)]
 struct Window {
     since: Instant,
-    count: u32,
+    /// The lines with sums of organisations.
+    sums: u32,
+    /// All other lines.
+    others: u32,
+}
+
+impl Window {
+    const fn new(since: Instant) -> Self {
+        Self {
+            since,
+            sums: 0,
+            others: 0,
+        }
+    }
+
+    /// Begins a new second if the present one is over, and returns whether it did.
+    fn advance(&mut self, now: Instant) -> bool {
+        let is_over = now.duration_since(self.since) >= WINDOW;
+        if is_over {
+            *self = Self::new(now);
+        }
+        is_over
+    }
+
+    /// Counts a line of a kind, and returns whether it may be written.
+    fn allows(&mut self, kind: &str) -> bool {
+        let (count, most) = match kind == kind_name(NoticeKind::Funnel) {
+            true => (&mut self.sums, SUMS_PER_SECOND),
+            false => (&mut self.others, LINES_PER_SECOND),
+        };
+        *count += 1;
+        *count <= most
+    }
 }
 
 impl Append for QueueAppender {
@@ -136,7 +174,9 @@
         record: &Record<'_>,
         _diagnostics: &[Box<dyn Diagnostic>],
     ) -> Result<(), logforth::Error> {
-        if !self.allows_line() || self.lines.try_send(Line::Text(format(record))).is_err() {
+        if !self.allows_line(record.target())
+            || self.lines.try_send(Line::Text(format(record))).is_err()
+        {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
@@ -150,11 +190,9 @@
 impl QueueAppender {
     /// Returns whether another line may be written in the present second. Counts the line. At the start
     /// of a second, queues a line with the number of dropped lines.
-    fn allows_line(&self) -> bool {
+    fn allows_line(&self, kind: &str) -> bool {
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
-        if window.since.elapsed() >= WINDOW {
-            window.since = Instant::now();
-            window.count = 0;
+        if window.advance(Instant::now()) {
             let dropped = self.dropped.swap(0, Ordering::Relaxed);
             if dropped > 0 {
                 let line = format!("{} WARN log: left_out={dropped}\n", unix_millis());
@@ -164,8 +202,7 @@
                 }
             }
         }
-        window.count += 1;
-        window.count <= LINES_PER_SECOND
+        window.allows(kind)
     }
 }
 
