Hold organisations to their shares of the service while one gets much less

Cause: an allowance in another unit than the resource, and a demand inferred from what was granted. A turn is a number of requests of the size that waits first, and a part of the room free at one moment; a claim is bounded by what its router sent, and what is refused at once is in no claim. A router that is held back claims next to nothing and stays held back.

Why it works: what an organisation asks for is counted at arrival, refused or not, in tokens of prompts and answers, and what is divided is the service that the fleet gave in two seconds. While an organisation with unserved requests gets less than 0.75 of its max-min share, until 0.95, those above theirs get credit at its rate, and without credit only room that is left over; the one that is short needs no turn and may leave a quarter more unread tokens at a target, because small requests of others use all room before a large one fits. While nobody is short nothing changes. Turns stay for what they do well: they divide the room of a moment, so that routers do not all use the same room.

--- a/crates/bulrushtrestled/src/settings/mod.rs
+++ b/crates/bulrushtrestled/src/settings/mod.rs
@@ -514,6 +514,7 @@
             millis(default.fairness_window),
         )?,
         light_percent: s.int("quiet_percent", 0..=100, default.light_percent.into())?,
+        short_percent: s.int("short_percent", 0..=100, default.short_percent.into())?,
         claim_ttl: s.millis("floor_for_ms", 10..=60_000, millis(default.claim_ttl))?,
     };
     s.finish()?;
--- a/crates/core/src/balance/config.rs
+++ b/crates/core/src/balance/config.rs
@@ -42,6 +42,10 @@
     /// The window over which the recent service of organisations is compared. Default: 4 s, the
     /// window over which the platform accounts for what an organisation is owed.
     pub fairness_window: Duration,
+    /// The part of its share, in hundredths, below which an organisation with unserved requests is
+    /// short, so that others are held to their shares. Default: 75, midway
+    /// between a full share and the half that is promised.
+    pub short_percent: u32,
     /// The time for which the claims in a peer's report count. Default: 300 ms, three reports.
     pub claim_ttl: Duration,
     /// The part of a model's targets that is reserved for light requests, in hundredths. A light
@@ -69,6 +73,7 @@
             max_wait_percent: 60,
             lead: Cost::tokens(30_000),
             fairness_window: Duration::from_secs(4),
+            short_percent: 75,
             claim_ttl: Duration::from_millis(300),
             light_percent: 20,
             report_every: Duration::from_millis(100),
--- a/crates/core/src/balance/fleet_view.rs
+++ b/crates/core/src/balance/fleet_view.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// Subtracts this router's own waiting requests from the fleet's.
+/// Subtracts this router's own claims from the fleet's.
 fn subtract_claims(claims: &mut Vec<ClaimRow>, own: &[ClaimRow]) {
     for row in own {
         let is_same =
@@ -117,7 +117,10 @@
         if let Some(sum) = claims.iter_mut().find(is_same) {
             sum.requests = sum.requests.saturating_sub(row.requests);
             sum.tokens = sum.tokens.saturating_sub(row.tokens);
+            sum.asked = sum.asked.saturating_sub(row.asked);
+            sum.sent = sum.sent.saturating_sub(row.sent);
+            sum.unserved = sum.unserved.saturating_sub(row.unserved);
         }
     }
-    claims.retain(|row| row.requests > 0);
+    claims.retain(|row| row.requests > 0 || row.asked > 0 || row.unserved > 0);
 }
--- a/crates/core/src/balance/message.rs
+++ b/crates/core/src/balance/message.rs
@@ -83,7 +83,8 @@
 }
 
 /// The waiting requests of one organisation at one router that the router is likely to dispatch
-/// before its next report.
+/// before its next report, and what the organisation asked for and was sent at the router within a
+/// window. Rows without waiting requests are reported while requests are unserved anywhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRow {
     /// The pool for which the requests wait.
@@ -91,12 +92,19 @@
     /// The organisation.
     pub organisation: OrganisationId,
     /// The service that the organisation received recently, divided by its weight, in thousandths
-    /// of a generated token.
+    /// of a generated token. The greatest value if no request waits.
     pub level: u64,
     /// The number of waiting requests.
     pub requests: u32,
     /// The tokens of the prompts of these requests.
     pub tokens: u32,
+    /// The tokens of the prompts and answers of requests that arrived within the window, and of
+    /// those that have waited for longer.
+    pub asked: u32,
+    /// The tokens of the prompts and answers of requests that were sent to targets within the window.
+    pub sent: u32,
+    /// The requests that wait or were refused for lack of capacity within the window.
+    pub unserved: u32,
 }
 
 /// The load that one router has at one target.
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -25,6 +25,9 @@
 //! tokens, the tokens that it would have to read again, its running requests, and the cost of
 //! distance; the target with the lowest score is chosen. See `docs/design/0031-balance.md`.
 //!
+//! While an organisation receives much less than its share of the service that the fleet gives, the
+//! others are held to theirs; see [`shares`].
+//!
 //! Where targets differ in speed, or routes state how long streams may pause, work is compared in
 //! time, and the unread tokens at a target are bounded by the pauses that they cause ([`ReadSpeed`],
 //! [`speed`](crate::speed)). Scores are then spread by a hash, because routers that know the same
@@ -36,6 +39,8 @@
 mod prefix_index;
 mod relaying;
 mod score;
+mod service_window;
+mod shares;
 mod state;
 #[cfg(test)]
 mod tests;
@@ -45,5 +50,7 @@
 pub use self::prefix_index::PrefixIndex;
 pub use self::relaying::Member;
 pub use self::score::{Candidate, CandidateLoad, Choice, ReadSpeed, RequestProfile, Size};
+pub use self::service_window::{Service, ServiceWindow};
+pub use self::shares::{Share, Standing};
 pub use self::state::{Balance, Load};
 pub use self::turns::{Permit, Quota, Workload};
--- a/crates/core/src/balance/relaying.rs
+++ b/crates/core/src/balance/relaying.rs
@@ -112,7 +112,7 @@
             routers += relay.routers;
         }
         let waiting = self
-            .fresh_claims(now, None)
+            .fresh_claims(now, self.cfg.claim_ttl, None)
             .chain(&self.relaying.own_claims);
         let claims = merged(waiting);
         let demand = self.demand_sum(now, None);
@@ -163,7 +163,7 @@
             add_loads(&mut loads, &member.loads);
             routers += 1;
         }
-        let waiting = self.fresh_claims(now, Some(Coverage::Router));
+        let waiting = self.fresh_claims(now, self.cfg.claim_ttl, Some(Coverage::Router));
         let claims = merged(waiting.chain(&self.relaying.own_claims));
         (loads, claims, routers)
     }
@@ -223,17 +223,16 @@
         })
     }
 
-    /// Returns the requests that wait at peers by reports that are no older than
-    /// [`Config::claim_ttl`](crate::balance::Config::claim_ttl).
+    /// Returns the claims in peers' own reports that are younger than `ttl`.
     pub(super) fn fresh_claims(
         &self,
         now: Time,
+        ttl: Duration,
         coverage: Option<Coverage>,
     ) -> impl Iterator<Item = &ClaimRow> {
-        let claim_ttl = self.cfg.claim_ttl;
         let fresh = self.peers.values().filter(move |peer| {
             let is_covered = coverage.is_none_or(|coverage| coverage == peer.coverage);
-            is_covered && now.since(peer.received_at) < claim_ttl
+            is_covered && now.since(peer.received_at) < ttl
         });
         fresh.flat_map(|peer| &peer.claims)
     }
@@ -256,11 +255,17 @@
             .or_insert(ClaimRow {
                 requests: 0,
                 tokens: 0,
+                asked: 0,
+                sent: 0,
+                unserved: 0,
                 ..*row
             });
         sum.level = sum.level.min(row.level);
         sum.requests = sum.requests.saturating_add(row.requests);
         sum.tokens = sum.tokens.saturating_add(row.tokens);
+        sum.asked = sum.asked.saturating_add(row.asked);
+        sum.sent = sum.sent.saturating_add(row.sent);
+        sum.unserved = sum.unserved.saturating_add(row.unserved);
     }
     sums.into_values().collect()
 }
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -15,6 +15,10 @@
 /// A target that is reserved for light requests takes other requests only up to its slots divided
 /// by this number.
 const HEAVY_SLOTS_DIVISOR: u32 = 16;
+/// The unread tokens that a target may have after a request of an organisation that is short, in
+/// hundredths of what it may have otherwise. Else small requests of others would use all room before
+/// there is enough for a large one.
+const SHORT_UNREAD_PERCENT: u64 = 125;
 
 /// The tokens by which the scores of targets are spread at random: one step of an engine, so that a
 /// difference that the prompt of a request does not notice decides nothing. Without it all routers
@@ -108,6 +112,9 @@
     pub body_bytes: u32,
     /// Whether the request may still wait for a target that caches its prompt.
     pub may_wait: bool,
+    /// Whether the request's organisation is short, so that a target may have more unread tokens
+    /// after the request than others may leave there.
+    pub is_short: bool,
     /// How the size of the prompt compares with those of other requests of the pool, where some of
     /// its targets state limits.
     pub size: Size,
@@ -125,6 +132,7 @@
             parts: &req.details.parts,
             output_tokens: req.details.output_tokens,
             body_bytes: req.details.body_bytes,
+            is_short: false,
             may_wait,
             size: Size::default(),
             due_tokens: u64::MAX,
@@ -214,7 +222,7 @@
                 Some(_) => coverage.unread_at(candidate.target),
                 None => to_read,
             };
-            let has_capacity = self.has_capacity(&place, slots, unread)
+            let has_capacity = self.has_capacity(&place, slots, unread, profile.is_short)
                 && is_due_later(&place, unread, profile.due_tokens)
                 && (is_idle || slots == candidate.slots)
                 && (!is_divided || suits(profile.size, place.permits, is_idle));
@@ -284,13 +292,23 @@
     /// Returns whether a target can take any request at all. Whether it can take a given one
     /// depends on the size of that request.
     pub fn may_have_capacity(&self, loaded: &CandidateLoad) -> bool {
-        self.has_capacity(loaded, loaded.candidate.slots, 0)
+        self.has_capacity(loaded, loaded.candidate.slots, 0, true)
     }
 
-    fn has_capacity(&self, loaded: &CandidateLoad, slots: u32, to_read: u32) -> bool {
+    fn has_capacity(
+        &self,
+        loaded: &CandidateLoad,
+        slots: u32,
+        to_read: u32,
+        is_short: bool,
+    ) -> bool {
         let load = loaded.load;
         let unread = load.unread + u64::from(to_read);
-        let reads_soon = load.unread == 0 || unread <= self.unread_max(loaded);
+        let unread_max = match is_short {
+            true => self.unread_max(loaded) * SHORT_UNREAD_PERCENT / 100,
+            false => self.unread_max(loaded),
+        };
+        let reads_soon = load.unread == 0 || unread <= unread_max;
         load.requests < slots && reads_soon
     }
 
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -7,6 +7,7 @@
 use crate::balance::message::{ClaimRow, Coverage, Figures, HeldRow, LoadPart, LoadRow};
 use crate::balance::prefix_index::shared_prefixes;
 use crate::balance::relaying::Relaying;
+use crate::balance::shares::Shares;
 use crate::balance::turns::Turns;
 use crate::balance::{Config, PrefixIndex};
 use crate::limit::message::{DemandRow, LimitRow};
@@ -83,6 +84,7 @@
     own: BTreeMap<TargetId, Load>,
     pub(super) peers: BTreeMap<RouterId, PeerState>,
     pub(super) turns: Turns,
+    pub(super) shares: Shares,
     /// The sum of the loads of all peers, so that a lookup costs the same for any number of peers.
     peer_sum: BTreeMap<TargetId, Load>,
     /// The time of the oldest report that is part of `peer_sum`.
@@ -175,6 +177,7 @@
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
             turns: Turns::default(),
+            shares: Shares::default(),
             peer_sum: BTreeMap::new(),
             oldest_report: Time::default(),
             fleet: None,
--- a/crates/core/src/balance/tests.rs
+++ b/crates/core/src/balance/tests.rs
@@ -1,11 +1,13 @@
 //! Tests of the load balancer. Each test guards against a failure under one pattern of load.
 
 mod relayed;
+mod shares;
 mod speed;
 
 use super::message::{ClaimRow, Coverage, Figures, FleetPart, LoadPart, LoadRow};
 use super::{
-    Balance, Candidate, CandidateLoad, Config, Load, ReadSpeed, RequestProfile, Size, Workload,
+    Balance, Candidate, CandidateLoad, Choice, Config, Load, ReadSpeed, RequestProfile, Size,
+    Workload,
 };
 use crate::limit::Permits;
 use crate::prelude::*;
@@ -23,6 +25,9 @@
         level,
         requests,
         tokens: 1_000 * requests,
+        asked: 0,
+        sent: 0,
+        unserved: 0,
     }
 }
 
@@ -57,6 +62,7 @@
         output_tokens: 100,
         body_bytes: 10_000,
         may_wait,
+        is_short: false,
         size: Size::default(),
         due_tokens: u64::MAX,
     }
--- a/crates/core/src/balance/turns.rs
+++ b/crates/core/src/balance/turns.rs
@@ -15,7 +15,9 @@
 //! computes for each organisation with waiting requests what the organisation may use until the
 //! next report, in requests of the mean size of its own. A target takes as many of these as it has
 //! free slots or as it can read soon, whichever are fewer. A fraction of a request is carried over
-//! until it adds up to a complete one. A claim is bounded by what its router dispatched since the
+//! until it adds up to a complete one. Turns divide the room of a moment, so that routers do not all
+//! use the same room; what an organisation receives over time is held to its share by
+//! [`shares`](super::shares). A claim is bounded by what its router dispatched since the
 //! report before, so that a slow router does not hold up the others.
 
 use std::collections::BTreeMap;
@@ -123,7 +125,9 @@
         let lead = self.cfg.lead.0;
         let each = own.tokens_each().max(1);
         let (mut lower, mut near, mut elsewhere, mut lowest) = (0, 0, 0, None);
-        for row in self.claims(now, pool) {
+        let claim_ttl = self.cfg.claim_ttl;
+        let waiting = |row: &&ClaimRow| row.pool == pool && row.requests > 0;
+        for row in self.claims(now, claim_ttl).filter(waiting) {
             // A request that is larger than the organisation's own counts as several.
             let claimed = u64::from(row.requests).max(u64::from(row.tokens) / each);
             if row.organisation == organisation {
@@ -210,18 +214,13 @@
         ages.filter(|&age| age < claim_ttl).max()
     }
 
-    /// Returns the claims for a pool in peers' reports that are no older than
-    /// [`Config::claim_ttl`].
-    ///
-    /// [`Config::claim_ttl`]: crate::balance::Config::claim_ttl
-    fn claims(&self, now: Time, pool: PoolId) -> impl Iterator<Item = &ClaimRow> {
-        let claim_ttl = self.cfg.claim_ttl;
-        let is_fresh = |fleet: &&FleetView| now.since(fleet.received_at) < claim_ttl;
+    /// Returns the claims in peers' reports that are younger than `ttl`.
+    pub(super) fn claims(&self, now: Time, ttl: Duration) -> impl Iterator<Item = &ClaimRow> {
+        let is_fresh = |fleet: &&FleetView| now.since(fleet.received_at) < ttl;
         let fleet = self.fleet.as_ref().filter(is_fresh);
-        let direct = fleet.is_none().then(|| self.fresh_claims(now, None));
+        let direct = fleet.is_none().then(|| self.fresh_claims(now, ttl, None));
         let relayed = fleet.into_iter().flat_map(|fleet| &fleet.claims);
-        let all = relayed.chain(direct.into_iter().flatten());
-        all.filter(move |row| row.pool == pool)
+        relayed.chain(direct.into_iter().flatten())
     }
 }
 
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -261,6 +261,11 @@
         if matches!(ended.flow, Flow::Pending | Flow::Late) {
             let (pool, organisation, _) = ended.runs_as;
             self.funnels.of(pool, organisation).broken += 1;
+            if let Some(active) = self.requests.get(&ended.request) {
+                let tokens = work_of(&active.req).tokens;
+                let key = (pool, organisation);
+                self.service.on_broken(self.cx.now, key, tokens);
+            }
         }
         self.record_suspect(&ended, ending);
         if must_cancel(ending) {
--- a/crates/core/src/node/funnel.rs
+++ b/crates/core/src/node/funnel.rs
@@ -55,12 +55,13 @@
     }
 }
 
-/// Returns the work of one request, with the tokens of its prompt and its answer.
+/// Returns the work of one request, with the tokens of its prompt and its answer. A call without
+/// tokens counts as one.
 pub(super) fn work_of(req: &Request) -> Workload {
     let tokens = u64::from(req.prompt_tokens) + u64::from(req.details.output_tokens);
     Workload {
         requests: 1,
-        tokens,
+        tokens: tokens.max(1),
     }
 }
 
@@ -94,6 +95,8 @@
         let waiting = self.queues.waiting_for(pool, organisation);
         let total_age = self.ledger.total_age(organisation);
         let or_none = |value: Option<u128>| value.map_or("none".to_owned(), |it| it.to_string());
+        let standing = self.balance.standing(pool, organisation);
+        let level = self.balance.level(pool);
         // Without a turn in this time there is no figure, which is not the same as zero.
         let turn = row.quota.map_or("turn=none".to_owned(), |quota| {
             format!(
@@ -107,12 +110,16 @@
         });
         format!(
             "pool={pool_name} organisation={name} asked={} asked_tokens={} refused={} expired={} \
-             waiting={waiting} claimed={} allowed={} {turn} without_turn={} without_target={} sent={} sent_tokens={} begun={} begun_tokens={} \
+             waiting={waiting} fleet_asked={} fleet_sent={} level={} share={} claimed={} allowed={} {turn} without_turn={} without_target={} sent={} sent_tokens={} begun={} begun_tokens={} \
              broken={} recent={recent} recent_age_periods={} claims_age_ms={}",
             row.asked.requests,
             row.asked.tokens,
             row.refused,
             row.expired,
+            standing.asked,
+            standing.sent,
+            or_none(level.map(u128::from)),
+            or_none(standing.share.map(u128::from)),
             row.claimed,
             row.allowed_millis / 1_000,
             row.without_turn,
--- a/crates/core/src/node/load_exchange.rs
+++ b/crates/core/src/node/load_exchange.rs
@@ -25,7 +25,7 @@
         self.next_load_report = now + self.balance.cfg().report_every * percent / 100;
         self.cx.wake(self.next_load_report);
         let claims = self.own_claims();
-        for row in &claims {
+        for row in claims.iter().filter(|row| row.requests > 0) {
             let funnel = self.funnels.of(row.pool, row.organisation);
             funnel.claimed += u64::from(row.requests);
         }
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -1,18 +1,20 @@
 //! Dispatch where each router chooses targets by itself ([`Policy::Local`]) and no owner grants
 //! slots.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::address;
 use crate::balance::message::ClaimRow;
-use crate::balance::{Candidate, CandidateLoad, Choice, ReadSpeed, RequestProfile, Workload};
+use crate::balance::{
+    Candidate, CandidateLoad, Choice, Permit, ReadSpeed, RequestProfile, Share, Workload,
+};
 use crate::catalogue::TargetView;
 use crate::catalogue::entry::{Pool, Route, Service, Target};
 use crate::cold_start::Allowance;
 use crate::node::Node;
 use crate::node::funnel::work_of;
 use crate::node::request::Active;
-use crate::output::Basis;
+use crate::output::{Basis, Turn};
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::slots::Policy;
@@ -96,6 +98,8 @@
 const CLAIM_MIN: u32 = 1;
 /// The growth of the claim limit with each dispatched request; see [`CLAIM_MIN`].
 const CLAIM_FACTOR: u32 = 2;
+/// The most waiting requests of an organisation whose tokens are added up for what it asks for.
+const ASKED_WAITING_MAX: usize = 64;
 
 /// A waiting request for which a target was found.
 #[derive(Debug)]
@@ -195,8 +199,11 @@
         }
         let now = self.cx.now;
         let mut scanned = 0;
-        for eligible in self.eligible_organisations(pool) {
+        let mut eligible = self.eligible_organisations(pool);
+        eligible.sort_by_key(|it| !self.balance.is_short(pool, it.organisation));
+        for eligible in eligible {
             let organisation = eligible.organisation;
+            let share = self.balance.share(now, pool, organisation);
             let first = self
                 .queues
                 .first(now, pool, organisation, SCANNED_PER_ORGANISATION_MAX);
@@ -205,10 +212,9 @@
                     continue;
                 }
                 let waits_for_holder = self.waits_for_holder(&waiting);
-                let due = self.balance.turn(pool, organisation);
+                let due = self.permit(pool, organisation, share);
                 let choice = due.and_then(|due| {
-                    let choice =
-                        self.choose_locally(candidates, waiting.request, waits_for_holder)?;
+                    let choice = self.choose_for(share, candidates, &waiting)?;
                     Some((due, choice))
                 });
                 if let Some((due, choice)) = choice {
@@ -234,7 +240,9 @@
                     Some(_) => funnel.without_target += 1,
                 }
                 scanned += 1;
-                if !waits_for_holder || scanned >= SCANNED_MAX {
+                // Others must not wait for an organisation that has exceeded its share.
+                let is_blocking = !waits_for_holder && share != Share::Exhausted;
+                if is_blocking || scanned >= SCANNED_MAX {
                     return None;
                 }
             }
@@ -274,38 +282,148 @@
     pub(super) fn renew_turns_if_due(&mut self) {
         if self.slots.cfg.policy == Policy::Local && self.cx.now >= self.next_load_report {
             self.balance.invalidate_turns();
+            self.service.advance(self.cx.now);
+            let own = self.own_service();
+            let catalogue = &self.catalogue;
+            let weight_of = |organisation| {
+                catalogue
+                    .organisation(organisation)
+                    .map_or(1, |it| it.weight)
+            };
+            self.balance.update_shares(self.cx.now, &own, weight_of);
             self.next_scans.clear();
         }
     }
 
-    /// Returns this router's claims for its waiting requests, starting with the organisations that
-    /// received the least service. Nothing is claimed while nothing can be dispatched, since
-    /// capacity would idle for it everywhere; nor is more claimed than this router is likely to
-    /// dispatch.
+    /// Returns the permission for an organisation to send a request, as far as its share or its turn
+    /// gives one. Credit is earned over time and needs no turn, which divides the room of a moment.
+    fn permit(&self, pool: PoolId, organisation: OrganisationId, share: Share) -> Option<Permit> {
+        let by_share = |turn| Permit { turn, lowest: None };
+        let by_turn = self.balance.turn(pool, organisation);
+        match share {
+            Share::Open => by_turn,
+            Share::Short => Some(by_share(Turn::Short)),
+            Share::Credit => Some(by_share(Turn::Share)),
+            Share::Exhausted => by_turn.map(|permit| Permit {
+                turn: Turn::Spare,
+                ..permit
+            }),
+        }
+    }
+
+    /// Returns the target for a request of an organisation, as far as its share allows it.
+    fn choose_for(
+        &self,
+        share: Share,
+        candidates: &[CandidateLoad],
+        waiting: &Waiting,
+    ) -> Option<Choice> {
+        let waits_for_holder = self.waits_for_holder(waiting);
+        let choose = |waits_for_holder| {
+            let is_short = share == Share::Short;
+            self.choose_locally(candidates, waiting.request, waits_for_holder, is_short)
+        };
+        let is_spare = |choice: &Choice| {
+            let mut places = candidates.iter();
+            let chosen = places.find(|place| place.candidate.target == choice.target);
+            chosen.is_some_and(|place| self.balance.has_spare_room(place, choice))
+        };
+        match share {
+            Share::Open | Share::Short | Share::Credit => choose(waits_for_holder),
+            Share::Exhausted => choose(waits_for_holder).filter(is_spare),
+        }
+    }
+
+    /// Returns this router's claims: the waiting requests that it is likely to dispatch, starting
+    /// with the organisations that received the least service, and the service of all
+    /// organisations in pools for which requests are unserved here or at a peer. Nothing is claimed
+    /// while nothing can be dispatched, since capacity would idle for it everywhere.
     pub(super) fn own_claims(&self) -> Vec<ClaimRow> {
+        let mut claims = self.own_service();
+        let unserved = claims.iter().filter(|row| row.unserved > 0);
+        let mut contended: BTreeSet<PoolId> = unserved.map(|row| row.pool).collect();
+        let pools: BTreeSet<PoolId> = claims.iter().map(|row| row.pool).collect();
+        let is_contended = |pool: &PoolId| self.balance.is_contended(self.cx.now, *pool);
+        contended.extend(pools.into_iter().filter(is_contended));
+        claims.retain(|row| contended.contains(&row.pool));
+        for &pool in &contended {
+            self.add_waiting(pool, &mut claims);
+        }
+        claims
+    }
+
+    /// Adds to the claims for a pool the waiting requests that this router is likely to dispatch
+    /// before its next report.
+    fn add_waiting(&self, pool: PoolId, claims: &mut [ClaimRow]) {
+        let mut left = self.claim_max(pool);
+        for eligible in self.eligible_organisations(pool) {
+            if left == 0 {
+                break;
+            }
+            let is_same =
+                |row: &&mut ClaimRow| (row.pool, row.organisation) == (pool, eligible.organisation);
+            let Some(row) = claims.iter_mut().find(is_same) else {
+                continue;
+            };
+            let own = self.waiting_of(pool, eligible.organisation, left);
+            row.level = eligible.time;
+            row.requests = u32::try_from(own.requests).unwrap_or(u32::MAX);
+            row.tokens = u32::try_from(own.tokens).unwrap_or(u32::MAX);
+            left = left.saturating_sub(row.requests);
+        }
+    }
+
+    /// Returns what each organisation asked for and was sent at this router; nothing while nothing
+    /// can be dispatched.
+    fn own_service(&self) -> Vec<ClaimRow> {
         if self.targets_are_stale() {
             return Vec::new();
         }
-        let mut claims = Vec::new();
+        let mut keys: BTreeSet<(PoolId, OrganisationId)> = self.service.keys().collect();
         for pool in self.queues.pools() {
-            let mut left = self.claim_max(pool);
-            for eligible in self.eligible_organisations(pool) {
-                if left == 0 {
-                    break;
-                }
-                let own = self.waiting_of(pool, eligible.organisation, left);
-                let requests = u32::try_from(own.requests).unwrap_or(u32::MAX);
-                left = left.saturating_sub(requests);
-                claims.push(ClaimRow {
-                    pool,
-                    organisation: eligible.organisation,
-                    level: eligible.time,
-                    requests,
-                    tokens: u32::try_from(own.tokens).unwrap_or(u32::MAX),
-                });
-            }
+            let waiting = self.queues.backlogged(pool);
+            keys.extend(waiting.map(|(organisation, _)| (pool, organisation)));
         }
-        claims
+        let count = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+        let row = |(pool, organisation)| {
+            let service = self.service.of((pool, organisation));
+            // Requests may have waited for longer than the window.
+            let backlog = service.sent + self.waiting_tokens(pool, organisation);
+            let waiting = self.queues.waiting_for(pool, organisation) as u64;
+            ClaimRow {
+                pool,
+                organisation,
+                level: u64::MAX,
+                requests: 0,
+                tokens: 0,
+                asked: count(service.asked.max(backlog)),
+                sent: count(service.sent),
+                // Capacity is not what holds back an organisation that runs all it may.
+                unserved: match self.may_run_more(organisation) {
+                    true => count(service.refused + waiting),
+                    false => 0,
+                },
+            }
+        };
+        keys.into_iter().map(row).collect()
+    }
+
+    /// Returns whether an organisation is below its limit of running requests.
+    fn may_run_more(&self, organisation: OrganisationId) -> bool {
+        let entry = self.catalogue.organisation(organisation);
+        entry.is_some_and(|entry| self.running.of(organisation) < entry.limits.running)
+    }
+
+    /// Returns the tokens of the prompts and answers of an organisation's first waiting requests.
+    fn waiting_tokens(&self, pool: PoolId, organisation: OrganisationId) -> u64 {
+        let now = self.cx.now;
+        let first = self
+            .queues
+            .first(now, pool, organisation, ASKED_WAITING_MAX);
+        let active = first
+            .iter()
+            .filter_map(|(_, waiting)| self.requests.get(&waiting.request));
+        active.map(|active| work_of(&active.req).tokens).sum()
     }
 
     /// Returns the most waiting requests that may be claimed for a pool in one report.
@@ -436,12 +554,14 @@
         candidates: &[CandidateLoad],
         request: RequestId,
         waits_for_holder: bool,
+        is_short: bool,
     ) -> Option<Choice> {
         let active = self.requests.get(&request)?;
         let constraints = active.retry_state.dispatch_constraints();
         let wanted = RequestProfile {
             size: self.size(active),
             due_tokens: self.due_tokens(active),
+            is_short,
             ..RequestProfile::of(&active.req, waits_for_holder)
         };
         let now = self.cx.now;
@@ -731,11 +851,16 @@
         }
     }
 
-    /// Adds a request that was sent to its organisation's funnel.
+    /// Counts a request that was sent as service of its organisation.
     fn record_sent(&mut self, pool: PoolId, organisation: OrganisationId, request: RequestId) {
-        if let Some(active) = self.requests.get(&request) {
-            self.funnels.of(pool, organisation).sent += work_of(&active.req);
-        }
+        let Some(active) = self.requests.get(&request) else {
+            return;
+        };
+        let work = work_of(&active.req);
+        self.funnels.of(pool, organisation).sent += work;
+        let key = (pool, organisation);
+        self.service.on_sent(self.cx.now, key, work.tokens);
+        self.balance.spend_share(pool, organisation, work.tokens);
     }
 
     fn record_unread(&mut self, request: RequestId, choice: Choice) {
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -101,6 +101,10 @@
             let verdict = unclaimed.unwrap_or(active.retry_state.verdict());
             self.queues.remove(pool, organisation, request);
             self.funnels.of(pool, organisation).expired += 1;
+            if matches!(reason, Reason::DeadlinePassed | Reason::QueueFull) {
+                let key = (pool, organisation);
+                self.service.on_refused(self.cx.now, key);
+            }
             self.count_refusal(pool, reason);
             let refusal = Refusal {
                 verdict,
@@ -169,7 +173,15 @@
         let wait_until = self
             .max_wait(&req)
             .map_or(deadline, |wait| deadline.min(arrived + wait));
-        self.check_wait(&req, wait_until)?;
+        if let Err(refusal) = self.check_wait(&req, wait_until) {
+            // What came too late for any target says nothing about their capacity.
+            if refusal.reason == Reason::QueueFull && wait_until > now {
+                let key = (req.pool, req.organisation);
+                self.service.on_asked(now, key, work_of(&req).tokens);
+                self.service.on_refused(now, key);
+            }
+            return Err(refusal);
+        }
         let admission = self.admit_key(&req, deadline)?;
         self.budgets.earn(now, self.cfg.attempt.payer(&req));
         let active = Active {
@@ -200,6 +212,9 @@
             return;
         };
         active.stage = Stage::Waiting;
+        let key = (active.req.pool, active.req.organisation);
+        let tokens = work_of(&active.req).tokens;
+        self.service.on_asked(self.cx.now, key, tokens);
         let deadline = active.wait_until;
         let waiting = Waiting {
             request,
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::attempt::Budgets;
-use crate::balance::Balance;
+use crate::balance::{Balance, ServiceWindow};
 use crate::catalogue::Catalogue;
 use crate::cold_start::ColdTargets;
 use crate::duty::Duties;
@@ -115,6 +115,8 @@
     pub(super) next_scans: BTreeMap<PoolId, Time>,
     /// How many requests of each pool were dispatched since the last load report.
     pub(super) dispatched_since_report: BTreeMap<PoolId, u32>,
+    /// What organisations asked for and were sent recently at this router.
+    pub(super) service: ServiceWindow,
     /// How far the requests of each organisation came since the last log lines.
     pub(super) funnels: Funnels,
     /// The routers that received this router's last load report.
@@ -196,6 +198,7 @@
             target_lists: BTreeMap::new(),
             next_scans: BTreeMap::new(),
             dispatched_since_report: BTreeMap::new(),
+            service: ServiceWindow::default(),
             funnels: Funnels::default(),
             load_readers: BTreeSet::new(),
             sums_readers: BTreeSet::new(),
--- a/crates/core/src/output.rs
+++ b/crates/core/src/output.rs
@@ -190,6 +190,11 @@
     /// Other organisations have requests waiting, but the request is within its organisation's
     /// share of the free capacity.
     Share,
+    /// The organisation receives clearly less than its share of the service of the fleet.
+    Short,
+    /// Another organisation receives less than its share, and this one has used up its own, but the
+    /// target keeps room for others.
+    Spare,
 }
 
 impl Turn {
@@ -199,6 +204,8 @@
             Self::Granted => "granted",
             Self::Due => "due",
             Self::Share => "share",
+            Self::Short => "short",
+            Self::Spare => "spare",
         }
     }
 }
