Let requests of an organisation that is short go where there is room

Cause: while the target that caches its prefix is full, a request goes elsewhere only to an idle target until nine tenths of its wait have passed, and in a large fleet hardly any target is ever idle. A queue admits what it is likely to send by what it sent, eight requests at least.

Why it works: a request of an organisation that is short goes to another target at once if that target stays less than half full. Others wait as before, so that their prefixes are not read again.

--- a/crates/core/src/balance/shares.rs
+++ b/crates/core/src/balance/shares.rs
@@ -28,8 +28,9 @@
 //! a target that keeps room for others ([`Balance::has_spare_room`]), so that no capacity idles for
 //! an organisation that cannot use it.
 //!
-//! An organisation that is short may send regardless of its [turn](super::turns), and may fill a
-//! target somewhat more than others.
+//! An organisation that is short may send regardless of its [turn](super::turns), may fill a target
+//! somewhat more than others, and does not wait for a target that caches its prompt while others
+//! have room.
 //!
 //! Shares are the max-min fair rates of core-stateless fair queueing (Stoica, Shenker and Zhang,
 //! 1998), enforced with token buckets in proportion to local demand as in distributed rate limiting
--- a/crates/core/src/node/local_dispatch.rs
+++ b/crates/core/src/node/local_dispatch.rs
@@ -329,8 +329,13 @@
             chosen.is_some_and(|place| self.balance.has_spare_room(place, choice))
         };
         match share {
-            Share::Open | Share::Short | Share::Credit => choose(waits_for_holder),
+            Share::Open | Share::Credit => choose(waits_for_holder),
             Share::Exhausted => choose(waits_for_holder).filter(is_spare),
+            // While targets have room, waiting for one that caches the prompt leaves capacity idle.
+            Share::Short if waits_for_holder => {
+                choose(true).or_else(|| choose(false).filter(is_spare))
+            }
+            Share::Short => choose(false),
         }
     }
 
